--- /dev/null
+++ b/cmd/lentil-agent/main.go
@@ -0,0 +1,12 @@
+// Command lentil-agent is the daemon of a backend server VM.
+package main
+
+import (
+	"os"
+
+	"github.com/lentilbridge/lentilbridge/pkg/agent"
+)
+
+func main() {
+	os.Exit(agent.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/lentil-entry/main.go
@@ -0,0 +1,12 @@
+// Command lentil-entry is the daemon of an entry VM.
+package main
+
+import (
+	"os"
+
+	"github.com/lentilbridge/lentilbridge/pkg/router"
+)
+
+func main() {
+	os.Exit(router.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/pkg/parser/kinds.go
@@ -0,0 +1,261 @@
+// Package parser defines the kinds of objects that operators declare and
+// reads them from YAML or JSON files, with the line of each field.
+package parser
+
+// Object is one declared object. The kinds are the types of this file.
+type Object interface {
+	object()
+	// Ref returns the kind and name of the object.
+	Ref() Ref
+}
+
+// Ref names an object.
+type Ref struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+func (r Ref) String() string { return r.Kind + "/" + r.Name }
+
+// Kinds of objects.
+const (
+	KindModel        = "model"
+	KindModelVersion = "model-version"
+	KindAdapter      = "adapter"
+	KindFleet        = "fleet"
+	KindService      = "service"
+	KindTeam         = "team"
+	KindRollout      = "rollout"
+	KindRoute        = "route"
+)
+
+// Model is a model that callers can ask for through a route.
+type Model struct {
+	Kind             string `json:"kind"`
+	Name             string `json:"name"`
+	MaxContextTokens int    `json:"max-context-tokens"`
+	DefaultMaxTokens int    `json:"default-max-tokens,omitempty"`
+}
+
+// ModelVersion is one immutable set of weights of a model. Digest is the
+// digest of its manifest.
+type ModelVersion struct {
+	Kind      string `json:"kind"`
+	Name      string `json:"name"`
+	Model     string `json:"model"`
+	Digest    string `json:"digest"`
+	Source    string `json:"source"`
+	SizeBytes int64  `json:"size-bytes"`
+}
+
+// Adapter is a small set of weights that is added to a model version.
+type Adapter struct {
+	Kind      string `json:"kind"`
+	Name      string `json:"name"`
+	Version   string `json:"version"`
+	Digest    string `json:"digest"`
+	Source    string `json:"source"`
+	SizeBytes int64  `json:"size-bytes"`
+}
+
+// Fleet is a set of backend server VMs that run one model or one service.
+// A VM belongs to the fleet that its agent's settings name.
+type Fleet struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Model or Service is set, not both.
+	Model   string `json:"model,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Version is the model version that a VM runs while no rollout of the
+	// fleet says otherwise.
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Regions  []string `json:"regions"`
+	Replicas int      `json:"replicas"`
+	// MaxUnavailable bounds how many replicas switch versions at once.
+	MaxUnavailable int `json:"max-unavailable,omitempty"`
+}
+
+// Service is a plain service behind the system.
+type Service struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// IdempotentMethods may be retried without an idempotency key.
+	IdempotentMethods []string `json:"idempotent-methods"`
+	// RequireKey refuses other methods that come without an idempotency key.
+	RequireKey    bool  `json:"require-key,omitempty"`
+	TimeoutMillis int64 `json:"timeout-ms,omitempty"`
+	MaxBodyBytes  int64 `json:"max-body-bytes,omitempty"`
+}
+
+// Team is a customer. Its callers identify by API key.
+type Team struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// KeyDigests are hexadecimal SHA-256 digests of the team's API keys.
+	KeyDigests        []string `json:"key-digests"`
+	Weight            int      `json:"weight"`
+	RequestsPerSecond float64  `json:"requests-per-second,omitempty"`
+	TokensPerSecond   float64  `json:"tokens-per-second,omitempty"`
+	// Priority is the highest priority that the team may ask for:
+	// interactive, standard or batch.
+	Priority string `json:"priority,omitempty"`
+	// Routes and Services that the team may use; empty allows all.
+	Routes   []string `json:"routes,omitempty"`
+	Services []string `json:"services,omitempty"`
+}
+
+// Rollout brings a fleet to a model version.
+type Rollout struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Fleet   string `json:"fleet"`
+	Version string `json:"version"`
+	// Policy is time (soonest) or origin-bytes (fewest bytes from the origin).
+	Policy string `json:"policy"`
+	// State is running, paused or aborted. An aborted rollout returns the
+	// fleet to its own version.
+	State string `json:"state,omitempty"`
+	// MaxUnavailable overrides the fleet's.
+	MaxUnavailable int `json:"max-unavailable,omitempty"`
+}
+
+// Route maps the model name that callers use to a model.
+type Route struct {
+	Kind string `json:"kind"`
+	// Name is the model name in callers' requests.
+	Name    string `json:"name"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	// Fallback is the route to use when no replica of the model is ready.
+	Fallback string `json:"fallback,omitempty"`
+	// Priority is the priority of requests that do not ask for one.
+	Priority string `json:"priority,omitempty"`
+	// Affinity turns prefix affinity on or off; on when absent.
+	Affinity *bool `json:"affinity,omitempty"`
+}
+
+func (*Model) object()        {}
+func (*ModelVersion) object() {}
+func (*Adapter) object()      {}
+func (*Fleet) object()        {}
+func (*Service) object()      {}
+func (*Team) object()         {}
+func (*Rollout) object()      {}
+func (*Route) object()        {}
+
+// Ref implements Object.
+func (o *Model) Ref() Ref { return Ref{KindModel, o.Name} }
+
+// Ref implements Object.
+func (o *ModelVersion) Ref() Ref { return Ref{KindModelVersion, o.Name} }
+
+// Ref implements Object.
+func (o *Adapter) Ref() Ref { return Ref{KindAdapter, o.Name} }
+
+// Ref implements Object.
+func (o *Fleet) Ref() Ref { return Ref{KindFleet, o.Name} }
+
+// Ref implements Object.
+func (o *Service) Ref() Ref { return Ref{KindService, o.Name} }
+
+// Ref implements Object.
+func (o *Team) Ref() Ref { return Ref{KindTeam, o.Name} }
+
+// Ref implements Object.
+func (o *Rollout) Ref() Ref { return Ref{KindRollout, o.Name} }
+
+// Ref implements Object.
+func (o *Route) Ref() Ref { return Ref{KindRoute, o.Name} }
+
+// Set is a whole configuration, indexed by name.
+type Set struct {
+	Models        map[string]*Model
+	ModelVersions map[string]*ModelVersion
+	Adapters      map[string]*Adapter
+	Fleets        map[string]*Fleet
+	Services      map[string]*Service
+	Teams         map[string]*Team
+	Rollouts      map[string]*Rollout
+	Routes        map[string]*Route
+}
+
+// Revision is one published configuration. Daemons replace it whole.
+type Revision struct {
+	Number uint64
+	Set    *Set
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{
+		Models:        map[string]*Model{},
+		ModelVersions: map[string]*ModelVersion{},
+		Adapters:      map[string]*Adapter{},
+		Fleets:        map[string]*Fleet{},
+		Services:      map[string]*Service{},
+		Teams:         map[string]*Team{},
+		Rollouts:      map[string]*Rollout{},
+		Routes:        map[string]*Route{},
+	}
+}
+
+// Add puts an object into the set and reports whether its name was free.
+func (s *Set) Add(o Object) bool {
+	switch o := o.(type) {
+	case *Model:
+		return addNamed(s.Models, o.Name, o)
+	case *ModelVersion:
+		return addNamed(s.ModelVersions, o.Name, o)
+	case *Adapter:
+		return addNamed(s.Adapters, o.Name, o)
+	case *Fleet:
+		return addNamed(s.Fleets, o.Name, o)
+	case *Service:
+		return addNamed(s.Services, o.Name, o)
+	case *Team:
+		return addNamed(s.Teams, o.Name, o)
+	case *Rollout:
+		return addNamed(s.Rollouts, o.Name, o)
+	case *Route:
+		return addNamed(s.Routes, o.Name, o)
+	}
+	return false
+}
+
+// DesiredVersion returns the model version that replicas of the fleet are to
+// run: the version of its running or paused rollout, else its own. The second
+// value is the rollout, or nil.
+func (s *Set) DesiredVersion(fleet string) (*ModelVersion, *Rollout) {
+	f := s.Fleets[fleet]
+	if f == nil {
+		return nil, nil
+	}
+	for _, r := range s.Rollouts {
+		if r.Fleet == fleet && r.State != RolloutAborted {
+			return s.ModelVersions[r.Version], r
+		}
+	}
+	return s.ModelVersions[f.Version], nil
+}
+
+// States of a rollout object.
+const (
+	RolloutRunning = "running"
+	RolloutPaused  = "paused"
+	RolloutAborted = "aborted"
+)
+
+// Policies of a rollout.
+const (
+	PolicyTime        = "time"
+	PolicyOriginBytes = "origin-bytes"
+)
+
+func addNamed[T any](m map[string]T, name string, o T) bool {
+	if _, taken := m[name]; taken {
+		return false
+	}
+	m[name] = o
+	return true
+}
--- /dev/null
+++ b/tools/demo/main.go
@@ -0,0 +1,4 @@
+// Command demo is a developer tool; see the Makefile.
+package main
+
+func main() {}
