--- a/pkg/adapter/objectapi.go
+++ b/pkg/adapter/objectapi.go
@@ -37,7 +37,9 @@
 	Delete(ctx context.Context, key string, version uint64) error
 	// Watch waits for changes after the version and returns them with the
 	// version to continue from. It returns no changes when the wait ends
-	// without one, and a *GapError when the changes are no longer known.
+	// without one, and a *GapError when the changes are no longer known. With a
+	// *GapError the version is the one to continue from after the objects have
+	// been read again.
 	Watch(ctx context.Context, prefix string, after uint64) ([]Change, uint64, error)
 }
 
--- /dev/null
+++ b/pkg/emulator/memory_objects.go
@@ -0,0 +1,408 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+)
+
+const (
+	// defaultHistoryLength is the number of changes kept for watches.
+	defaultHistoryLength = 10_000
+	// defaultWatchWait is how long a watch waits for a change.
+	defaultWatchWait = 30 * time.Second
+	// replayedChanges is how many earlier changes a replayed watch repeats.
+	replayedChanges = 16
+)
+
+var (
+	errDown       = errors.New("fault injected: object API is down")
+	errLostAnswer = errors.New("fault injected: answer lost after the write took effect")
+	errRateLimit  = errors.New("call rate exceeded")
+	errWatchEnded = errors.New("watch ended by its context")
+)
+
+// ObjectFaults are the injected faults of the object API.
+type ObjectFaults struct {
+	// Down refuses all calls; none takes effect.
+	Down bool
+	// Delay is added before each call takes effect.
+	Delay time.Duration
+	// LoseAnswers is the number of coming writes that take effect but return
+	// an *adapter.UnavailableError.
+	LoseAnswers int
+	// ReplayWatch is the number of coming watches that repeat earlier changes
+	// before the new ones.
+	ReplayWatch int
+}
+
+// ObjectStats counts the calls of the object API. A watch counts as one read,
+// plus one for each second that it waits.
+type ObjectStats struct {
+	Writes      uint64 `json:"writes"`
+	Reads       uint64 `json:"reads"`
+	Watches     uint64 `json:"watches"`
+	Waiting     int    `json:"waiting"`
+	RateLimited uint64 `json:"rate-limited"`
+	LostAnswers uint64 `json:"lost-answers"`
+	Objects     int    `json:"objects"`
+	Version     uint64 `json:"version"`
+}
+
+// MemoryObjects implements adapter.ObjectAPI in memory. The zero value is
+// ready for use; fields are set before the first call.
+type MemoryObjects struct {
+	// HistoryLength bounds the changes kept for watches.
+	HistoryLength int
+	// WatchWait is how long a watch waits for a change.
+	WatchWait time.Duration
+	// WritesPerSecond and ReadsPerSecond bound the call rates; 0 is no bound.
+	// Calls above a bound are refused.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// Faults are the faults at the start; SetFaults changes them later.
+	Faults ObjectFaults
+
+	mu      sync.Mutex
+	objects map[string]adapter.Object
+	history []adapter.Change
+	version uint64
+	changed chan struct{}
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	stats   ObjectStats
+}
+
+var _ adapter.ObjectAPI = (*MemoryObjects)(nil)
+
+// SetFaults replaces all faults.
+func (m *MemoryObjects) SetFaults(f ObjectFaults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Faults = f
+	m.wakeLocked()
+}
+
+// SetDown turns the refusal of all calls on or off. Waiting watches end.
+func (m *MemoryObjects) SetDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Faults.Down = down
+	m.wakeLocked()
+}
+
+// SetDelay sets the delay before each call takes effect.
+func (m *MemoryObjects) SetDelay(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Faults.Delay = d
+}
+
+// LoseAnswers makes the next n writes take effect without an answer.
+func (m *MemoryObjects) LoseAnswers(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Faults.LoseAnswers = n
+}
+
+// ReplayWatch makes the next n watches repeat earlier changes.
+func (m *MemoryObjects) ReplayWatch(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Faults.ReplayWatch = n
+}
+
+// Stats returns the counters.
+func (m *MemoryObjects) Stats() ObjectStats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stats
+	s.Objects = len(m.objects)
+	s.Version = m.version
+	return s
+}
+
+// Get implements adapter.ObjectAPI.
+func (m *MemoryObjects) Get(ctx context.Context, key string) (adapter.Object, error) {
+	if err := m.beginRead(ctx, "get", key); err != nil {
+		return adapter.Object{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, found := m.objects[key]
+	if !found {
+		return adapter.Object{}, &adapter.NotFoundError{Key: key}
+	}
+	return copyObject(o), nil
+}
+
+// List implements adapter.ObjectAPI.
+func (m *MemoryObjects) List(ctx context.Context, prefix string) ([]adapter.Object, error) {
+	if err := m.beginRead(ctx, "list", prefix); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var listed []adapter.Object
+	for key, o := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			listed = append(listed, copyObject(o))
+		}
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].Key < listed[j].Key })
+	return listed, nil
+}
+
+// Create implements adapter.ObjectAPI.
+func (m *MemoryObjects) Create(ctx context.Context, key string, value []byte) (adapter.Object, error) {
+	return m.write(ctx, "create", key, value, 0)
+}
+
+// Update implements adapter.ObjectAPI.
+func (m *MemoryObjects) Update(ctx context.Context, key string, value []byte, version uint64) (adapter.Object, error) {
+	if version == 0 {
+		return adapter.Object{}, m.absentVersion(key)
+	}
+	return m.write(ctx, "update", key, value, version)
+}
+
+// Delete implements adapter.ObjectAPI.
+func (m *MemoryObjects) Delete(ctx context.Context, key string, version uint64) error {
+	if err := m.beginWrite(ctx, "delete", key); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, found := m.objects[key]
+	if !found {
+		return &adapter.NotFoundError{Key: key}
+	}
+	if o.Version != version {
+		return &adapter.ConflictError{Key: key, Expected: version, Found: o.Version}
+	}
+	delete(m.objects, key)
+	m.version++
+	m.recordLocked(adapter.Change{Object: adapter.Object{Key: key, Version: m.version}, Deleted: true})
+	return m.answerLocked("delete", key)
+}
+
+// Watch implements adapter.ObjectAPI. With a *GapError it returns the version
+// to continue from once the objects have been read again.
+func (m *MemoryObjects) Watch(ctx context.Context, prefix string, after uint64) ([]adapter.Change, uint64, error) {
+	if err := m.beginRead(ctx, "watch", prefix); err != nil {
+		return nil, after, err
+	}
+	wait := m.WatchWait
+	if wait <= 0 {
+		wait = defaultWatchWait
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	m.countWatch()
+	defer m.endWatch()
+	for {
+		changes, next, wake, err := m.changesAfter(prefix, after)
+		if err != nil || len(changes) > 0 {
+			return changes, next, err
+		}
+		select {
+		case <-wake:
+		case now := <-second.C:
+			m.countWaitingSecond(now)
+		case <-deadline.C:
+			return nil, next, nil
+		case <-ctx.Done():
+			cause := errors.Join(errWatchEnded, ctx.Err())
+			return nil, after, &adapter.UnavailableError{Operation: "watch", Key: prefix, Cause: cause}
+		}
+	}
+}
+
+func (m *MemoryObjects) write(ctx context.Context, operation, key string, value []byte, expected uint64) (adapter.Object, error) {
+	if len(value) > adapter.MaxObjectBytes {
+		return adapter.Object{}, &adapter.TooLargeError{Key: key, Bytes: len(value)}
+	}
+	if err := m.beginWrite(ctx, operation, key); err != nil {
+		return adapter.Object{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if found := m.objects[key].Version; found != expected {
+		return adapter.Object{}, &adapter.ConflictError{Key: key, Expected: expected, Found: found}
+	}
+	m.version++
+	o := copyObject(adapter.Object{Key: key, Value: value, Version: m.version})
+	m.objects[key] = o
+	m.recordLocked(adapter.Change{Object: o})
+	if err := m.answerLocked(operation, key); err != nil {
+		return adapter.Object{}, err
+	}
+	return copyObject(o), nil
+}
+
+func (m *MemoryObjects) absentVersion(key string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &adapter.ConflictError{Key: key, Found: m.objects[key].Version}
+}
+
+func (m *MemoryObjects) beginWrite(ctx context.Context, operation, key string) error {
+	m.mu.Lock()
+	m.startLocked()
+	m.stats.Writes++
+	limited := !m.writes.AllowN(time.Now(), 1)
+	m.mu.Unlock()
+	return m.begin(ctx, operation, key, limited)
+}
+
+func (m *MemoryObjects) beginRead(ctx context.Context, operation, key string) error {
+	m.mu.Lock()
+	m.startLocked()
+	m.stats.Reads++
+	limited := !m.reads.AllowN(time.Now(), 1)
+	m.mu.Unlock()
+	return m.begin(ctx, operation, key, limited)
+}
+
+// begin applies the rate limit, the delay and the outage, in this order, so
+// that an outage which starts during the delay still refuses the call.
+func (m *MemoryObjects) begin(ctx context.Context, operation, key string, limited bool) error {
+	if limited {
+		m.mu.Lock()
+		m.stats.RateLimited++
+		m.mu.Unlock()
+		return &adapter.UnavailableError{Operation: operation, Key: key, Refused: true, Cause: errRateLimit}
+	}
+	m.mu.Lock()
+	delay := m.Faults.Delay
+	m.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return &adapter.UnavailableError{Operation: operation, Key: key, Refused: true, Cause: err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Faults.Down {
+		return &adapter.UnavailableError{Operation: operation, Key: key, Refused: true, Cause: errDown}
+	}
+	return nil
+}
+
+func (m *MemoryObjects) startLocked() {
+	if m.objects != nil {
+		return
+	}
+	m.objects = map[string]adapter.Object{}
+	m.changed = make(chan struct{})
+	m.writes = newLimiter(m.WritesPerSecond)
+	m.reads = newLimiter(m.ReadsPerSecond)
+	if m.HistoryLength <= 0 {
+		m.HistoryLength = defaultHistoryLength
+	}
+}
+
+func (m *MemoryObjects) recordLocked(c adapter.Change) {
+	m.history = append(m.history, c)
+	if len(m.history) > m.HistoryLength {
+		m.history = append([]adapter.Change(nil), m.history[len(m.history)-m.HistoryLength:]...)
+	}
+	m.wakeLocked()
+}
+
+func (m *MemoryObjects) wakeLocked() {
+	if m.changed == nil {
+		return
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *MemoryObjects) answerLocked(operation, key string) error {
+	if m.Faults.LoseAnswers <= 0 {
+		return nil
+	}
+	m.Faults.LoseAnswers--
+	m.stats.LostAnswers++
+	return &adapter.UnavailableError{Operation: operation, Key: key, Cause: errLostAnswer}
+}
+
+func (m *MemoryObjects) countWatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Watches++
+	m.stats.Waiting++
+}
+
+func (m *MemoryObjects) endWatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Waiting--
+}
+
+func (m *MemoryObjects) countWaitingSecond(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Reads++
+	m.reads.AllowN(now, 1)
+}
+
+// changesAfter returns the known changes of the prefix and a channel that is
+// closed at the next change of any key.
+func (m *MemoryObjects) changesAfter(prefix string, after uint64) ([]adapter.Change, uint64, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Faults.Down {
+		return nil, after, nil, &adapter.UnavailableError{Operation: "watch", Key: prefix, Refused: true, Cause: errDown}
+	}
+	oldest := m.version - uint64(len(m.history))
+	if after < oldest || after > m.version {
+		return nil, m.version, nil, &adapter.GapError{Prefix: prefix, After: after}
+	}
+	first := int(after - oldest)
+	changes := selectChanges(m.history[first:], prefix)
+	if len(changes) > 0 && m.Faults.ReplayWatch > 0 {
+		m.Faults.ReplayWatch--
+		earlier := m.history[max(0, first-replayedChanges):first]
+		changes = append(selectChanges(earlier, prefix), changes...)
+	}
+	return changes, m.version, m.changed, nil
+}
+
+func selectChanges(history []adapter.Change, prefix string) []adapter.Change {
+	var selected []adapter.Change
+	for _, c := range history {
+		if strings.HasPrefix(c.Object.Key, prefix) {
+			c.Object = copyObject(c.Object)
+			selected = append(selected, c)
+		}
+	}
+	return selected
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+func copyObject(o adapter.Object) adapter.Object {
+	o.Value = append([]byte(nil), o.Value...)
+	return o
+}
--- /dev/null
+++ b/pkg/emulator/memory_objects_test.go
@@ -0,0 +1,109 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+)
+
+// A write that ignores the expected version would let two operators or two
+// lease holders overwrite each other.
+func TestConditionalWrites(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	var m MemoryObjects
+	created, err := m.Create(ctx, "a/b", []byte("1"))
+	c.Assert(err, qt.IsNil)
+	var conflict *adapter.ConflictError
+	_, err = m.Create(ctx, "a/b", []byte("2"))
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	_, err = m.Update(ctx, "a/b", []byte("2"), created.Version+1)
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	updated, err := m.Update(ctx, "a/b", []byte("2"), created.Version)
+	c.Assert(err, qt.IsNil)
+	c.Assert(updated.Version > created.Version, qt.IsTrue)
+	c.Assert(errors.As(m.Delete(ctx, "a/b", created.Version), &conflict), qt.IsTrue)
+	c.Assert(m.Delete(ctx, "a/b", updated.Version), qt.IsNil)
+	_, err = m.Update(ctx, "a/b", []byte("3"), updated.Version)
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+}
+
+// A watch must not miss a change that comes while it waits, must end without
+// changes after its wait, and must report lost history with a version from
+// which the watcher can continue.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := t.Context()
+		m := &MemoryObjects{HistoryLength: 2}
+		time.AfterFunc(time.Second, func() { _, _ = m.Create(ctx, "a/1", nil) })
+		changes, next, err := m.Watch(ctx, "a/", 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(changes, qt.HasLen, 1)
+		changes, next, err = m.Watch(ctx, "a/", next)
+		c.Assert(err, qt.IsNil)
+		c.Assert(changes, qt.HasLen, 0)
+		for _, key := range []string{"b/1", "b/2", "b/3"} {
+			_, err = m.Create(ctx, key, nil)
+			c.Assert(err, qt.IsNil)
+		}
+		var gap *adapter.GapError
+		_, next, err = m.Watch(ctx, "a/", next)
+		c.Assert(errors.As(err, &gap), qt.IsTrue)
+		_, _, err = m.Watch(ctx, "a/", next)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// A lost answer must leave the write in force, and an outage must not.
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	var m MemoryObjects
+	m.LoseAnswers(1)
+	_, err := m.Create(ctx, "a", []byte("1"))
+	var unavailable *adapter.UnavailableError
+	c.Assert(errors.As(err, &unavailable), qt.IsTrue)
+	c.Assert(unavailable.Refused, qt.IsFalse)
+	o, err := m.Get(ctx, "a")
+	c.Assert(err, qt.IsNil)
+	m.SetDown(true)
+	_, err = m.Update(ctx, "a", []byte("2"), o.Version)
+	c.Assert(errors.As(err, &unavailable), qt.IsTrue)
+	c.Assert(unavailable.Refused, qt.IsTrue)
+	m.SetDown(false)
+	again, err := m.Get(ctx, "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.DeepEquals, o)
+	m.ReplayWatch(1)
+	_, err = m.Create(ctx, "b", nil)
+	c.Assert(err, qt.IsNil)
+	changes, _, err := m.Watch(ctx, "", o.Version)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes, qt.HasLen, 2)
+}
+
+// Without a bound on the call rate the stand-in would hide a daemon that
+// calls more often than the platform allows.
+func TestCallRates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := &MemoryObjects{WritesPerSecond: 2, ReadsPerSecond: 5}
+		refused := 0
+		for _, key := range []string{"a", "b", "c", "d"} {
+			if _, err := m.Create(t.Context(), key, nil); err != nil {
+				refused++
+			}
+		}
+		c.Assert(refused, qt.Equals, 2)
+		_, _, err := m.Watch(t.Context(), "z", m.Stats().Version)
+		c.Assert(err, qt.IsNil)
+		c.Assert(m.Stats().Reads >= 29, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/pkg/emulator/object_api.go
@@ -0,0 +1,240 @@
+package emulator
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+)
+
+const (
+	// maxFaultBytes bounds the body of a request that sets faults.
+	maxFaultBytes = 4096
+	// maxKeyBytes bounds the length of a key.
+	maxKeyBytes = 512
+)
+
+// ObjectAPI is a stand-in for the platform's object API over HTTP. Its limits
+// and faults are the fields of MemoryObjects. While it is down it drops
+// connections without an answer.
+//
+//	GET/PUT/DELETE /v1/objects/{key…}   If-Match: "7" or If-None-Match: *
+//	GET            /v1/objects?prefix=
+//	GET            /v1/watch?prefix=&after=
+//	GET            /stats
+//	POST           /faults   {"down":true,"delay-ms":5,"lose-answers":1,"replay-watch":1}
+type ObjectAPI struct {
+	MemoryObjects
+
+	once sync.Once
+	mux  *http.ServeMux
+}
+
+type listedObject struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type listBody struct {
+	Objects []listedObject `json:"objects"`
+}
+
+type watchBody struct {
+	Changes []listedObject `json:"changes"`
+	Version uint64         `json:"version"`
+}
+
+type faultsBody struct {
+	Down        *bool  `json:"down"`
+	DelayMillis *int64 `json:"delay-ms"`
+	LoseAnswers *int   `json:"lose-answers"`
+	ReplayWatch *int   `json:"replay-watch"`
+}
+
+// ServeHTTP implements http.Handler.
+func (a *ObjectAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.once.Do(a.route)
+	a.mux.ServeHTTP(w, r)
+}
+
+func (a *ObjectAPI) route() {
+	a.mux = http.NewServeMux()
+	a.mux.HandleFunc("GET /v1/objects", a.serveList)
+	a.mux.HandleFunc("GET /v1/objects/{key...}", a.serveGet)
+	a.mux.HandleFunc("PUT /v1/objects/{key...}", a.servePut)
+	a.mux.HandleFunc("DELETE /v1/objects/{key...}", a.serveDelete)
+	a.mux.HandleFunc("GET /v1/watch", a.serveWatch)
+	a.mux.HandleFunc("GET /stats", a.serveStats)
+	a.mux.HandleFunc("POST /faults", a.serveFaults)
+}
+
+func (a *ObjectAPI) serveGet(w http.ResponseWriter, r *http.Request) {
+	o, err := a.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		writeObjectError(w, err)
+		return
+	}
+	w.Header().Set("ETag", formatETag(o.Version))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(o.Value)
+}
+
+func (a *ObjectAPI) serveList(w http.ResponseWriter, r *http.Request) {
+	objects, err := a.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		writeObjectError(w, err)
+		return
+	}
+	body := listBody{Objects: []listedObject{}}
+	for _, o := range objects {
+		body.Objects = append(body.Objects, listedObject{Key: o.Key, Value: o.Value, Version: o.Version})
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (a *ObjectAPI) servePut(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	if key == "" || len(key) > maxKeyBytes {
+		http.Error(w, "the key must have 1 to 512 bytes", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, adapter.MaxObjectBytes))
+	if err != nil {
+		writeReadError(w, err)
+		return
+	}
+	version, err := parseETag(r.Header.Get("If-Match"))
+	create := r.Header.Get("If-None-Match") == "*"
+	if create == (err == nil) {
+		http.Error(w, `send either If-Match: "version" or If-None-Match: *`, http.StatusPreconditionRequired)
+		return
+	}
+	var o adapter.Object
+	if create {
+		o, err = a.Create(r.Context(), key, value)
+	} else {
+		o, err = a.Update(r.Context(), key, value, version)
+	}
+	if err != nil {
+		writeObjectError(w, err)
+		return
+	}
+	w.Header().Set("ETag", formatETag(o.Version))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *ObjectAPI) serveDelete(w http.ResponseWriter, r *http.Request) {
+	version, err := parseETag(r.Header.Get("If-Match"))
+	if err != nil {
+		http.Error(w, `send If-Match: "version"`, http.StatusPreconditionRequired)
+		return
+	}
+	if err := a.Delete(r.Context(), r.PathValue("key"), version); err != nil {
+		writeObjectError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *ObjectAPI) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a version", http.StatusBadRequest)
+		return
+	}
+	changes, next, err := a.Watch(r.Context(), r.URL.Query().Get("prefix"), after)
+	var gap *adapter.GapError
+	if errors.As(err, &gap) {
+		writeJSON(w, http.StatusGone, watchBody{Version: next})
+		return
+	}
+	if err != nil {
+		writeObjectError(w, err)
+		return
+	}
+	body := watchBody{Changes: []listedObject{}, Version: next}
+	for _, c := range changes {
+		o := c.Object
+		body.Changes = append(body.Changes, listedObject{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: c.Deleted})
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (a *ObjectAPI) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.Stats())
+}
+
+func (a *ObjectAPI) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var body faultsBody
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if body.Down != nil {
+		a.SetDown(*body.Down)
+	}
+	if body.DelayMillis != nil {
+		a.SetDelay(time.Duration(*body.DelayMillis) * time.Millisecond)
+	}
+	if body.LoseAnswers != nil {
+		a.LoseAnswers(*body.LoseAnswers)
+	}
+	if body.ReplayWatch != nil {
+		a.ReplayWatch(*body.ReplayWatch)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// writeObjectError answers with the error. A call that is not available gets
+// no answer at all, as from a server that fails, except above the call rate.
+func writeObjectError(w http.ResponseWriter, err error) {
+	var notFound *adapter.NotFoundError
+	var conflict *adapter.ConflictError
+	var tooLarge *adapter.TooLargeError
+	switch {
+	case errors.As(err, &notFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.As(err, &conflict):
+		w.Header().Set("ETag", formatETag(conflict.Found))
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.As(err, &tooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case errors.Is(err, errRateLimit):
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeReadError(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func formatETag(version uint64) string {
+	return `"` + strconv.FormatUint(version, 10) + `"`
+}
+
+func parseETag(tag string) (uint64, error) {
+	return strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+}
