Add claims on idempotency keys

Non-idempotent calls may run at most once through any entry daemon, and the object API takes only a few hundred writes a second.

One write per call was ruled out by the write budget, a replicated store of our own by the operators.

--- /dev/null
+++ b/pkg/claimer/segment.go
@@ -0,0 +1,122 @@
+package claimer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// MaxAnswerBytes is the largest answer that is kept with an outcome.
+const MaxAnswerBytes = 16 << 10
+
+// record is one entry of a segment. A claim has no outcome; an outcome
+// repeats the claim, so that it can be read without it.
+//
+//	{"key":"mill-7/ledger/order-12","body":"…","attempt":"r1","outcome":"served",…}
+type record struct {
+	Key         string        `json:"key"`
+	BodyDigest  []byte        `json:"body"`
+	RequestID   string        `json:"request-id"`
+	Attempt     uint32        `json:"attempt"`
+	Agent       string        `json:"agent"`
+	Incarnation string        `json:"incarnation"`
+	ClaimedMS   int64         `json:"claimed-unix-ms"`
+	Outcome     string        `json:"outcome,omitempty"`
+	Answer      *storedAnswer `json:"answer,omitempty"`
+	AnswerSize  int           `json:"answer-size,omitempty"`
+}
+
+type storedAnswer struct {
+	Status  uint32         `json:"status"`
+	Headers []storedHeader `json:"headers,omitempty"`
+	Body    []byte         `json:"body,omitempty"`
+}
+
+type storedHeader struct {
+	Name   string   `json:"name"`
+	Values []string `json:"values"`
+}
+
+// segment is the value of one object claims/<shard>/<sequence>.
+type segment struct {
+	// Writer identifies the write, so that a lost answer can be resolved by
+	// reading the segment back.
+	Writer  string   `json:"writer"`
+	Records []record `json:"records"`
+}
+
+// Outcomes of a claimed call.
+const (
+	OutcomeServed  = "served"
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+func segmentPrefix(shard int) string {
+	return fmt.Sprintf("claims/%d/", shard)
+}
+
+func segmentKey(shard int, sequence uint64) string {
+	return fmt.Sprintf("claims/%d/%016d", shard, sequence)
+}
+
+// sequenceOf parses the sequence number of a segment key.
+func sequenceOf(shard int, key string) (uint64, bool) {
+	var n uint64
+	prefix := segmentPrefix(shard)
+	if len(key) <= len(prefix) {
+		return 0, false
+	}
+	if _, err := fmt.Sscanf(key[len(prefix):], "%d", &n); err != nil {
+		return 0, false
+	}
+	return n, true
+}
+
+func decodeSegment(value []byte) (segment, error) {
+	var s segment
+	if err := json.Unmarshal(value, &s); err != nil {
+		return segment{}, fmt.Errorf("decode claim segment: %w", err)
+	}
+	return s, nil
+}
+
+func claimRecord(req *messenger.ClaimRequest, now time.Time) record {
+	return record{
+		Key:         req.GetKey(),
+		BodyDigest:  req.GetBodyDigest(),
+		RequestID:   req.GetAttempt().GetRequestId(),
+		Attempt:     req.GetAttempt().GetNumber(),
+		Agent:       req.GetAgentAddress(),
+		Incarnation: req.GetAgentIncarnation(),
+		ClaimedMS:   now.UnixMilli(),
+	}
+}
+
+func (r record) isAttempt(id *messenger.AttemptId) bool {
+	return r.RequestID == id.GetRequestId() && r.Attempt == id.GetNumber()
+}
+
+func storeAnswer(a *messenger.ServiceAnswer) *storedAnswer {
+	if a == nil || len(a.GetBody()) > MaxAnswerBytes {
+		return nil
+	}
+	stored := &storedAnswer{Status: a.GetStatus(), Body: a.GetBody()}
+	for _, h := range a.GetHeaders() {
+		stored.Headers = append(stored.Headers, storedHeader{Name: h.GetName(), Values: h.GetValues()})
+	}
+	return stored
+}
+
+func (a *storedAnswer) message() *messenger.ServiceAnswer {
+	if a == nil {
+		return nil
+	}
+	m := &messenger.ServiceAnswer{Status: a.Status, Body: a.Body}
+	for _, h := range a.Headers {
+		m.Headers = append(m.Headers, &messenger.Header{Name: h.Name, Values: h.Values})
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/claimer/snapshot.go
@@ -0,0 +1,227 @@
+package claimer
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/blake3"
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+)
+
+// snapshotHead is the value of the object claim-snapshots/<shard>/head. The
+// parts hold all records of the segments up to Through.
+type snapshotHead struct {
+	Through uint64   `json:"through"`
+	Parts   []string `json:"parts"`
+}
+
+// partSpan is the claim time that one group of parts covers. Parts are named
+// by content, so that a snapshot writes only the groups that changed.
+const partSpan = time.Hour
+
+func headKey(shard int) string {
+	return fmt.Sprintf("claim-snapshots/%d/head", shard)
+}
+
+func partKey(shard int, name string) string {
+	return fmt.Sprintf("claim-snapshots/%d/parts/%s", shard, name)
+}
+
+func (s *shard) readHead(ctx context.Context) (snapshotHead, uint64, error) {
+	o, err := s.get(ctx, headKey(s.number))
+	var notFound *adapter.NotFoundError
+	if errors.As(err, &notFound) {
+		return snapshotHead{}, 0, nil
+	}
+	if err != nil {
+		return snapshotHead{}, 0, err
+	}
+	var head snapshotHead
+	if err := json.Unmarshal(o.Value, &head); err != nil {
+		return snapshotHead{}, 0, fmt.Errorf("decode %s: %w", o.Key, err)
+	}
+	return head, o.Version, nil
+}
+
+func (s *shard) loadSnapshot(ctx context.Context, head snapshotHead, x *index) error {
+	var records []record
+	for _, name := range head.Parts {
+		o, err := s.get(ctx, partKey(s.number, name))
+		if err != nil {
+			return err
+		}
+		var part []record
+		if err := json.Unmarshal(o.Value, &part); err != nil {
+			return fmt.Errorf("decode %s: %w", o.Key, err)
+		}
+		records = append(records, part...)
+	}
+	slices.SortStableFunc(records, compareClaimTime)
+	for _, r := range records {
+		x.apply(r)
+	}
+	return nil
+}
+
+// compactIfDue writes a snapshot of the index and deletes the segments that
+// it covers. The head moves by a conditional update before the deletion.
+func (s *shard) compactIfDue(ctx context.Context, now time.Time) {
+	if s.loose < s.claimer.CompactAfter || !s.claimer.Held(ShardName(s.number), now) {
+		return
+	}
+	if err := s.compact(ctx); err != nil {
+		s.claimer.Log.Warn("claim snapshot not written", zap.String("shard", ShardName(s.number)), zap.Error(err))
+		// Try again after the next half of a full set of segments.
+		s.loose /= 2
+	}
+}
+
+func (s *shard) compact(ctx context.Context) error {
+	through := s.next - 1
+	head := snapshotHead{Through: through}
+	for _, part := range s.snapshotParts() {
+		name, err := s.storePart(ctx, part)
+		if err != nil {
+			return err
+		}
+		head.Parts = append(head.Parts, name)
+	}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return err
+	}
+	if err := s.moveHead(ctx, value); err != nil {
+		return err
+	}
+	old := s.head
+	s.head = head
+	s.loose = 0
+	s.deleteUnused(ctx, old, head)
+	return nil
+}
+
+func (s *shard) moveHead(ctx context.Context, value []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var o adapter.Object
+	var err error
+	if s.headAt == 0 {
+		o, err = s.claimer.API.Create(callCtx, headKey(s.number), value)
+	} else {
+		o, err = s.claimer.API.Update(callCtx, headKey(s.number), value, s.headAt)
+	}
+	if err != nil {
+		// The head may have moved all the same; the next use reads it again.
+		s.index = nil
+		return err
+	}
+	s.headAt = o.Version
+	return nil
+}
+
+// snapshotParts groups the live records by the hour of their claim and splits
+// large groups.
+func (s *shard) snapshotParts() [][]record {
+	groups := map[int64][]record{}
+	for _, r := range s.index.keys {
+		hour := r.ClaimedMS / partSpan.Milliseconds()
+		groups[hour] = append(groups[hour], *r)
+	}
+	hours := make([]int64, 0, len(groups))
+	for hour := range groups {
+		hours = append(hours, hour)
+	}
+	slices.Sort(hours)
+	var parts [][]record
+	for _, hour := range hours {
+		group := groups[hour]
+		slices.SortFunc(group, compareKey)
+		parts = append(parts, splitPart(group)...)
+	}
+	return parts
+}
+
+func splitPart(group []record) [][]record {
+	var parts [][]record
+	size, from := 0, 0
+	for i, r := range group {
+		size += r.answerBytes()*4/3 + len(r.Key) + 512
+		if size > maxSegmentBytes-MaxAnswerBytes*2 {
+			parts = append(parts, group[from:i+1])
+			size, from = 0, i+1
+		}
+	}
+	if from < len(group) {
+		parts = append(parts, group[from:])
+	}
+	return parts
+}
+
+func (s *shard) storePart(ctx context.Context, part []record) (string, error) {
+	value, err := json.Marshal(part)
+	if err != nil {
+		return "", err
+	}
+	sum := blake3.Sum256(value)
+	name := hex.EncodeToString(sum[:16])
+	if slices.Contains(s.head.Parts, name) {
+		return name, nil
+	}
+	err = s.create(ctx, partKey(s.number, name), value)
+	var conflict *adapter.ConflictError
+	if errors.As(err, &conflict) {
+		return name, nil
+	}
+	return name, err
+}
+
+// deleteUnused removes covered segments and parts of the old snapshot. What
+// fails to be deleted is found again by the next snapshot.
+func (s *shard) deleteUnused(ctx context.Context, old, current snapshotHead) {
+	for _, name := range old.Parts {
+		if !slices.Contains(current.Parts, name) {
+			s.remove(ctx, partKey(s.number, name))
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	objects, err := s.claimer.API.List(callCtx, segmentPrefix(s.number))
+	cancel()
+	if err != nil {
+		return
+	}
+	for _, o := range objects {
+		if n, ok := sequenceOf(s.number, o.Key); ok && n <= current.Through {
+			s.removeVersion(ctx, o.Key, o.Version)
+		}
+	}
+}
+
+func (s *shard) remove(ctx context.Context, key string) {
+	if o, err := s.get(ctx, key); err == nil {
+		s.removeVersion(ctx, key, o.Version)
+	}
+}
+
+func (s *shard) removeVersion(ctx context.Context, key string, version uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.claimer.API.Delete(callCtx, key, version); err != nil {
+		s.claimer.Log.Debug("claim object not deleted", zap.String("key", key), zap.Error(err))
+	}
+}
+
+func compareClaimTime(a, b record) int {
+	return int(a.ClaimedMS - b.ClaimedMS)
+}
+
+func compareKey(a, b record) int {
+	return strings.Compare(a.Key, b.Key)
+}
