--- /dev/null
+++ b/pkg/controller/controller_test.go
@@ -0,0 +1,278 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/lentilbridge/lentilbridge/pkg/controller"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/leaser"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+const (
+	transferTime = 2 * time.Second
+	switchTime   = time.Second
+)
+
+// fleetFake is a fleet of agents that obey orders after a while.
+type fleetFake struct {
+	mu       sync.Mutex
+	replicas map[string]*controller.Replica
+	epochs   map[string]uint64
+	maxAway  int
+	orders   int
+}
+
+func newFleet(n int, version string) *fleetFake {
+	f := &fleetFake{replicas: map[string]*controller.Replica{}, epochs: map[string]uint64{}}
+	for k := range n {
+		f.add(fmt.Sprintf("vm-%02d", k), version)
+	}
+	return f
+}
+
+func (f *fleetFake) add(vm, version string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replicas[vm] = &controller.Replica{Replica: &messenger.Replica{
+		Vm: vm, Address: vm, Fleet: "drafting", Version: version,
+		FailureDomain: "fd-" + vm[len(vm)-1:],
+		State:         messenger.ReplicaState_REPLICA_STATE_READY,
+	}}
+}
+
+func (f *fleetFake) remove(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.replicas, vm)
+}
+
+func (f *fleetFake) view(time.Time) []controller.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []controller.Replica
+	for _, r := range f.replicas {
+		all = append(all, controller.Replica{Replica: cloneReplica(r.Replica), Transfers: r.Transfers})
+	}
+	return all
+}
+
+func (f *fleetFake) countVersion(version string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.replicas {
+		if r.Replica.GetVersion() == version {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleetFake) agent(address string) (messenger.AgentClient, error) {
+	return &agentFake{fleet: f, vm: address}, nil
+}
+
+type agentFake struct {
+	messenger.AgentClient
+	fleet *fleetFake
+	vm    string
+}
+
+func (a *agentFake) Order(ctx context.Context, req *messenger.OrderRequest, _ ...grpc.CallOption) (*messenger.OrderReply, error) {
+	f := a.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders++
+	known := f.epochs[a.vm]
+	if req.GetFence().GetEpoch() < known {
+		return &messenger.OrderReply{HighestEpoch: known, Error: "old epoch"}, nil
+	}
+	f.epochs[a.vm] = req.GetFence().GetEpoch()
+	r := f.replicas[a.vm]
+	if r == nil {
+		return nil, fmt.Errorf("VM %q is gone", a.vm)
+	}
+	switch o := req.GetOrder().(type) {
+	case *messenger.OrderRequest_Prepare:
+		if len(r.Transfers) == 0 {
+			t := &transferFake{fleet: f, vm: a.vm, digest: o.Prepare.GetVersion().GetDigest()}
+			go t.run(ctx)
+		}
+	case *messenger.OrderRequest_Activate:
+		r.Replica.State = messenger.ReplicaState_REPLICA_STATE_SWITCHING
+		f.noteAway()
+		f.mu.Unlock()
+		time.Sleep(switchTime)
+		f.mu.Lock()
+		r.Replica.Version = o.Activate.GetVersion().GetDigest()
+		r.Replica.State = messenger.ReplicaState_REPLICA_STATE_READY
+	}
+	return &messenger.OrderReply{Accepted: true, HighestEpoch: req.GetFence().GetEpoch()}, nil
+}
+
+// noteAway counts the replicas that served a version and are not ready. A new
+// VM that loads its first version takes no capacity away.
+func (f *fleetFake) noteAway() {
+	away := 0
+	for _, r := range f.replicas {
+		if r.Replica.GetVersion() != "" && r.Replica.GetState() != messenger.ReplicaState_REPLICA_STATE_READY {
+			away++
+		}
+	}
+	f.maxAway = max(f.maxAway, away)
+}
+
+type transferFake struct {
+	fleet      *fleetFake
+	vm, digest string
+}
+
+func (t *transferFake) run(context.Context) {
+	time.Sleep(transferTime)
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	if r := t.fleet.replicas[t.vm]; r != nil {
+		r.Transfers = []*messenger.Transfer{{Digest: t.digest, Complete: true}}
+	}
+}
+
+func cloneReplica(r *messenger.Replica) *messenger.Replica {
+	return &messenger.Replica{
+		Vm: r.GetVm(), Address: r.GetAddress(), Fleet: r.GetFleet(), Version: r.GetVersion(),
+		FailureDomain: r.GetFailureDomain(), State: r.GetState(),
+	}
+}
+
+// leaseFake is the lease that several controllers believe in.
+type leaseFake struct {
+	mu     sync.Mutex
+	holder string
+	epoch  uint64
+}
+
+func (l *leaseFake) take(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder = vm
+	l.epoch++
+}
+
+func (l *leaseFake) heldBy(vm string) func(string, time.Time) (leaser.Lease, bool) {
+	return func(shard string, _ time.Time) (leaser.Lease, bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return leaser.Lease{Shard: shard, Epoch: l.epoch}, l.holder == vm
+	}
+}
+
+func rolloutSet(state string, maxUnavailable int) *parser.Set {
+	set := parser.NewSet()
+	set.Add(&parser.Model{Name: "draft"})
+	set.Add(&parser.ModelVersion{Name: "draft-1", Model: "draft", Digest: "d1"})
+	set.Add(&parser.ModelVersion{Name: "draft-2", Model: "draft", Digest: "d2"})
+	set.Add(&parser.Fleet{Name: "drafting", Model: "draft", Version: "draft-1", Replicas: 8, MaxUnavailable: maxUnavailable})
+	set.Add(&parser.Rollout{Name: "to-draft-2", Fleet: "drafting", Version: "draft-2", State: state, Policy: parser.PolicyTime})
+	return set
+}
+
+func startController(ctx context.Context, vm string, api *emulator.MemoryObjects, leases *leaseFake, fleet *fleetFake, set func() *parser.Revision) {
+	c := &controller.Controller{
+		API: api, Held: leases.heldBy(vm), Config: set, Replicas: fleet.view, Agent: fleet.agent, Now: time.Now, Log: zap.NewNop(),
+	}
+	go c.Run(ctx)
+}
+
+// Guards against a rollout that takes away more capacity than allowed, stops
+// when a VM or the controlling daemon dies, or leaves out a new VM.
+func TestRolloutReachesEveryReplica(t *testing.T) {
+	tests := []struct {
+		name   string
+		during func(*fleetFake, *leaseFake)
+	}{
+		{"undisturbed", func(*fleetFake, *leaseFake) {}},
+		{"a VM dies and another one comes", func(f *fleetFake, _ *leaseFake) {
+			f.remove("vm-03")
+			f.add("vm-99", "")
+		}},
+		{"the controlling daemon is replaced", func(_ *fleetFake, l *leaseFake) { l.take("entry-2") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api, leases, fleet := &emulator.MemoryObjects{}, &leaseFake{}, newFleet(8, "d1")
+				leases.take("entry-1")
+				set := rolloutSet(parser.RolloutRunning, 2)
+				config := func() *parser.Revision { return &parser.Revision{Number: 1, Set: set} }
+				startController(ctx, "entry-1", api, leases, fleet, config)
+				startController(ctx, "entry-2", api, leases, fleet, config)
+				time.Sleep(6 * time.Second)
+				test.during(fleet, leases)
+				time.Sleep(time.Minute)
+				c.Assert(fleet.countVersion("d2"), qt.Equals, 8)
+				c.Assert(fleet.maxAway <= 2, qt.IsTrue, qt.Commentf("%d replicas away at once", fleet.maxAway))
+				stored, err := api.Get(ctx, "rollouts/to-draft-2")
+				c.Assert(err, qt.IsNil)
+				var status parser.RolloutStatus
+				c.Assert(json.Unmarshal(stored.Value, &status), qt.IsNil)
+				c.Assert(status.Phase, qt.Equals, parser.PhaseDone)
+				c.Assert(status.Active, qt.Equals, 8)
+			})
+		})
+	}
+}
+
+// Guards against a paused rollout that goes on, an aborted one that leaves
+// replicas on the new version, and orders given without a lease.
+func TestRolloutObeysItsState(t *testing.T) {
+	tests := []struct {
+		name      string
+		state     string
+		withLease bool
+		wantOld   int
+		wantPhase string
+	}{
+		{"paused", parser.RolloutPaused, true, 8, parser.PhasePaused},
+		{"aborted", parser.RolloutAborted, true, 8, parser.PhaseAborted},
+		{"no lease", parser.RolloutRunning, false, 8, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api, leases, fleet := &emulator.MemoryObjects{}, &leaseFake{}, newFleet(8, "d1")
+				if test.withLease {
+					leases.take("entry-1")
+				}
+				set := rolloutSet(test.state, 2)
+				startController(ctx, "entry-1", api, leases, fleet, func() *parser.Revision { return &parser.Revision{Set: set} })
+				time.Sleep(time.Minute)
+				c.Assert(fleet.countVersion("d1"), qt.Equals, test.wantOld)
+				stored, err := api.Get(ctx, "rollouts/to-draft-2")
+				if test.wantPhase == "" {
+					c.Assert(err, qt.IsNotNil)
+					c.Assert(fleet.orders, qt.Equals, 0)
+					return
+				}
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(stored.Value), qt.Contains, `"phase":"`+test.wantPhase+`"`)
+			})
+		})
+	}
+}
