--- /dev/null
+++ b/pkg/parser/encode.go
@@ -0,0 +1,179 @@
+package parser
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+)
+
+// MaxEncodedObjectBytes bounds the canonical form of one object, so that each
+// fits into a part of a revision.
+const MaxEncodedObjectBytes = 256 << 10
+
+// FormatError reports an encoded set that cannot be decoded.
+type FormatError struct {
+	Object  Ref
+	Message string
+	Cause   error
+}
+
+func (e *FormatError) Error() string {
+	text := "encoded set: "
+	if e.Object.Kind != "" {
+		text += e.Object.String() + ": "
+	}
+	text += e.Message
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+// EncodeObject returns the canonical JSON of one object: fields in the order
+// of their declaration, no blanks.
+func EncodeObject(o Object) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(o); err != nil {
+		return nil, &FormatError{Object: o.Ref(), Message: "cannot be encoded", Cause: err}
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+}
+
+// Encode returns the canonical JSON of a set: an array of all objects, ordered
+// by kind and name. Equal sets have equal encodings.
+func Encode(s *Set) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte('[')
+	for i, o := range s.All() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		encoded, err := EncodeObject(o)
+		if err != nil {
+			return nil, err
+		}
+		b.Write(encoded)
+	}
+	b.WriteByte(']')
+	return b.Bytes(), nil
+}
+
+// Decode reads an encoded set.
+func Decode(data []byte) (*Set, error) {
+	s := NewSet()
+	if err := DecodeInto(s, data); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// DecodeInto adds the objects of an encoded set to s. A field that is not
+// known is an error: a program that ignored it would run another
+// configuration than the accepted one, or drop the field when it publishes.
+func DecodeInto(s *Set, data []byte) error {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return &FormatError{Message: "not a JSON array", Cause: err}
+	}
+	if len(raw) > MaxObjects {
+		return &FormatError{Message: fmt.Sprintf("%d objects, the limit is %d", len(raw), MaxObjects)}
+	}
+	for _, encoded := range raw {
+		o, err := DecodeObject(encoded)
+		if err != nil {
+			return err
+		}
+		if !s.Add(o) {
+			return &FormatError{Object: o.Ref(), Message: "is contained twice"}
+		}
+	}
+	return nil
+}
+
+// DecodeObject reads the canonical JSON of one object.
+func DecodeObject(data []byte) (Object, error) {
+	var ref Ref
+	if err := json.Unmarshal(data, &ref); err != nil {
+		return nil, &FormatError{Message: "not an object", Cause: err}
+	}
+	t, known := kindTypes[ref.Kind]
+	if !known {
+		return nil, &FormatError{Object: ref, Message: "kind is not known"}
+	}
+	if ref.Name == "" {
+		return nil, &FormatError{Object: ref, Message: "name is missing"}
+	}
+	o := reflect.New(t).Interface().(Object)
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(o); err != nil {
+		return nil, &FormatError{Object: ref, Message: "cannot be decoded", Cause: err}
+	}
+	return o, nil
+}
+
+// Equal reports whether two objects have the same canonical form. Either may
+// be nil.
+func Equal(a, b Object) bool {
+	if a == nil || b == nil {
+		return a == nil && b == nil
+	}
+	first, err := EncodeObject(a)
+	if err != nil {
+		return false
+	}
+	second, err := EncodeObject(b)
+	return err == nil && bytes.Equal(first, second)
+}
+
+// FieldDifference is one field that differs between two objects. The values
+// are JSON; they are empty where the field is not set.
+type FieldDifference struct {
+	Field  string `json:"field"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// Differences returns the fields that differ between two objects of the same
+// kind, in the order of their declaration. Either may be nil.
+func Differences(before, after Object) []FieldDifference {
+	ref := Ref{}
+	if before != nil {
+		ref = before.Ref()
+	}
+	if after != nil {
+		ref = after.Ref()
+	}
+	old, current := fieldValues(before), fieldValues(after)
+	var differences []FieldDifference
+	for _, name := range FieldNames(ref.Kind) {
+		if old[name] != current[name] {
+			differences = append(differences, FieldDifference{Field: name, Before: old[name], After: current[name]})
+		}
+	}
+	return differences
+}
+
+func fieldValues(o Object) map[string]string {
+	values := map[string]string{}
+	if o == nil {
+		return values
+	}
+	encoded, err := EncodeObject(o)
+	if err != nil {
+		return values
+	}
+	raw := map[string]json.RawMessage{}
+	if json.Unmarshal(encoded, &raw) != nil {
+		return values
+	}
+	for name, value := range raw {
+		values[name] = string(value)
+	}
+	return values
+}
--- /dev/null
+++ b/pkg/parser/files.go
@@ -0,0 +1,271 @@
+package parser
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	// maxFileBytes bounds one file, maxTotalBytes all files of one call.
+	maxFileBytes  = 8 << 20
+	maxTotalBytes = 64 << 20
+	maxFiles      = 10_000
+	// MaxObjects bounds the objects of one set.
+	MaxObjects = 100_000
+)
+
+// Declared is an object with the place where it is declared.
+type Declared struct {
+	Object Object
+	File   string
+	Line   int
+	// Fields holds the line of each field that the file sets; items of lists
+	// are named "adapters[0]".
+	Fields map[string]int
+	// Bad holds the fields that already have a problem.
+	Bad map[string]bool
+}
+
+// LineOf returns the line of the field, or of the object when the file does
+// not set the field.
+func (d *Declared) LineOf(field string) int {
+	if line, set := d.Fields[field]; set {
+		return line
+	}
+	return d.Line
+}
+
+// Declaration is a set with the places of its objects.
+type Declaration struct {
+	Set     *Set
+	Objects []*Declared
+	// Problems were found while reading.
+	Problems []Problem
+}
+
+// NewDeclaration returns an empty declaration.
+func NewDeclaration() *Declaration {
+	return &Declaration{Set: NewSet()}
+}
+
+// Add adds the object, or a problem when its name is taken.
+func (d *Declaration) Add(o *Declared) {
+	ref := o.Object.Ref()
+	if d.Set.Add(o.Object) {
+		d.Objects = append(d.Objects, o)
+		return
+	}
+	message := "the name is used twice"
+	if first := d.Find(ref); first != nil {
+		message = fmt.Sprintf("the name is also declared at %s:%d", first.File, first.Line)
+	}
+	d.Problems = append(d.Problems, Problem{
+		File: o.File, Line: o.LineOf("name"), Object: ref, Field: "name",
+		Message: message, Suggestion: "write another name or delete one of the two",
+	})
+}
+
+// Find returns the declared object, or nil.
+func (d *Declaration) Find(ref Ref) *Declared {
+	for _, o := range d.Objects {
+		if o.Object.Ref() == ref {
+			return o
+		}
+	}
+	return nil
+}
+
+// PathError reports a path that cannot be read.
+type PathError struct {
+	Path       string
+	Suggestion string
+	Cause      error
+}
+
+func (e *PathError) Error() string {
+	message := "cannot read " + e.Path
+	if e.Cause != nil {
+		var path *fs.PathError
+		cause := e.Cause
+		if errors.As(cause, &path) {
+			cause = path.Err
+		}
+		message += ": " + cause.Error()
+	}
+	return message + "; " + e.Suggestion
+}
+
+func (e *PathError) Unwrap() error { return e.Cause }
+
+// ReadPaths reads files and directories. Of a directory it reads the .yaml,
+// .yml and .json files, with all directories below it. Problems in the files
+// are in the declaration; the error is for paths that cannot be read.
+func ReadPaths(paths []string) (*Declaration, error) {
+	files, err := expandPaths(paths)
+	if err != nil {
+		return nil, err
+	}
+	d := NewDeclaration()
+	total := 0
+	for _, file := range files {
+		data, err := readFile(file)
+		if err != nil {
+			return nil, err
+		}
+		total += len(data)
+		if total > maxTotalBytes {
+			return nil, &PathError{Path: file, Suggestion: fmt.Sprintf("give files of at most %d bytes in all", maxTotalBytes)}
+		}
+		d.ReadFile(file, data)
+	}
+	SortProblems(d.Problems)
+	return d, nil
+}
+
+// ReadFile adds the objects of one file.
+func (d *Declaration) ReadFile(file string, data []byte) {
+	if len(data) > maxFileBytes {
+		d.Problems = append(d.Problems, Problem{
+			File: file, Message: fmt.Sprintf("the file has %d bytes", len(data)),
+			Suggestion: fmt.Sprintf("split it into files of at most %d bytes", maxFileBytes),
+		})
+		return
+	}
+	if strings.HasSuffix(file, ".json") {
+		data = replaceTabs(data)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	for {
+		var document yaml.Node
+		err := decoder.Decode(&document)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			d.Problems = append(d.Problems, syntaxProblem(file, err))
+			return
+		}
+		d.readDocument(file, &document)
+	}
+}
+
+func (d *Declaration) readDocument(file string, document *yaml.Node) {
+	if len(document.Content) == 0 {
+		return
+	}
+	root := document.Content[0]
+	if root.Kind == yaml.ScalarNode && root.ShortTag() == "!!null" {
+		return
+	}
+	objects := []*yaml.Node{root}
+	if root.Kind == yaml.SequenceNode {
+		objects = root.Content
+	}
+	for _, node := range objects {
+		if len(d.Objects) >= MaxObjects {
+			d.Problems = append(d.Problems, Problem{
+				File: file, Line: node.Line, Message: "there are too many objects",
+				Suggestion: fmt.Sprintf("declare at most %d", MaxObjects),
+			})
+			return
+		}
+		o, problems := decodeObject(file, node)
+		d.Problems = append(d.Problems, problems...)
+		if o != nil {
+			d.Add(o)
+		}
+	}
+}
+
+func expandPaths(paths []string) ([]string, error) {
+	var files []string
+	seen := map[string]bool{}
+	for _, path := range paths {
+		err := filepath.WalkDir(path, func(name string, entry fs.DirEntry, err error) error {
+			if err != nil {
+				return &PathError{Path: name, Suggestion: "give a file or a directory that exists", Cause: err}
+			}
+			if entry.IsDir() || seen[name] || (name != path && !isObjectFile(name)) {
+				return nil
+			}
+			seen[name] = true
+			files = append(files, name)
+			if len(files) > maxFiles {
+				return &PathError{Path: path, Suggestion: fmt.Sprintf("give at most %d files", maxFiles)}
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if len(files) == 0 {
+		return nil, &PathError{Path: strings.Join(paths, " "), Suggestion: "give a directory with .yaml, .yml or .json files"}
+	}
+	sort.Strings(files)
+	return files, nil
+}
+
+func isObjectFile(name string) bool {
+	switch filepath.Ext(name) {
+	case ".yaml", ".yml", ".json":
+		return true
+	}
+	return false
+}
+
+// readFile reads at most one byte above the limit, which ReadFile reports.
+func readFile(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, &PathError{Path: name, Suggestion: "give a file that can be read", Cause: err}
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return nil, &PathError{Path: name, Suggestion: "give a file that can be read", Cause: err}
+	}
+	return data, nil
+}
+
+// replaceTabs replaces tabs outside of strings by spaces: YAML does not allow
+// them where JSON does.
+func replaceTabs(data []byte) []byte {
+	replaced := bytes.Clone(data)
+	inString := false
+	for i := 0; i < len(replaced); i++ {
+		switch {
+		case replaced[i] == '"':
+			inString = !inString
+		case replaced[i] == '\\' && inString:
+			i++
+		case replaced[i] == '\t' && !inString:
+			replaced[i] = ' '
+		}
+	}
+	return replaced
+}
+
+var yamlLine = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+
+// syntaxProblem takes the line out of the YAML library's message.
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Message: err.Error(), Suggestion: "correct the YAML or JSON syntax"}
+	first, _, _ := strings.Cut(err.Error(), "\n")
+	if m := yamlLine.FindStringSubmatch(first); m != nil {
+		p.Line, _ = strconv.Atoi(m[1])
+		p.Message = m[2]
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/parser/problem.go
@@ -0,0 +1,66 @@
+package parser
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Problem is one fault in the declared objects, with what to type instead.
+type Problem struct {
+	File string `json:"file"`
+	// Line is 0 for objects that come from the published revision.
+	Line       int    `json:"line,omitempty"`
+	Object     Ref    `json:"object"`
+	Field      string `json:"field,omitempty"`
+	Message    string `json:"message"`
+	Suggestion string `json:"suggestion"`
+}
+
+// String returns the problem as one line, for example:
+//
+//	fleets.yaml:12: fleet/drafting: replicas: -1 is below 1; write a number from 1 to 100000
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	if p.Object.Kind != "" {
+		fmt.Fprintf(&b, ": %s", p.Object)
+	} else if p.Object.Name != "" {
+		fmt.Fprintf(&b, ": %s", p.Object.Name)
+	}
+	if p.Field != "" {
+		fmt.Fprintf(&b, ": %s", p.Field)
+	}
+	fmt.Fprintf(&b, ": %s", p.Message)
+	if p.Suggestion != "" {
+		fmt.Fprintf(&b, "; %s", p.Suggestion)
+	}
+	return b.String()
+}
+
+// ProblemsError reports all problems of a set.
+type ProblemsError struct {
+	Problems []Problem
+}
+
+func (e *ProblemsError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// SortProblems orders problems by file and line.
+func SortProblems(problems []Problem) {
+	sort.SliceStable(problems, func(i, j int) bool {
+		a, b := problems[i], problems[j]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+}
--- /dev/null
+++ b/pkg/parser/status.go
@@ -0,0 +1,94 @@
+package parser
+
+import "encoding/json"
+
+// Prefixes of the keys under which daemons keep status objects.
+const (
+	StatusPrefix  = "status/"
+	RolloutPrefix = "rollouts/"
+	BlockPrefix   = "blocks/"
+	EntryPrefix   = "entries/"
+)
+
+// Phases of a rollout's progress.
+const (
+	PhasePending      = "pending"
+	PhaseTransferring = "transferring"
+	PhaseActivating   = "activating"
+	PhaseDone         = "done"
+	PhasePaused       = "paused"
+	PhaseAborted      = "aborted"
+	PhaseFailed       = "failed"
+)
+
+// RegionStatus is the value of status/<region>.
+type RegionStatus struct {
+	Region     string         `json:"region"`
+	TimeMillis int64          `json:"time-unix-ms"`
+	Daemons    []DaemonStatus `json:"daemons"`
+}
+
+// DaemonStatus is the status of one entry daemon or agent.
+type DaemonStatus struct {
+	VM             string           `json:"vm"`
+	Role           string           `json:"role"`
+	Region         string           `json:"region"`
+	Revision       uint64           `json:"revision"`
+	Model          string           `json:"model,omitempty"`
+	Service        string           `json:"service,omitempty"`
+	Fleet          string           `json:"fleet,omitempty"`
+	Version        string           `json:"version,omitempty"`
+	VersionName    string           `json:"version-name,omitempty"`
+	State          string           `json:"state"`
+	Transfers      []TransferStatus `json:"transfers,omitempty"`
+	LastOrderError string           `json:"last-order-error,omitempty"`
+}
+
+// TransferStatus is the progress of one version on one agent.
+type TransferStatus struct {
+	Digest             string `json:"digest"`
+	ChunksHeld         uint32 `json:"chunks-held"`
+	ChunksTotal        uint32 `json:"chunks-total"`
+	BytesFromOrigin    uint64 `json:"bytes-from-origin"`
+	BytesFromPeers     uint64 `json:"bytes-from-peers"`
+	BytesAcrossRegions uint64 `json:"bytes-across-regions"`
+	Complete           bool   `json:"complete"`
+	Error              string `json:"error,omitempty"`
+}
+
+// RolloutStatus is the value of rollouts/<name>.
+type RolloutStatus struct {
+	Rollout         string `json:"rollout"`
+	Fleet           string `json:"fleet"`
+	Version         string `json:"version"`
+	Digest          string `json:"digest"`
+	Phase           string `json:"phase"`
+	Replicas        int    `json:"replicas"`
+	Transferred     int    `json:"transferred"`
+	Active          int    `json:"active"`
+	StartedMillis   int64  `json:"started-unix-ms"`
+	DoneMillis      int64  `json:"done-unix-ms,omitempty"`
+	BytesFromOrigin uint64 `json:"bytes-from-origin"`
+	Message         string `json:"message,omitempty"`
+}
+
+// BlockList is the value of blocks/<shard>.
+type BlockList struct {
+	Blocks []Block `json:"blocks"`
+}
+
+// Block keeps requests with a fingerprint from running.
+type Block struct {
+	Fingerprint string   `json:"fingerprint"`
+	Team        string   `json:"team"`
+	VMs         []string `json:"vms"`
+	UntilMillis int64    `json:"until-unix-ms"`
+}
+
+// DecodeStatus reads a status object. Unknown fields are ignored, so that an
+// older lentil reads the status of newer daemons.
+func DecodeStatus[T RegionStatus | RolloutStatus | BlockList](value []byte) (T, error) {
+	var status T
+	err := json.Unmarshal(value, &status)
+	return status, err
+}
