--- /dev/null
+++ b/pkg/adapter/weights_http.go
@@ -0,0 +1,128 @@
+package adapter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+)
+
+// maxManifestBytes bounds a manifest that the weight source sends.
+const maxManifestBytes = 9 << 20
+
+// HTTPWeightSource reads weights over HTTP: GET {source}/manifest and GET
+// {source}/data with a Range header. Fields are set before use.
+type HTTPWeightSource struct {
+	// BaseURL is the address, for example http://127.0.0.1:7400.
+	BaseURL string
+	// Client is http.DefaultClient when nil.
+	Client *http.Client
+}
+
+// WeightSourceError reports a read that the weight source did not answer in
+// full.
+type WeightSourceError struct {
+	Source string
+	Status int
+	Cause  error
+}
+
+func (e *WeightSourceError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("weight source: %s: %v", e.Source, e.Cause)
+	}
+	return fmt.Sprintf("weight source: %s: status %d", e.Source, e.Status)
+}
+
+func (e *WeightSourceError) Unwrap() error { return e.Cause }
+
+// weightRead is one GET. Length is 0 for a manifest.
+type weightRead struct {
+	url    string
+	offset int64
+	length int64
+}
+
+// Manifest implements WeightSource.
+func (s *HTTPWeightSource) Manifest(ctx context.Context, source string) ([]byte, error) {
+	return s.read(ctx, source, weightRead{url: s.url(source, "manifest")})
+}
+
+// ReadRange implements WeightSource.
+func (s *HTTPWeightSource) ReadRange(ctx context.Context, source string, offset, length int64) ([]byte, error) {
+	if offset < 0 || length < 1 {
+		return nil, &WeightSourceError{Source: source, Cause: fmt.Errorf("range of %d bytes at %d", length, offset)}
+	}
+	return s.read(ctx, source, weightRead{url: s.url(source, "data"), offset: offset, length: length})
+}
+
+func (s *HTTPWeightSource) read(ctx context.Context, source string, read weightRead) ([]byte, error) {
+	client := s.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	endpoint := kithttp.NewExplicitClient(newWeightRequest, read.decode, kithttp.SetClient(client)).Endpoint()
+	body, err := endpoint(ctx, read)
+	if err != nil {
+		var sourceErr *WeightSourceError
+		if errors.As(err, &sourceErr) {
+			sourceErr.Source = source
+			return nil, sourceErr
+		}
+		return nil, &WeightSourceError{Source: source, Cause: err}
+	}
+	return body.([]byte), nil
+}
+
+func (s *HTTPWeightSource) url(source, file string) string {
+	parts := strings.Split(strings.Trim(source, "/"), "/")
+	for i := range parts {
+		parts[i] = url.PathEscape(parts[i])
+	}
+	return strings.TrimSuffix(s.BaseURL, "/") + "/" + strings.Join(parts, "/") + "/" + file
+}
+
+func newWeightRequest(ctx context.Context, request any) (*http.Request, error) {
+	read := request.(weightRead)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, read.url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if read.length > 0 {
+		r.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", read.offset, read.offset+read.length-1))
+	}
+	return r, nil
+}
+
+func (read weightRead) decode(_ context.Context, resp *http.Response) (any, error) {
+	if read.length == 0 {
+		return decodeManifest(resp)
+	}
+	if resp.StatusCode != http.StatusPartialContent {
+		return nil, &WeightSourceError{Status: resp.StatusCode}
+	}
+	body := make([]byte, read.length)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		return nil, &WeightSourceError{Status: resp.StatusCode, Cause: err}
+	}
+	return body, nil
+}
+
+func decodeManifest(resp *http.Response) (any, error) {
+	if resp.StatusCode != http.StatusOK {
+		return nil, &WeightSourceError{Status: resp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxManifestBytes+1))
+	if err != nil {
+		return nil, &WeightSourceError{Status: resp.StatusCode, Cause: err}
+	}
+	if len(body) > maxManifestBytes {
+		return nil, &WeightSourceError{Status: resp.StatusCode, Cause: fmt.Errorf("manifest above %d bytes", maxManifestBytes)}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/pkg/fetcher/fetcher_test.go
@@ -0,0 +1,215 @@
+package fetcher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
+	"github.com/lentilbridge/lentilbridge/pkg/planner"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
+	"github.com/lentilbridge/lentilbridge/pkg/verifier"
+)
+
+func repeat(region string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = region
+	}
+	return out
+}
+
+// assertComplete checks that all agents hold the content of the origin.
+func (s *swarm) assertComplete(c *qt.C, except ...*agentUnderTest) {
+	for _, a := range s.agents {
+		if contains(except, a) {
+			continue
+		}
+		c.Assert(a.err, qt.IsNil, qt.Commentf("%s: %v", a.vm, a.transfer.Progress()))
+		r, n, err := a.store.Reader(s.source.ref().GetDigest())
+		c.Assert(err, qt.IsNil)
+		data, err := io.ReadAll(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(int64(len(data)), qt.Equals, n)
+		c.Assert(string(data) == string(s.source.content), qt.IsTrue)
+	}
+}
+
+func contains(list []*agentUnderTest, a *agentUnderTest) bool {
+	for _, other := range list {
+		if other == a {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against agents that read the version more often than once per region
+// from the origin.
+func TestTransferReadsOneCopyPerRegion(t *testing.T) {
+	tests := []struct {
+		name    string
+		policy  string
+		regions []string
+		copies  float64
+	}{
+		{"one region", "time", repeat("central", 16), 1},
+		{"three regions, time", "time", append(append(repeat("central", 8), repeat("north", 8)...), repeat("east", 8)...), 3},
+		{"three regions, origin bytes", "origin-bytes", append(append(repeat("central", 8), repeat("north", 8)...), repeat("east", 8)...), 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				s := newSwarm(newSource(100), test.policy, test.regions...)
+				s.start(ctx)
+				s.done.Wait()
+				s.assertComplete(c)
+				c.Assert(s.source.copies() <= 1.05*test.copies, qt.IsTrue, qt.Commentf("%f copies", s.source.copies()))
+			})
+		})
+	}
+}
+
+// Guards against a corrupt chunk that is stored, served or reread from the
+// same peer without end.
+func TestTransferFetchesCorruptChunksElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		s := newSwarm(newSource(100), "time", repeat("central", 10)...)
+		bad := s.agents[3]
+		s.network.corrupt[bad.vm] = true
+		s.source.corrupt = 1
+		started := time.Now()
+		s.start(ctx)
+		s.done.Wait()
+		s.assertComplete(c)
+		// Chunks that only the avoided peer holds are imported again at once.
+		c.Assert(time.Since(started) < planner.AvoidFor, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+		var fromPeer uint32
+		for _, a := range s.agents {
+			n := a.transfer.Progress().GetCorruptChunks()
+			fromPeer += n
+			c.Check(n > 40, qt.IsFalse, qt.Commentf("%s received %d corrupt chunks", a.vm, n))
+		}
+		c.Assert(fromPeer > 100, qt.IsTrue, qt.Commentf("%d corrupt chunks in all", fromPeer))
+	})
+}
+
+// Guards against chunks that no agent imports after their importer died, and
+// against survivors that read far more than the lost chunks again.
+func TestTransferContinuesWhenImportersDie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		s := newSwarm(newSource(400), "time", repeat("central", 20)...)
+		s.start(ctx)
+		for s.source.copies() < 0.6 {
+			c.Assert(wait(ctx), qt.IsNil)
+		}
+		dead := importers(s, 2)
+		for _, a := range dead {
+			s.kill(a)
+		}
+		s.done.Wait()
+		s.assertComplete(c, dead...)
+		c.Assert(s.source.copies() <= 1.2, qt.IsTrue, qt.Commentf("%f copies", s.source.copies()))
+	})
+}
+
+// importers returns agents that have read from the origin.
+func importers(s *swarm, n int) []*agentUnderTest {
+	var out []*agentUnderTest
+	for _, a := range s.agents {
+		if len(out) < n && a.transfer.Progress().GetBytesFromOrigin() > 0 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Guards against waiting for an importer that is reachable but receives
+// nothing from the origin.
+func TestTransferTakesOverFromStalledImporter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		s := newSwarm(newSource(200), "time", repeat("central", 6)...)
+		stalled := &stallingSource{fakeSource: s.source, after: 10}
+		s.agents[2].transfer.Source = stalled
+		started := time.Now()
+		s.start(ctx)
+		s.done.Wait()
+		s.assertComplete(c)
+		c.Assert(s.agents[2].transfer.Progress().GetBytesFromOrigin() <= 10*1024, qt.IsTrue)
+		c.Assert(time.Since(started) < 6*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+		c.Assert(s.source.copies() <= 1.2, qt.IsTrue, qt.Commentf("%f copies", s.source.copies()))
+	})
+}
+
+// Guards against chunks that are read again after an interruption.
+func TestTransferResumesFromBitmap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSwarm(newSource(100), "time", "central")
+		a := s.agents[0]
+		ctx, cancel := context.WithTimeout(t.Context(), 30*chunkTime)
+		c.Assert(a.transfer.Run(ctx), qt.ErrorIs, context.DeadlineExceeded)
+		cancel()
+		_, progress, err := a.store.Held(s.source.ref().GetDigest())
+		c.Assert(err, qt.IsNil)
+		c.Assert(progress.Held > 10 && progress.Held < 100, qt.IsTrue, qt.Commentf("%d held", progress.Held))
+		old := a.transfer
+		again := &fetcher.Transfer{Version: old.Version, Self: old.Self, Source: s.source, Dial: old.Dial, Store: a.store, Seed: 1}
+		c.Assert(again.Run(t.Context()), qt.IsNil)
+		s.assertComplete(c)
+		// Two requests in flight may be cut by the interruption.
+		c.Assert(s.source.bytes <= s.source.version.SizeBytes+2*1024, qt.IsTrue)
+	})
+}
+
+// Guards against content that changed at the origin under the same digest.
+func TestTransferRefusesChangedContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		s := newSwarm(newSource(10), "time", repeat("central", 3)...)
+		s.source.content[5*1024] ^= 1
+		s.start(ctx)
+		s.done.Wait()
+		for _, a := range s.agents {
+			c.Assert(a.err, qt.ErrorIs, context.DeadlineExceeded)
+			_, _, err := a.store.Reader(s.source.ref().GetDigest())
+			var incomplete *storer.IncompleteError
+			c.Assert(errors.As(err, &incomplete), qt.IsTrue)
+			c.Assert(incomplete.Held, qt.Equals, 9)
+		}
+	})
+}
+
+// Guards against a manifest that is accepted under the digest of another one.
+func TestTransferRefusesOtherManifest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		s := newSwarm(newSource(10), "time", "central")
+		a := s.agents[0]
+		a.transfer.Version.Digest = verifier.Sum([]byte("other"))
+		c.Assert(a.transfer.Run(ctx), qt.ErrorIs, context.DeadlineExceeded)
+		c.Assert(a.transfer.Progress().GetError(), qt.Matches, "manifest has digest .*")
+		c.Assert(a.store.Versions(), qt.HasLen, 0)
+	})
+}
--- /dev/null
+++ b/pkg/verifier/manifest.go
@@ -0,0 +1,182 @@
+// Package verifier checks weights against their manifest: the manifest's own
+// digest is the identity of a version, and each chunk has a BLAKE3 digest.
+package verifier
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/zeebo/blake3"
+)
+
+// Limits of a manifest. A manifest comes from another process, so its size is
+// bounded before it is decoded.
+const (
+	// DefaultChunkBytes is the chunk size of new manifests.
+	DefaultChunkBytes = 4 << 20
+	// MaxChunkBytes bounds the memory of one request.
+	MaxChunkBytes = 16 << 20
+	// MaxChunks allows 512 GiB of weights in chunks of the default size.
+	MaxChunks = 128 << 10
+	// MaxManifestBytes holds MaxChunks digests of 67 bytes each.
+	MaxManifestBytes = 9 << 20
+	// maxNameBytes bounds the model and the version name.
+	maxNameBytes = 256
+)
+
+// Digest is a BLAKE3 digest.
+type Digest [32]byte
+
+// String returns the digest in lower-case hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return errors.New("digest does not have 64 hexadecimal digits")
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
+
+// Manifest lists the chunks of one version of a model or adapter.
+type Manifest struct {
+	Model          string   `json:"model"`
+	Name           string   `json:"name"`
+	SizeBytes      int64    `json:"size-bytes"`
+	ChunkSizeBytes int64    `json:"chunk-size-bytes"`
+	Chunks         []Digest `json:"chunks"`
+}
+
+// ManifestError reports a manifest that is not well formed.
+type ManifestError struct {
+	Reason string
+	Cause  error
+}
+
+func (e *ManifestError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("manifest refused: %s: %v", e.Reason, e.Cause)
+	}
+	return "manifest refused: " + e.Reason
+}
+
+func (e *ManifestError) Unwrap() error { return e.Cause }
+
+// DigestError reports content that does not have the digest it should have.
+// Chunk is -1 for a manifest.
+type DigestError struct {
+	Chunk    int
+	Expected string
+	Found    string
+}
+
+func (e *DigestError) Error() string {
+	if e.Chunk < 0 {
+		return fmt.Sprintf("manifest has digest %s, expected %s", e.Found, e.Expected)
+	}
+	return fmt.Sprintf("chunk %d has digest %s, expected %s", e.Chunk, e.Found, e.Expected)
+}
+
+// Canonical returns the manifest's canonical bytes: compact JSON with the
+// fields in the order of the type, for example
+// {"model":"m","name":"m-1","size-bytes":3,"chunk-size-bytes":4,"chunks":["…"]}.
+func (m *Manifest) Canonical() []byte {
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false)
+	// Encoding a struct of strings, integers and digests cannot fail.
+	_ = enc.Encode(m)
+	return bytes.TrimRight(out.Bytes(), "\n")
+}
+
+// Digest returns the digest of the canonical bytes, the version's identity.
+func (m *Manifest) Digest() string { return Sum(m.Canonical()) }
+
+// ChunkBytes returns the length of a chunk. The last one may be short.
+func (m *Manifest) ChunkBytes(index int) int64 {
+	return min(m.ChunkSizeBytes, m.SizeBytes-m.ChunkOffset(index))
+}
+
+// ChunkOffset returns where a chunk begins.
+func (m *Manifest) ChunkOffset(index int) int64 { return int64(index) * m.ChunkSizeBytes }
+
+// Sum returns the digest of data in lower-case hexadecimal.
+func Sum(data []byte) string { return Digest(blake3.Sum256(data)).String() }
+
+// Parse decodes a manifest and refuses one that is not canonical, so that one
+// manifest cannot have two identities.
+func Parse(data []byte) (*Manifest, error) {
+	if len(data) > MaxManifestBytes {
+		return nil, &ManifestError{Reason: fmt.Sprintf("%d bytes, the limit is %d", len(data), MaxManifestBytes)}
+	}
+	m := &Manifest{}
+	if err := json.Unmarshal(data, m); err != nil {
+		return nil, &ManifestError{Reason: "not valid JSON", Cause: err}
+	}
+	if err := m.check(); err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(m.Canonical(), data) {
+		return nil, &ManifestError{Reason: "not in canonical form"}
+	}
+	return m, nil
+}
+
+// ParseExpected decodes a manifest that must have the digest.
+func ParseExpected(data []byte, digest string) (*Manifest, error) {
+	if found := Sum(data); found != digest {
+		return nil, &DigestError{Chunk: -1, Expected: digest, Found: found}
+	}
+	return Parse(data)
+}
+
+func (m *Manifest) check() error {
+	switch {
+	case m.Model == "" || len(m.Model) > maxNameBytes:
+		return &ManifestError{Reason: fmt.Sprintf("model is empty or longer than %d bytes", maxNameBytes)}
+	case m.Name == "" || len(m.Name) > maxNameBytes:
+		return &ManifestError{Reason: fmt.Sprintf("name is empty or longer than %d bytes", maxNameBytes)}
+	case m.ChunkSizeBytes < 1 || m.ChunkSizeBytes > MaxChunkBytes:
+		return &ManifestError{Reason: fmt.Sprintf("chunk-size-bytes is %d, must be 1 to %d", m.ChunkSizeBytes, MaxChunkBytes)}
+	case m.SizeBytes < 1 || m.SizeBytes > MaxChunks*m.ChunkSizeBytes:
+		return &ManifestError{Reason: fmt.Sprintf("size-bytes is %d, must be 1 to %d chunks", m.SizeBytes, MaxChunks)}
+	case int64(len(m.Chunks)) != (m.SizeBytes+m.ChunkSizeBytes-1)/m.ChunkSizeBytes:
+		return &ManifestError{Reason: fmt.Sprintf("%d chunks of %d bytes do not make %d bytes", len(m.Chunks), m.ChunkSizeBytes, m.SizeBytes)}
+	}
+	return nil
+}
+
+// Build reads weights to their end and returns their manifest.
+func Build(model, name string, chunkSizeBytes int64, r io.Reader) (*Manifest, error) {
+	if chunkSizeBytes < 1 || chunkSizeBytes > MaxChunkBytes {
+		return nil, &ManifestError{Reason: fmt.Sprintf("chunk-size-bytes is %d, must be 1 to %d", chunkSizeBytes, MaxChunkBytes)}
+	}
+	m := &Manifest{Model: model, Name: name, ChunkSizeBytes: chunkSizeBytes}
+	buf := make([]byte, chunkSizeBytes)
+	for {
+		n, err := io.ReadFull(r, buf)
+		if n > 0 {
+			m.Chunks = append(m.Chunks, blake3.Sum256(buf[:n]))
+			m.SizeBytes += int64(n)
+		}
+		if len(m.Chunks) > MaxChunks {
+			return nil, &ManifestError{Reason: fmt.Sprintf("more than %d chunks", MaxChunks)}
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return m, m.check()
+		}
+		if err != nil {
+			return nil, &ManifestError{Reason: "weights cannot be read", Cause: err}
+		}
+	}
+}
