--- /dev/null
+++ b/pkg/adapter/engine_http.go
@@ -0,0 +1,369 @@
+package adapter
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/zeebo/blake3"
+)
+
+const (
+	dialTimeout        = time.Second
+	maxTokenLineBytes  = 1 << 20
+	maxControlReply    = 4 << 20
+	maxErrorBodyBytes  = 4 << 10
+	maxTokenCount      = 1 << 30
+	contentDigestField = "Content-Digest"
+)
+
+// HTTPEngine is a client of a model engine over HTTP.
+type HTTPEngine struct {
+	// Address is the engine's host and port.
+	Address string
+	// Client is used for all calls; NewHTTPEngine sets one.
+	Client *http.Client
+}
+
+// NewHTTPEngine returns a client of the engine at the address.
+func NewHTTPEngine(address string) *HTTPEngine {
+	return &HTTPEngine{Address: address, Client: &http.Client{Transport: newConnectionTransport()}}
+}
+
+// newConnectionTransport returns a transport that opens a connection for each
+// call. A reused connection that breaks would leave open whether the call
+// reached the server, and net/http repeats some calls on a new connection by
+// itself, which a call that must run at most once does not allow.
+func newConnectionTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
+type generateBody struct {
+	ID           string   `json:"id"`
+	Model        string   `json:"model,omitempty"`
+	Adapter      string   `json:"adapter,omitempty"`
+	Prompt       string   `json:"prompt"`
+	MaxTokens    int      `json:"max-tokens"`
+	ResumeOffset int      `json:"resume-offset,omitempty"`
+	Priority     int      `json:"priority,omitempty"`
+	Temperature  float64  `json:"temperature,omitempty"`
+	Seed         int64    `json:"seed,omitempty"`
+	Stop         []string `json:"stop,omitempty"`
+	Request      []byte   `json:"request,omitempty"`
+}
+
+type generatedLine struct {
+	Offset       int      `json:"offset"`
+	Tokens       []string `json:"tokens"`
+	End          bool     `json:"end"`
+	TokenCount   int      `json:"token-count"`
+	PromptTokens int      `json:"prompt-tokens"`
+	FinishReason string   `json:"finish-reason"`
+	Version      string   `json:"version"`
+	Error        string   `json:"error"`
+}
+
+type engineStateBody struct {
+	Version  string   `json:"version"`
+	Instance string   `json:"instance"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued"`
+	Epoch    uint64   `json:"epoch"`
+}
+
+type prefixEventBody struct {
+	Sequence   uint64 `json:"sequence"`
+	PrefixHash uint64 `json:"prefix-hash"`
+	Removed    bool   `json:"removed"`
+}
+
+type staleEpochBody struct {
+	Highest uint64 `json:"highest-epoch"`
+}
+
+// Generate implements Engine.
+func (e *HTTPEngine) Generate(ctx context.Context, req GenerateRequest) (TokenStream, error) {
+	body, err := json.Marshal(generateBody(req))
+	if err != nil {
+		return nil, &EngineError{Operation: "generate", Cause: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url("/generate"), bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, &EngineError{Operation: "generate", Cause: err}
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := e.Client.Do(r)
+	if err != nil {
+		cancel()
+		return nil, callError("generate", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		defer resp.Body.Close()
+		return nil, statusError("generate", resp)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 4096), maxTokenLineBytes)
+	return &httpTokenStream{ctx: ctx, body: resp.Body, lines: lines, cancel: cancel}, nil
+}
+
+// Cancel implements Engine.
+func (e *HTTPEngine) Cancel(ctx context.Context, id string) error {
+	_, err := e.call(ctx, "cancel", http.MethodDelete, "/generations/"+url.PathEscape(id), decodeNothing)
+	return err
+}
+
+// State implements Engine.
+func (e *HTTPEngine) State(ctx context.Context) (EngineState, error) {
+	reply, err := e.call(ctx, "state", http.MethodGet, "/state", decodeState)
+	if err != nil {
+		return EngineState{}, err
+	}
+	return reply.(EngineState), nil
+}
+
+// PrefixEvents implements Engine.
+func (e *HTTPEngine) PrefixEvents(ctx context.Context, after uint64) ([]PrefixEvent, error) {
+	path := "/prefix-events?after=" + strconv.FormatUint(after, 10)
+	reply, err := e.call(ctx, "prefix-events", http.MethodGet, path, decodePrefixEvents)
+	if err != nil {
+		return nil, err
+	}
+	return reply.([]PrefixEvent), nil
+}
+
+// Apply implements Engine.
+func (e *HTTPEngine) Apply(ctx context.Context, epoch uint64, order EngineOrder) error {
+	query := url.Values{"epoch": {strconv.FormatUint(epoch, 10)}}
+	switch o := order.(type) {
+	case LoadVersion:
+		query.Set("model", o.Model)
+		query.Set("version", o.Version)
+		return e.order(ctx, "load-version", http.MethodPut, "/version", query, o.Weights, o.Bytes)
+	case UnloadVersion:
+		query.Set("model", o.Model)
+		return e.order(ctx, "unload-version", http.MethodDelete, "/version", query, nil, 0)
+	case LoadAdapter:
+		return e.order(ctx, "load-adapter", http.MethodPut, "/adapters/"+url.PathEscape(o.Adapter), query, o.Weights, o.Bytes)
+	case UnloadAdapter:
+		return e.order(ctx, "unload-adapter", http.MethodDelete, "/adapters/"+url.PathEscape(o.Adapter), query, nil, 0)
+	case SetRole:
+		query.Set("role", o.Role)
+		return e.order(ctx, "set-role", http.MethodPut, "/role", query, nil, 0)
+	}
+	return &EngineError{Operation: "order", Cause: fmt.Errorf("unknown order %T", order)}
+}
+
+// order sends one order. The digest of the bytes that were sent follows them
+// in a trailer, so that the engine can check that it has all of them.
+func (e *HTTPEngine) order(ctx context.Context, operation, method, path string, query url.Values, weights io.Reader, size int64) error {
+	r, err := http.NewRequestWithContext(ctx, method, e.url(path)+"?"+query.Encode(), nil)
+	if err != nil {
+		return &EngineError{Operation: operation, Cause: err}
+	}
+	if weights != nil {
+		r.Trailer = http.Header{contentDigestField: nil}
+		// Trailers need a chunked body, so the size travels in a header.
+		r.Header.Set("Content-Bytes", strconv.FormatInt(size, 10))
+		r.Body = io.NopCloser(&digestingReader{r: weights, hash: blake3.New(), trailer: r.Trailer})
+		r.ContentLength = -1
+	}
+	resp, err := e.Client.Do(r)
+	if err != nil {
+		return callError(operation, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusConflict {
+		var stale staleEpochBody
+		epoch, _ := strconv.ParseUint(query.Get("epoch"), 10, 64)
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBodyBytes)).Decode(&stale); err == nil && stale.Highest > epoch {
+			return &StaleEpochError{Epoch: epoch, Highest: stale.Highest}
+		}
+	}
+	if resp.StatusCode/100 != 2 {
+		return statusError(operation, resp)
+	}
+	return nil
+}
+
+func (e *HTTPEngine) call(ctx context.Context, operation, method, path string, decode kithttp.DecodeResponseFunc) (any, error) {
+	target, err := url.Parse(e.url(path))
+	if err != nil {
+		return nil, &EngineError{Operation: operation, Cause: err}
+	}
+	client := kithttp.NewClient(method, target, encodeNothing, decode, kithttp.SetClient(e.Client))
+	reply, err := client.Endpoint()(ctx, nil)
+	if err == nil {
+		return reply, nil
+	}
+	var engineErr *EngineError
+	if errors.As(err, &engineErr) {
+		engineErr.Operation = operation
+		return nil, engineErr
+	}
+	return nil, callError(operation, err)
+}
+
+func (e *HTTPEngine) url(path string) string { return "http://" + e.Address + path }
+
+type httpTokenStream struct {
+	ctx    context.Context
+	body   io.ReadCloser
+	lines  *bufio.Scanner
+	cancel context.CancelFunc
+	ended  bool
+}
+
+// Next implements TokenStream.
+func (s *httpTokenStream) Next() (Generated, error) {
+	if s.ended {
+		return Generated{}, io.EOF
+	}
+	if !s.lines.Scan() {
+		return Generated{}, s.brokenError()
+	}
+	piece, err := decodeGenerated(s.lines.Bytes())
+	if err != nil {
+		return Generated{}, &EngineError{Operation: "generate", Started: true, Cause: err}
+	}
+	s.ended = piece.End
+	return piece, nil
+}
+
+// Close implements TokenStream.
+func (s *httpTokenStream) Close() error {
+	s.cancel()
+	return s.body.Close()
+}
+
+func (s *httpTokenStream) brokenError() error {
+	err := s.lines.Err()
+	if s.ctx.Err() != nil {
+		return &EngineError{Operation: "generate", Started: true, Cause: context.Cause(s.ctx)}
+	}
+	if errors.Is(err, bufio.ErrTooLong) {
+		return &EngineError{Operation: "generate", Started: true, Cause: err}
+	}
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return &EngineError{Operation: "generate", Started: true, Crashed: true, Cause: err}
+}
+
+// decodeGenerated reads one line of an answer, for example
+// {"offset":2,"tokens":[" kalomi"],"version":"…"}.
+func decodeGenerated(line []byte) (Generated, error) {
+	var l generatedLine
+	if err := json.Unmarshal(line, &l); err != nil {
+		return Generated{}, fmt.Errorf("line of tokens: %w", err)
+	}
+	if l.Error != "" {
+		return Generated{}, fmt.Errorf("engine ended the answer: %s", l.Error)
+	}
+	for _, n := range []int{l.Offset, l.TokenCount, l.PromptTokens} {
+		if n < 0 || n > maxTokenCount {
+			return Generated{}, fmt.Errorf("line of tokens has the number %d", n)
+		}
+	}
+	return Generated{
+		Offset: l.Offset, Tokens: l.Tokens, End: l.End, TokenCount: l.TokenCount,
+		PromptTokens: l.PromptTokens, FinishReason: l.FinishReason, Version: l.Version,
+	}, nil
+}
+
+type digestingReader struct {
+	r       io.Reader
+	hash    *blake3.Hasher
+	trailer http.Header
+}
+
+func (d *digestingReader) Read(p []byte) (int, error) {
+	n, err := d.r.Read(p)
+	_, _ = d.hash.Write(p[:n])
+	if err == io.EOF {
+		d.trailer.Set(contentDigestField, hex.EncodeToString(d.hash.Sum(nil)))
+	}
+	return n, err
+}
+
+func encodeNothing(context.Context, *http.Request, any) error { return nil }
+
+func decodeNothing(_ context.Context, resp *http.Response) (any, error) {
+	if resp.StatusCode/100 != 2 {
+		return nil, statusError("", resp)
+	}
+	return nil, nil
+}
+
+func decodeState(_ context.Context, resp *http.Response) (any, error) {
+	var body engineStateBody
+	if err := decodeReply(resp, &body); err != nil {
+		return nil, err
+	}
+	return EngineState(body), nil
+}
+
+func decodePrefixEvents(_ context.Context, resp *http.Response) (any, error) {
+	var body []prefixEventBody
+	if err := decodeReply(resp, &body); err != nil {
+		return nil, err
+	}
+	events := make([]PrefixEvent, len(body))
+	for i, e := range body {
+		events[i] = PrefixEvent(e)
+	}
+	return events, nil
+}
+
+func decodeReply(resp *http.Response, body any) error {
+	if resp.StatusCode != http.StatusOK {
+		return statusError("", resp)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlReply)).Decode(body); err != nil {
+		return &EngineError{Started: true, Cause: err}
+	}
+	return nil
+}
+
+// statusError reports an answer with an error status. The engine refused the
+// work before it started.
+func statusError(operation string, resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	cause := errors.New(strings.TrimSpace(string(text)))
+	return &EngineError{Operation: operation, Status: resp.StatusCode, Started: resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable, Cause: cause}
+}
+
+// callError reports a call without an answer.
+func callError(operation string, err error) error {
+	started := !isDialError(err)
+	canceled := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	return &EngineError{Operation: operation, Started: started, Crashed: started && !canceled, Cause: err}
+}
+
+// isDialError reports whether the connection was never made, so that no byte
+// reached the server.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/pkg/emulator/engine_orders.go
@@ -0,0 +1,155 @@
+package emulator
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/blake3"
+)
+
+var errSwitched = errors.New("the engine switched to another version")
+
+type staleEpoch struct {
+	Highest uint64 `json:"highest-epoch"`
+}
+
+// loadVersion reads the whole body, checks its digest and switches to it in
+// one step. Until then the old version runs on.
+func (e *Engine) loadVersion(w http.ResponseWriter, r *http.Request) {
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	version := r.URL.Query().Get("version")
+	if version == "" {
+		http.Error(w, "the parameter version is missing", http.StatusBadRequest)
+		return
+	}
+	digest, ok := readWeights(w, r)
+	if !ok || !sleep(r.Context(), e.LoadTime) {
+		return
+	}
+	// The epoch may have risen while the weights arrived.
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	e.replaceVersion(version, digest)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) unloadVersion(w http.ResponseWriter, r *http.Request) {
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	e.replaceVersion("", "")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) loadAdapter(w http.ResponseWriter, r *http.Request) {
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	digest, ok := readWeights(w, r)
+	if !ok || !e.checkEpoch(w, r) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.adapters[r.PathValue("name")] = digest
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) unloadAdapter(w http.ResponseWriter, r *http.Request) {
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.adapters, r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) setRole(w http.ResponseWriter, r *http.Request) {
+	if !e.checkEpoch(w, r) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.role = r.URL.Query().Get("role")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// replaceVersion ends the running requests, because the engine does not hold
+// two versions, and starts with an empty prefix cache.
+func (e *Engine) replaceVersion(version, digest string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopRunning(errSwitched)
+	e.switching, e.stopRunning = context.WithCancelCause(context.Background())
+	e.version = version
+	e.contentDigest = digest
+	clear(e.adapters)
+	e.cache.clear(time.Now())
+}
+
+func (e *Engine) checkEpoch(w http.ResponseWriter, r *http.Request) bool {
+	epoch, err := strconv.ParseUint(r.URL.Query().Get("epoch"), 10, 64)
+	if err != nil {
+		http.Error(w, "the parameter epoch must be a number", http.StatusBadRequest)
+		return false
+	}
+	if e.IgnoreEpoch {
+		return true
+	}
+	e.mu.Lock()
+	highest := e.epoch
+	if epoch > highest {
+		e.epoch = epoch
+	}
+	e.mu.Unlock()
+	if epoch < highest {
+		writeJSONStatus(w, http.StatusConflict, staleEpoch{Highest: highest})
+		return false
+	}
+	return true
+}
+
+// readWeights reads the whole body and compares it with the digest in the
+// parameter or in the trailer content-digest.
+func readWeights(w http.ResponseWriter, r *http.Request) (string, bool) {
+	hash := blake3.New()
+	n, err := io.Copy(hash, r.Body)
+	if err != nil {
+		http.Error(w, "the weights ended early: "+err.Error(), http.StatusBadRequest)
+		return "", false
+	}
+	if size := r.Header.Get("Content-Bytes"); size != "" && size != strconv.FormatInt(n, 10) {
+		http.Error(w, "the weights have "+strconv.FormatInt(n, 10)+" bytes, expected "+size, http.StatusBadRequest)
+		return "", false
+	}
+	expected := r.URL.Query().Get("content-digest")
+	if expected == "" {
+		expected = r.Trailer.Get("Content-Digest")
+	}
+	digest := hex.EncodeToString(hash.Sum(nil))
+	if digest != expected {
+		http.Error(w, "the weights have the digest "+digest+", expected "+strconv.Quote(expected), http.StatusUnprocessableEntity)
+		return "", false
+	}
+	return digest, true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
