--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	dialTimeout        = time.Second
+	engineDialTimeout  = time.Second
 	maxTokenLineBytes  = 1 << 20
 	maxControlReply    = 4 << 20
 	maxErrorBodyBytes  = 4 << 10
@@ -47,7 +47,7 @@
 // reached the server, and net/http repeats some calls on a new connection by
 // itself, which a call that must run at most once does not allow.
 func newConnectionTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
 	return &http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableKeepAlives:  true,
@@ -360,10 +360,3 @@
 	canceled := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	return &EngineError{Operation: operation, Started: started, Crashed: started && !canceled, Cause: err}
 }
-
-// isDialError reports whether the connection was never made, so that no byte
-// reached the server.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/pkg/adapter/vm_list_http.go
+++ b/pkg/adapter/vm_list_http.go
@@ -69,8 +69,6 @@
 	l.call = kithttp.NewClient(http.MethodGet, base, encodeNothing, decodeVMList, kithttp.SetClient(client)).Endpoint()
 }
 
-func encodeNothing(context.Context, *http.Request, any) error { return nil }
-
 func decodeVMList(_ context.Context, r *http.Response) (any, error) {
 	if r.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(r.Body, maxErrorAnswerBytes))
--- a/pkg/emulator/object_api.go
+++ b/pkg/emulator/object_api.go
@@ -97,7 +97,7 @@
 	for _, o := range objects {
 		body.Objects = append(body.Objects, listedObject{Key: o.Key, Value: o.Value, Version: o.Version})
 	}
-	writeJSON(w, http.StatusOK, body)
+	writeJSONStatus(w, http.StatusOK, body)
 }
 
 func (a *ObjectAPI) servePut(w http.ResponseWriter, r *http.Request) {
@@ -153,7 +153,7 @@
 	changes, next, err := a.Watch(r.Context(), r.URL.Query().Get("prefix"), after)
 	var gap *adapter.GapError
 	if errors.As(err, &gap) {
-		writeJSON(w, http.StatusGone, watchBody{Version: next})
+		writeJSONStatus(w, http.StatusGone, watchBody{Version: next})
 		return
 	}
 	if err != nil {
@@ -165,11 +165,11 @@
 		o := c.Object
 		body.Changes = append(body.Changes, listedObject{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: c.Deleted})
 	}
-	writeJSON(w, http.StatusOK, body)
+	writeJSONStatus(w, http.StatusOK, body)
 }
 
 func (a *ObjectAPI) serveStats(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.Stats())
+	writeJSONStatus(w, http.StatusOK, a.Stats())
 }
 
 func (a *ObjectAPI) serveFaults(w http.ResponseWriter, r *http.Request) {
@@ -225,12 +225,6 @@
 	http.Error(w, err.Error(), http.StatusBadRequest)
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func formatETag(version uint64) string {
 	return `"` + strconv.FormatUint(version, 10) + `"`
 }
--- a/pkg/emulator/verb_object_api.go
+++ b/pkg/emulator/verb_object_api.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"io"
 )
 
-func registerObjectAPI(_ *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
-	return func(context.Context, io.Writer) error {
-		return errors.New("the object API is not part of this build")
+func registerObjectAPI(flags *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
+	a := &ObjectAPI{}
+	address := flags.String("address", "127.0.0.1:0", "`address` to listen on")
+	flags.Float64Var(&a.WritesPerSecond, "writes-per-second", 300, "refuse writes above this `rate`; 0 refuses none")
+	flags.Float64Var(&a.ReadsPerSecond, "reads-per-second", 2000, "refuse reads above this `rate`; 0 refuses none")
+	flags.IntVar(&a.HistoryLength, "history", defaultHistoryLength, "`number` of changes kept for watches")
+	flags.DurationVar(&a.Faults.Delay, "delay", 0, "`time` before each call takes effect")
+	return func(ctx context.Context, out io.Writer) error {
+		return serve(ctx, *address, a, out)
 	}
 }
--- a/pkg/emulator/verb_vm_list.go
+++ b/pkg/emulator/verb_vm_list.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"io"
 )
 
-func registerVMList(_ *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
-	return func(context.Context, io.Writer) error {
-		return errors.New("the list of VMs is not part of this build")
+func registerVMList(flags *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
+	l := &VMList{}
+	address := flags.String("address", "127.0.0.1:0", "`address` to listen on")
+	flags.DurationVar(&l.Lag, "lag", 0, "`time` for which a change stays invisible")
+	return func(ctx context.Context, out io.Writer) error {
+		return serve(ctx, *address, l, out)
 	}
 }
--- a/pkg/emulator/verb_weights.go
+++ b/pkg/emulator/verb_weights.go
@@ -2,13 +2,41 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
+	"fmt"
 	"io"
+	"path"
+	"strings"
 )
 
-func registerWeights(_ *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
-	return func(context.Context, io.Writer) error {
-		return errors.New("the source of weights is not part of this build")
+func registerWeights(flags *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
+	s := &Weights{}
+	address := flags.String("address", "127.0.0.1:0", "`address` to listen on")
+	flags.Float64Var(&s.BytesPerSecond, "bytes-per-second", 0, "limit of all reads together; 0 does not limit")
+	versions := flags.String("versions", "", "`versions` to serve, as source=size:chunk-size:seed, separated by commas")
+	return func(ctx context.Context, out io.Writer) error {
+		sources, err := parseWeightsVersions(*versions)
+		if err != nil {
+			return err
+		}
+		s.Sources = sources
+		return serve(ctx, *address, s, out)
 	}
 }
+
+// parseWeightsVersions reads the setting of the versions.
+//
+//	drafting/v1=16777216:131072:1  →  model "drafting", version "v1"
+func parseWeightsVersions(text string) (map[string]WeightsVersion, error) {
+	sources := map[string]WeightsVersion{}
+	for _, part := range strings.Split(text, ",") {
+		source, numbers, found := strings.Cut(part, "=")
+		v := WeightsVersion{Model: path.Dir(source), Name: path.Base(source)}
+		n, err := fmt.Sscanf(numbers, "%d:%d:%d", &v.SizeBytes, &v.ChunkSizeBytes, &v.Seed)
+		if !found || source == "" || err != nil || n != 3 || v.SizeBytes < 1 || v.ChunkSizeBytes < 1 {
+			return nil, &UsageError{Text: fmt.Sprintf("--versions: %q is not source=size:chunk-size:seed, for example drafting/v1=16777216:131072:1", part)}
+		}
+		sources[source] = v
+	}
+	return sources, nil
+}
--- a/pkg/emulator/vm_list.go
+++ b/pkg/emulator/vm_list.go
@@ -72,7 +72,7 @@
 	}
 	switch r.Method {
 	case http.MethodGet:
-		writeJSON(w, http.StatusOK, vmListBody{VMs: l.At(time.Now())})
+		writeJSONStatus(w, http.StatusOK, vmListBody{VMs: l.At(time.Now())})
 	case http.MethodPut:
 		l.serveSet(w, r)
 	default:
--- a/pkg/emulator/weights.go
+++ b/pkg/emulator/weights.go
@@ -20,8 +20,6 @@
 	weightsBlockBytes = 64 << 10
 	// weightsWriteBytes is small, so that concurrent readers share the rate.
 	weightsWriteBytes = 16 << 10
-	// maxFaultBytes bounds the body of POST /faults.
-	maxFaultBytes = 4 << 10
 )
 
 // Weights is a weight store and origin with generated content. Fields are set
