--- /dev/null
+++ b/pkg/checker/checker_test.go
@@ -0,0 +1,113 @@
+package checker
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+const digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+// valid is a set without problems; each test replaces a piece of it.
+const valid = `{kind: model, name: m, max-context-tokens: 4096}
+---
+{kind: model, name: other, max-context-tokens: 4096}
+---
+{kind: model-version, name: m-1, model: m, digest: "DIGEST", source: m/1, size-bytes: 100}
+---
+{kind: model-version, name: m-2, model: m, digest: "DIGEST", source: m/2, size-bytes: 100}
+---
+{kind: model-version, name: other-1, model: other, digest: "DIGEST", source: o/1, size-bytes: 100}
+---
+{kind: adapter, name: a, version: m-1, digest: "DIGEST", source: a/1, size-bytes: 10}
+---
+{kind: fleet, name: f, model: m, version: m-1, adapters: [a], regions: [r1, r2], replicas: 4, max-unavailable: 1}
+---
+{kind: service, name: s, idempotent-methods: [GET]}
+---
+{kind: fleet, name: fs, service: s, regions: [r1], replicas: 1}
+---
+{kind: team, name: t, key-digests: ["DIGEST"], weight: 1, routes: [x], services: [s]}
+---
+{kind: route, name: x, model: m, adapter: a, fallback: y}
+---
+{kind: route, name: y, model: m}
+---
+{kind: rollout, name: r, fleet: f, version: m-2, policy: time}
+`
+
+// A set that the check accepts is published and runs, so each rule must catch
+// its fault, at the right line and field, with something to type.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name, old, replacement, want string
+	}{
+		{"valid", "", "", ""},
+		{"missing reference", "model: m, digest: \"DIGEST\", source: m/2", "model: n, digest: \"DIGEST\", source: m/2", `f:7: model-version/m-2: model: model "n" does not exist; write m
+f:25: rollout/r: version: version "m-2" is of model "n", the fleet runs "m"; write one of m-1`},
+		{"name", "name: s,", "name: S_,", `f:15: service/S_: name: "S_" is not a name; write 1 to 63 lower-case letters, digits, - and .
+f:17: fleet/fs: service: service "s" does not exist; declare a service with this name
+f:19: team/t: services[0]: service "s" does not exist; declare a service with this name`},
+		{"digest", "\"DIGEST\", source: a/1", "abc, source: a/1", `f:11: adapter/a: digest: "abc" is not a digest; write the manifest's BLAKE3 digest as 64 digits of 0-9 and a-f, in quotes`},
+		{"source", "source: a/1", "source: ../a", `f:11: adapter/a: source: "../a" is not a path in the weight source; write a relative path such as drafting/v2`},
+		{"adapter larger than its version", "size-bytes: 10}", "size-bytes: 101}", `f:11: adapter/a: size-bytes: 101 is not allowed; write a number from 1 to 100`},
+		{"adapter of another model", "name: a, version: m-1", "name: a, version: other-1", `f:13: fleet/f: adapters[0]: adapter "a" is for model "other", the fleet runs "m"; declare an adapter for model m
+f:21: route/x: adapter: adapter "a" is for model "other", the route has model "m"; declare an adapter for model m`},
+		{"adapter of a version that never runs", "version: m-1, adapters", "version: m-2, adapters", `f:13: fleet/f: adapters[0]: adapter "a" is for version "m-1", the fleet runs m-2; write an adapter for version m-2`},
+		{"model and service", "service: s, regions", "service: s, model: m, regions", `f:17: fleet/fs: service: model and service are both set; delete one of the two`},
+		{"neither model nor service", "service: s, regions", "regions", `f:17: fleet/fs: model: neither model nor service is set; write model: or service: with a name`},
+		{"more regions than replicas", "replicas: 4", "replicas: 1", `f:13: fleet/f: replicas: 1 replicas cannot be in 2 regions; write at least 2 replicas or fewer regions
+f:25: rollout/r: fleet: fleet "f" is too small for a rollout: its only replica would be unavailable; write replicas: 2 or more in the fleet`},
+		{"fleet too small", "max-unavailable: 1", "max-unavailable: 4", `f:25: rollout/r: max-unavailable: fleet "f" is too small: 4 of its 4 replicas may be unavailable, so none may serve; write a number from 1 to 3`},
+		{"nothing may be unavailable", ", max-unavailable: 1", "", `f:25: rollout/r: max-unavailable: neither the rollout nor fleet "f" allows an unavailable replica, so no replica can switch; write a number from 1 to 3`},
+		{"replicas out of range", "replicas: 4, max-unavailable: 1", "replicas: 0, max-unavailable: 1", `f:13: fleet/f: replicas: 0 is not allowed; write a number from 1 to 100000`},
+		{"rollout of a service", "fleet: f,", "fleet: fs,", `f:25: rollout/r: fleet: fleet "fs" runs a service, which has no model versions; write a fleet with a model`},
+		{"two rollouts of a fleet", "policy: time}", "policy: time}\n---\n{kind: rollout, name: r2, fleet: f, version: m-2, policy: tme, state: stopped}", `f:27: rollout/r2: policy: "tme" is not allowed; write time
+f:27: rollout/r2: state: "stopped" is not allowed; write one of running, paused, aborted
+f:27: rollout/r2: fleet: rollout "r" already acts on fleet "f"; delete or abort one of the two`},
+		{"aborted rollout beside another", "policy: time}", "policy: time}\n---\n{kind: rollout, name: a2, fleet: f, version: m-2, policy: time, state: aborted}", ``},
+		{"duplicate key digest", "policy: time}", "policy: time}\n---\n{kind: team, name: u, key-digests: [\"DIGEST\"], weight: 0}", `f:27: team/u: key-digests[0]: team "t" has the same API key digest; give each team its own API key
+f:27: team/u: weight: 0 is not allowed; write a number from 1 to 1000`},
+		{"team limits", "weight: 1,", "weight: 1, requests-per-second: 50, tokens-per-second: 10, priority: high,", `f:19: team/t: tokens-per-second: 10 tokens/s cannot serve 50 requests/s: a request has at least one token; write at least 50
+f:19: team/t: priority: "high" is not allowed; write one of interactive, standard, batch`},
+		{"cycle", "name: y, model: m", "name: y, model: m, fallback: x", `f:21: route/x: fallback: the fallbacks form a cycle: x → y → x; delete the fallback of route y`},
+		{"methods", "[GET]", "[get, GET, GET]", `f:15: service/s: idempotent-methods[2]: "GET" is also item 1; delete one of the two
+f:15: service/s: idempotent-methods[0]: "get" is not allowed; write GET`},
+		{"no second problem for a bad field", "replicas: 4", "replcas: 4", `f:13: fleet/f: replcas: the key is not known for kind fleet; write replicas`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(strings.Contains(valid, test.old), qt.IsTrue)
+			text := strings.Replace(valid, test.old, test.replacement, 1)
+			d := parser.NewDeclaration()
+			d.ReadFile("f", []byte(strings.ReplaceAll(text, "DIGEST", digest)))
+			var got []string
+			for _, p := range Check(d) {
+				got = append(got, p.String())
+			}
+			c.Assert(strings.Join(got, "\n"), qt.Equals, test.want)
+		})
+	}
+}
+
+// A version whose content changes under its name would let replicas with
+// different weights pass as the same version.
+func TestCheckReplacement(t *testing.T) {
+	c := qt.New(t)
+	read := func(text string) *parser.Declaration {
+		d := parser.NewDeclaration()
+		d.ReadFile("f", []byte(strings.ReplaceAll(text, "DIGEST", digest)))
+		return d
+	}
+	before := read(valid)
+	c.Assert(CheckReplacement(before.Set, read(valid)), qt.HasLen, 0)
+	after := read(strings.Replace(valid, `"DIGEST", source: m/2`, `"`+strings.Repeat("0", 64)+`", source: m/2`, 1))
+	problems := CheckReplacement(before.Set, after)
+	c.Assert(problems, qt.HasLen, 1)
+	c.Assert(problems[0].Field, qt.Equals, "digest")
+	c.Assert(problems[0].Suggestion, qt.Equals, "write a new model-version with another name")
+}
--- a/pkg/parser/encode.go
+++ b/pkg/parser/encode.go
@@ -173,7 +173,10 @@
 		return values
 	}
 	for name, value := range raw {
-		values[name] = string(value)
+		// A list that is not set is encoded as null.
+		if text := string(value); text != "null" {
+			values[name] = text
+		}
 	}
 	return values
 }
--- a/pkg/parser/nearest.go
+++ b/pkg/parser/nearest.go
@@ -1,11 +1,15 @@
 package parser
 
-// Nearest returns the known word that is closest to the given one, or "" when
+import "strings"
+
+// Nearest returns the known word that is closest to the given one, whatever its
+// case, or "" when
 // none is close enough to be a likely slip of the keyboard.
 func Nearest(word string, known []string) string {
 	best, bestDistance := "", len(word)/3+2
+	word = strings.ToLower(word)
 	for _, k := range known {
-		if d := editDistance(word, k); d < bestDistance {
+		if d := editDistance(word, strings.ToLower(k)); d < bestDistance {
 			best, bestDistance = k, d
 		}
 	}
--- /dev/null
+++ b/pkg/publisher/load.go
@@ -0,0 +1,79 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// maxLoadTries bounds how often a load starts again because the revision was
+// replaced and its parts were deleted while they were read.
+const maxLoadTries = 5
+
+// Load reads the current revision and the version of the head. Without a head
+// it returns revision 0 with an empty set and version 0.
+func (p *Publisher) Load(ctx context.Context) (*parser.Revision, uint64, error) {
+	revision, _, version, err := p.loadWithHead(ctx)
+	return revision, version, err
+}
+
+// ReadHead reads the head and its version. Without a head it returns the zero
+// head and version 0.
+func (p *Publisher) ReadHead(ctx context.Context) (Head, uint64, error) {
+	o, err := p.Objects.Get(ctx, HeadKey)
+	var notFound *adapter.NotFoundError
+	if errors.As(err, &notFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	head, err := DecodeHead(o.Value)
+	if err != nil {
+		return Head{}, 0, err
+	}
+	return head, o.Version, nil
+}
+
+// LoadRevision reads the parts that the head names, for a caller that already
+// has the head from a watch.
+func (p *Publisher) LoadRevision(ctx context.Context, head Head) (*parser.Revision, error) {
+	set := parser.NewSet()
+	for _, digest := range head.Parts {
+		o, err := p.Objects.Get(ctx, PartPrefix+digest)
+		if err != nil {
+			return nil, err
+		}
+		body, err := decodePart(o)
+		if err != nil {
+			return nil, err
+		}
+		if err := parser.DecodeInto(set, body.Objects); err != nil {
+			return nil, &CorruptError{Key: o.Key, Message: "cannot be decoded", Cause: err}
+		}
+	}
+	return &parser.Revision{Number: head.Revision, Set: set}, nil
+}
+
+func (p *Publisher) loadWithHead(ctx context.Context) (*parser.Revision, Head, uint64, error) {
+	var missing *adapter.NotFoundError
+	for range maxLoadTries {
+		head, version, err := p.ReadHead(ctx)
+		if err != nil {
+			return nil, Head{}, 0, err
+		}
+		if version == 0 {
+			return &parser.Revision{Set: parser.NewSet()}, Head{}, 0, nil
+		}
+		revision, err := p.LoadRevision(ctx, head)
+		if err == nil {
+			return revision, head, version, nil
+		}
+		if !errors.As(err, &missing) {
+			return nil, Head{}, 0, err
+		}
+	}
+	return nil, Head{}, 0, &CorruptError{Key: HeadKey, Message: "names a part that does not exist", Cause: missing}
+}
