--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -92,10 +92,6 @@
 	if err != nil {
 		return Result{}, err
 	}
-	// An update of an earlier try may have taken effect late.
-	if revision := head.wroteRevision(writer); revision > 0 {
-		return Result{Revision: revision, Changed: true, Merged: revision != request.BaseRevision+1}, nil
-	}
 	if err := checkBase(head, request.BaseRevision); err != nil {
 		return Result{}, err
 	}
--- a/pkg/publisher/publisher_test.go
+++ b/pkg/publisher/publisher_test.go
@@ -304,6 +304,9 @@
 	deleted, err = p.CollectParts(ctx, later)
 	c.Assert(err, qt.IsNil)
 	c.Assert(deleted, qt.Equals, 1)
+	deleted, err = p.CollectParts(ctx, later.Add(24*time.Hour))
+	c.Assert(err, qt.IsNil)
+	c.Assert(deleted, qt.Equals, 0)
 	c.Assert(weights(load(c, p)), qt.DeepEquals, map[int]int{1: 1})
 	for _, o := range old {
 		c.Assert(objects.Delete(ctx, o.Key, o.Version), qt.IsNotNil)
