--- /dev/null
+++ b/pkg/commander/blocks.go
@@ -0,0 +1,123 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// maxBlockTries bounds how often a block list that the isolation shard's owner
+// changed meanwhile is read again.
+const maxBlockTries = 5
+
+func (s *session) getBlocks(ctx context.Context, args []string) error {
+	if err := wantArguments(s.verb, args, 1, 1); err != nil {
+		return err
+	}
+	if err := s.needObjects(); err != nil {
+		return err
+	}
+	listed, err := s.publisher.Objects.List(ctx, parser.BlockPrefix)
+	if err != nil {
+		return err
+	}
+	blocks := []parser.Block{}
+	for _, o := range listed {
+		list, err := decodeStatus[parser.BlockList](o)
+		if err != nil {
+			return err
+		}
+		blocks = append(blocks, list.Blocks...)
+	}
+	if s.json() {
+		return s.writeJSON(blocks)
+	}
+	if len(blocks) == 0 {
+		s.printf("no requests are blocked\n")
+		return nil
+	}
+	rows := make([][]string, len(blocks))
+	for i, b := range blocks {
+		rows[i] = []string{b.Fingerprint, b.Team, strings.Join(b.VMs, ","), formatMillis(b.UntilMillis)}
+	}
+	writeTable(s.program.Stdout, []string{"fingerprint", "team", "vms", "until"}, rows)
+	return nil
+}
+
+// deleteBlock removes the block from its list, so that requests with the
+// fingerprint run again.
+func (s *session) deleteBlock(ctx context.Context, fingerprint string) error {
+	if err := s.needObjects(); err != nil {
+		return err
+	}
+	var err error
+	for range maxBlockTries {
+		err = s.deleteBlockOnce(ctx, fingerprint)
+		var conflict *adapter.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		return s.writeJSON(parser.Block{Fingerprint: fingerprint, VMs: []string{}})
+	}
+	s.printf("delete block %s\n", fingerprint)
+	return nil
+}
+
+func (s *session) deleteBlockOnce(ctx context.Context, fingerprint string) error {
+	listed, err := s.publisher.Objects.List(ctx, parser.BlockPrefix)
+	if err != nil {
+		return err
+	}
+	for _, o := range listed {
+		list, err := decodeStatus[parser.BlockList](o)
+		if err != nil {
+			return err
+		}
+		kept := []parser.Block{}
+		for _, b := range list.Blocks {
+			if b.Fingerprint != fingerprint {
+				kept = append(kept, b)
+			}
+		}
+		if len(kept) == len(list.Blocks) {
+			continue
+		}
+		value, err := json.Marshal(parser.BlockList{Blocks: kept})
+		if err != nil {
+			return err
+		}
+		_, err = s.publisher.Objects.Update(ctx, o.Key, value, o.Version)
+		return err
+	}
+	return &FailedError{Message: fmt.Sprintf("block %q does not exist", fingerprint), Suggestion: "type lentil get blocks"}
+}
+
+// decodeStatus reads a status object or names the one that cannot be read.
+func decodeStatus[T parser.RegionStatus | parser.RolloutStatus | parser.BlockList](o adapter.Object) (T, error) {
+	status, err := parser.DecodeStatus[T](o.Value)
+	if err != nil {
+		return status, &FailedError{
+			Message:    fmt.Sprintf("object %q cannot be read: %v", o.Key, err),
+			Suggestion: "use a lentil of the same version as the daemons",
+		}
+	}
+	return status, nil
+}
+
+func formatMillis(millis int64) string {
+	if millis == 0 {
+		return "-"
+	}
+	return time.UnixMilli(millis).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/pkg/commander/check.go
@@ -0,0 +1,76 @@
+package commander
+
+import (
+	"context"
+	"flag"
+
+	"github.com/lentilbridge/lentilbridge/pkg/checker"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+var checkVerb = verb{
+	name:      "check",
+	arguments: "PATH...",
+	summary:   "check files without publishing them",
+	details: `Check reads files and directories (.yaml, .yml, .json) and checks all objects
+together as a whole set. It does not call the object API, unless --merge is
+given: then the published objects count, too, as they do for lentil apply.`,
+	example: "lentil check examples/authority",
+	objects: true,
+	setUp: func(fs *flag.FlagSet) runner {
+		c := &checkCommand{}
+		fs.BoolVar(&c.merge, "merge", false, "check together with the published objects")
+		return c.run
+	},
+}
+
+type checkCommand struct {
+	merge bool
+}
+
+type checkReport struct {
+	Objects  int              `json:"objects"`
+	Problems []parser.Problem `json:"problems"`
+}
+
+func (c *checkCommand) run(ctx context.Context, s *session, args []string) error {
+	if err := wantArguments(s.verb, args, 1, -1); err != nil {
+		return err
+	}
+	declared, err := parser.ReadPaths(args)
+	if err != nil {
+		return err
+	}
+	problems, err := c.problems(ctx, s, declared)
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		report := checkReport{Objects: len(declared.Objects), Problems: append([]parser.Problem{}, problems...)}
+		if err := s.writeJSON(report); err != nil {
+			return err
+		}
+	}
+	if len(problems) > 0 {
+		return &parser.ProblemsError{Problems: problems}
+	}
+	if !s.json() {
+		s.printf("%s, no problems\n", countObjects(len(declared.Objects)))
+	}
+	return nil
+}
+
+func (c *checkCommand) problems(ctx context.Context, s *session, declared *parser.Declaration) ([]parser.Problem, error) {
+	if !c.merge {
+		return checker.Check(declared), nil
+	}
+	base, err := s.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p := planEdits(base, declared, nil)
+	if err := p.validate(base.Set, p.result()); err != nil {
+		return err.(*parser.ProblemsError).Problems, nil //nolint:errorlint // validate returns no other error
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/pkg/commander/delete.go
@@ -0,0 +1,44 @@
+package commander
+
+import (
+	"context"
+	"flag"
+
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+var deleteVerb = verb{
+	name:      "delete",
+	arguments: "KIND/NAME... | block FINGERPRINT",
+	summary:   "delete published objects or a block",
+	details: `Delete removes objects and publishes the result as one new revision. An object
+that others refer to cannot be deleted. "delete block" lets requests run again
+that are blocked because they crashed backend servers.`,
+	example:   "lentil delete rollout/drafting-v2\nlentil delete block 5f1c2a",
+	objects:   true,
+	publishes: true,
+	setUp:     func(*flag.FlagSet) runner { return runDelete },
+}
+
+func runDelete(ctx context.Context, s *session, args []string) error {
+	if len(args) > 0 && args[0] == "block" {
+		if len(args) != 2 {
+			return &UsageError{Message: "delete block needs one fingerprint", Suggestion: "type lentil get blocks to see them"}
+		}
+		return s.deleteBlock(ctx, args[1])
+	}
+	refs, err := parseRefs(s.verb, args)
+	if err != nil {
+		return err
+	}
+	base, err := s.load(ctx)
+	if err != nil {
+		return err
+	}
+	for _, ref := range refs {
+		if _, err := find(base, ref); err != nil {
+			return err
+		}
+	}
+	return s.publishAndPrint(ctx, planEdits(base, parser.NewDeclaration(), refs))
+}
--- /dev/null
+++ b/pkg/commander/exit.go
@@ -0,0 +1,117 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/publisher"
+)
+
+// Exit codes of lentil.
+const (
+	// ExitDone: the command did what was asked.
+	ExitDone = 0
+	// ExitFailed: the command failed for a reason without a code of its own.
+	ExitFailed = 1
+	// ExitUsage: the arguments are wrong.
+	ExitUsage = 2
+	// ExitProblems: the check found problems; nothing was published.
+	ExitProblems = 3
+	// ExitConflict: another operator changed the same object.
+	ExitConflict = 4
+	// ExitUnavailable: the object API did not answer.
+	ExitUnavailable = 5
+	// ExitNotInForce: the revision was not in force everywhere in time.
+	ExitNotInForce = 6
+)
+
+// UsageError reports wrong arguments.
+type UsageError struct {
+	Message    string
+	Suggestion string
+}
+
+func (e *UsageError) Error() string { return e.Message + "; " + e.Suggestion }
+
+// FailedError reports a command that cannot do what was asked.
+type FailedError struct {
+	Message    string
+	Suggestion string
+}
+
+func (e *FailedError) Error() string { return e.Message + "; " + e.Suggestion }
+
+// NotInForceError reports a revision that is published but not in force at all
+// daemons in time.
+type NotInForceError struct {
+	Revision uint64
+	InForce  int
+	Daemons  int
+}
+
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("revision %d is published but in force at only %d of %d daemons", e.Revision, e.InForce, e.Daemons)
+}
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var address *adapter.AddressError
+	var problems *parser.ProblemsError
+	var conflict *publisher.ConflictError
+	var stale *publisher.StaleBaseError
+	var race *adapter.ConflictError
+	var unavailable *adapter.UnavailableError
+	var unknown *publisher.UnknownOutcomeError
+	var notInForce *NotInForceError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &address):
+		return ExitUsage
+	case errors.As(err, &problems):
+		return ExitProblems
+	case errors.As(err, &unknown), errors.As(err, &unavailable), errors.Is(err, context.DeadlineExceeded):
+		return ExitUnavailable
+	case errors.As(err, &conflict), errors.As(err, &stale), errors.As(err, &race):
+		return ExitConflict
+	case errors.As(err, &notInForce):
+		return ExitNotInForce
+	}
+	return ExitFailed
+}
+
+// explain adds to errors of other packages what to type instead.
+func explain(err error) string {
+	var conflict *publisher.ConflictError
+	var stale *publisher.StaleBaseError
+	var race *adapter.ConflictError
+	var unavailable *adapter.UnavailableError
+	var unknown *publisher.UnknownOutcomeError
+	var corrupt *publisher.CorruptError
+	var tooLarge *publisher.SetTooLargeError
+	var notInForce *NotInForceError
+	text := err.Error()
+	switch {
+	case errors.As(err, &conflict):
+		return fmt.Sprintf("%s; nothing was published; type lentil describe %s, edit again and use --based-on %d",
+			text, conflict.Object, conflict.OtherRevision)
+	case errors.As(err, &stale):
+		return fmt.Sprintf("%s; type lentil diff, edit again and use --based-on %d", text, stale.Current)
+	case errors.As(err, &unknown):
+		return text + "; type lentil diff with the same files to see whether it was"
+	case errors.As(err, &race):
+		return text + "; other operators publish at the same time; repeat the command"
+	case errors.As(err, &unavailable):
+		return text + "; nothing was changed; check --object-api or LENTIL_OBJECT_API and repeat the command"
+	case errors.Is(err, context.DeadlineExceeded):
+		return text + "; repeat the command"
+	case errors.As(err, &corrupt):
+		return text + "; restore this object of the object API, or use a lentil of the version that published it"
+	case errors.As(err, &tooLarge):
+		return text + "; delete objects that are not used"
+	case errors.As(err, &notInForce):
+		return text + "; type lentil status to see which daemons lag"
+	}
+	return text
+}
--- /dev/null
+++ b/pkg/commander/plan.go
@@ -0,0 +1,192 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/checker"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/publisher"
+)
+
+// Actions of a change.
+const (
+	actionCreate = "create"
+	actionChange = "change"
+	actionDelete = "delete"
+)
+
+// change is what a publish does to one object.
+type change struct {
+	Action string                   `json:"action"`
+	Object parser.Ref               `json:"object"`
+	Fields []parser.FieldDifference `json:"fields,omitempty"`
+}
+
+// plan is a set of edits against a published revision.
+type plan struct {
+	base *parser.Revision
+	// declared are the objects to store, with their places.
+	declared *parser.Declaration
+	edits    []publisher.Edit
+	changes  []change
+	// unchanged counts the declared objects that are published already.
+	unchanged int
+}
+
+// planEdits compares the declared objects and the deletions with the revision.
+func planEdits(base *parser.Revision, declared *parser.Declaration, deletions []parser.Ref) *plan {
+	p := &plan{base: base, declared: declared}
+	for _, o := range declared.Set.All() {
+		p.add(o.Ref(), o)
+	}
+	for _, ref := range deletions {
+		p.add(ref, nil)
+	}
+	return p
+}
+
+func (p *plan) add(ref parser.Ref, after parser.Object) {
+	before := p.base.Set.Find(ref)
+	if parser.Equal(before, after) {
+		p.unchanged++
+		return
+	}
+	c := change{Action: actionChange, Object: ref}
+	switch {
+	case before == nil:
+		c.Action = actionCreate
+	case after == nil:
+		c.Action = actionDelete
+	default:
+		c.Fields = parser.Differences(before, after)
+	}
+	p.edits = append(p.edits, publisher.Edit{Ref: ref, After: after})
+	p.changes = append(p.changes, c)
+}
+
+// pruned returns the published objects that are not declared.
+func pruned(base *parser.Revision, declared *parser.Declaration) []parser.Ref {
+	var refs []parser.Ref
+	for _, o := range base.Set.All() {
+		if declared.Set.Find(o.Ref()) == nil {
+			refs = append(refs, o.Ref())
+		}
+	}
+	return refs
+}
+
+// result returns the whole set after the edits.
+func (p *plan) result() *parser.Set {
+	edited := map[parser.Ref]bool{}
+	for _, edit := range p.edits {
+		edited[edit.Ref] = true
+	}
+	after := parser.NewSet()
+	for _, o := range p.base.Set.All() {
+		if !edited[o.Ref()] {
+			after.Add(o)
+		}
+	}
+	for _, edit := range p.edits {
+		if edit.After != nil {
+			after.Add(edit.After)
+		}
+	}
+	return after
+}
+
+// validate checks the whole set that would be published. Objects that are not
+// declared in the files are reported as "published objects".
+func (p *plan) validate(before, after *parser.Set) error {
+	places := map[parser.Ref]*parser.Declared{}
+	for _, o := range p.declared.Objects {
+		places[o.Object.Ref()] = o
+	}
+	d := parser.NewDeclaration()
+	d.Problems = p.declared.Problems
+	for _, o := range after.All() {
+		declared := parser.Declared{File: "published objects"}
+		if place := places[o.Ref()]; place != nil {
+			declared = *place
+		}
+		declared.Object = o
+		d.Add(&declared)
+	}
+	problems := append(checker.Check(d), checker.CheckReplacement(before, d)...)
+	if len(problems) == 0 {
+		return nil
+	}
+	parser.SortProblems(problems)
+	return &parser.ProblemsError{Problems: problems}
+}
+
+// publish validates the plan and brings it into force.
+func (s *session) publish(ctx context.Context, p *plan, basedOn uint64) (publisher.Result, error) {
+	if err := p.validate(p.base.Set, p.result()); err != nil {
+		return publisher.Result{}, err
+	}
+	s.publisher.Validate = p.validate
+	return s.publisher.Publish(ctx, time.Now(), publisher.Request{Edits: p.edits, BaseRevision: basedOn})
+}
+
+// publishReport is the JSON output of a subcommand that publishes.
+type publishReport struct {
+	Revision  uint64   `json:"revision"`
+	Published bool     `json:"published"`
+	Merged    bool     `json:"merged,omitempty"`
+	Changes   []change `json:"changes"`
+	Unchanged int      `json:"unchanged"`
+	// InForce and Daemons are set with --wait.
+	InForce *int `json:"in-force,omitempty"`
+	Daemons *int `json:"daemons,omitempty"`
+}
+
+func (s *session) printChanges(p *plan) {
+	for _, c := range p.changes {
+		s.printf("%s %s\n", c.Action, c.Object)
+	}
+}
+
+func (s *session) printResult(p *plan, result publisher.Result) {
+	switch {
+	case !result.Changed:
+		s.printf("no change: %d objects are as in revision %d\n", p.unchanged, result.Revision)
+	case result.Merged:
+		s.printf("revision %d published, merged with edits of other operators to other objects\n", result.Revision)
+	default:
+		s.printf("revision %d published\n", result.Revision)
+	}
+}
+
+func (s *session) report(p *plan, result publisher.Result) publishReport {
+	changes := p.changes
+	if changes == nil || !result.Changed {
+		changes = []change{}
+	}
+	return publishReport{Revision: result.Revision, Published: result.Changed, Merged: result.Merged, Changes: changes, Unchanged: p.unchanged}
+}
+
+// publishAndPrint is the last step of the subcommands that edit named objects.
+func (s *session) publishAndPrint(ctx context.Context, p *plan) error {
+	result, err := s.publish(ctx, p, p.base.Number)
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		return s.writeJSON(s.report(p, result))
+	}
+	if result.Changed {
+		s.printChanges(p)
+	}
+	s.printResult(p, result)
+	return nil
+}
+
+func countObjects(n int) string {
+	if n == 1 {
+		return "1 object"
+	}
+	return fmt.Sprintf("%d objects", n)
+}
--- /dev/null
+++ b/pkg/commander/session.go
@@ -0,0 +1,162 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/publisher"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// session is what one call of a subcommand works with.
+type session struct {
+	program   *Program
+	verb      verb
+	objectAPI string
+	author    string
+	output    string
+	publisher *publisher.Publisher
+}
+
+// start checks the common flags.
+func (s *session) start() error {
+	if s.output != outputTable && s.output != outputJSON {
+		return &UsageError{Message: fmt.Sprintf("output format %q does not exist", s.output), Suggestion: "write -o table or -o json"}
+	}
+	if s.verb.objects && s.objectAPI != "" {
+		if _, err := adapter.ParseBaseURL(s.objectAPI); err != nil {
+			return err
+		}
+	}
+	author := s.author
+	if author == "" {
+		author = "unknown"
+	}
+	s.publisher = &publisher.Publisher{Objects: &adapter.HTTPObjectAPI{BaseURL: s.objectAPI}, Author: author}
+	return nil
+}
+
+// load reads the published revision.
+func (s *session) load(ctx context.Context) (*parser.Revision, error) {
+	if err := s.needObjects(); err != nil {
+		return nil, err
+	}
+	revision, _, err := s.publisher.Load(ctx)
+	return revision, err
+}
+
+func (s *session) needObjects() error {
+	if s.objectAPI == "" {
+		return &UsageError{Message: "the address of the object API is missing", Suggestion: "write --object-api http://HOST:PORT or set LENTIL_OBJECT_API"}
+	}
+	return nil
+}
+
+func (s *session) json() bool { return s.output == outputJSON }
+
+func (s *session) printf(format string, args ...any) {
+	fmt.Fprintf(s.program.Stdout, format, args...)
+}
+
+// writeJSON prints an indented value. Text stays as typed: "<" is not escaped.
+func (s *session) writeJSON(value any) error {
+	encoder := json.NewEncoder(s.program.Stdout)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// writeTable prints rows in columns, with headings in capitals.
+func writeTable(w io.Writer, headings []string, rows [][]string) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	all := append([][]string{upperAll(headings)}, rows...)
+	for _, row := range all {
+		fmt.Fprintln(table, strings.Join(row, "\t"))
+	}
+	_ = table.Flush()
+}
+
+func upperAll(words []string) []string {
+	upper := make([]string, len(words))
+	for i, w := range words {
+		upper[i] = strings.ToUpper(w)
+	}
+	return upper
+}
+
+// parseRefs reads "KIND NAME…" or "KIND/NAME…" arguments.
+func parseRefs(v verb, args []string) ([]parser.Ref, error) {
+	if len(args) == 0 {
+		return nil, wantArguments(v, args, 1, -1)
+	}
+	if !strings.Contains(args[0], "/") {
+		kind, err := parseKind(args[0])
+		if err != nil {
+			return nil, err
+		}
+		if len(args) < 2 {
+			return nil, &UsageError{Message: "the name is missing", Suggestion: fmt.Sprintf("type lentil %s %s NAME", v.name, kind)}
+		}
+		refs := make([]parser.Ref, len(args)-1)
+		for i, name := range args[1:] {
+			refs[i] = parser.Ref{Kind: kind, Name: name}
+		}
+		return refs, nil
+	}
+	refs := make([]parser.Ref, len(args))
+	for i, arg := range args {
+		// Only the first slash separates: names of routes may have slashes.
+		word, name, found := strings.Cut(arg, "/")
+		if !found || name == "" {
+			return nil, &UsageError{Message: fmt.Sprintf("%q is not KIND/NAME", arg), Suggestion: "write for example team/presses"}
+		}
+		kind, err := parseKind(word)
+		if err != nil {
+			return nil, err
+		}
+		refs[i] = parser.Ref{Kind: kind, Name: name}
+	}
+	return refs, nil
+}
+
+// parseKind accepts a kind in the singular or plural.
+func parseKind(word string) (string, error) {
+	for _, kind := range parser.Kinds() {
+		if word == kind || word == kind+"s" {
+			return kind, nil
+		}
+	}
+	suggestion := "write one of " + strings.Join(parser.Kinds(), ", ")
+	if near := parser.Nearest(word, parser.Kinds()); near != "" {
+		suggestion = "write " + near
+	}
+	return "", &UsageError{Message: fmt.Sprintf("kind %q does not exist", word), Suggestion: suggestion}
+}
+
+// find returns the object or an error that names a similar one.
+func find(revision *parser.Revision, ref parser.Ref) (parser.Object, error) {
+	if o := revision.Set.Find(ref); o != nil {
+		return o, nil
+	}
+	var names []string
+	for _, o := range revision.Set.All() {
+		if o.Ref().Kind == ref.Kind {
+			names = append(names, o.Ref().Name)
+		}
+	}
+	suggestion := "type lentil get " + ref.Kind + "s"
+	if near := parser.Nearest(ref.Name, names); near != "" {
+		suggestion = fmt.Sprintf("write %s/%s", ref.Kind, near)
+	}
+	return nil, &FailedError{Message: fmt.Sprintf("%s does not exist in revision %d", ref, revision.Number), Suggestion: suggestion}
+}
--- /dev/null
+++ b/pkg/commander/watch.go
@@ -0,0 +1,141 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/publisher"
+)
+
+// watchRetryDelay is the pause after a watch that the object API did not
+// answer.
+const watchRetryDelay = 2 * time.Second
+
+var watchVerb = verb{
+	name:    "watch",
+	summary: "print each new revision",
+	details: `Watch prints the current revision and then a line for each new one, with its
+author and the objects that it changed, until it is interrupted.`,
+	example: "lentil watch -o json",
+	objects: true,
+	setUp: func(fs *flag.FlagSet) runner {
+		c := &watchCommand{}
+		fs.IntVar(&c.count, "count", 0, "end after this `number` of revisions")
+		return c.run
+	},
+}
+
+type watchCommand struct {
+	count int
+	shown int
+	last  uint64
+}
+
+func (c *watchCommand) run(ctx context.Context, s *session, args []string) error {
+	if err := wantArguments(s.verb, args, 0, 0); err != nil {
+		return err
+	}
+	if err := s.needObjects(); err != nil {
+		return err
+	}
+	head, after, err := s.publisher.ReadHead(ctx)
+	if err != nil {
+		return err
+	}
+	c.last = max(head.Revision, 1) - 1
+	for {
+		if err := c.show(s, head); err != nil {
+			return err
+		}
+		if c.count > 0 && c.shown >= c.count {
+			return nil
+		}
+		head, after, err = c.next(ctx, s, after)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// next waits for a change of the head. While the object API is not available
+// it says so and tries again.
+func (c *watchCommand) next(ctx context.Context, s *session, after uint64) (publisher.Head, uint64, error) {
+	for {
+		_, next, err := s.publisher.Objects.Watch(ctx, publisher.HeadKey, after)
+		var gap *adapter.GapError
+		if err == nil || errors.As(err, &gap) {
+			head, _, readErr := s.publisher.ReadHead(ctx)
+			if readErr == nil {
+				return head, next, nil
+			}
+			err = readErr
+		}
+		var unavailable *adapter.UnavailableError
+		if ctx.Err() != nil || !errors.As(err, &unavailable) {
+			return publisher.Head{}, after, err
+		}
+		fmt.Fprintf(s.program.Stderr, "lentil watch: %v; trying again\n", err)
+		pause(ctx, watchRetryDelay)
+	}
+}
+
+// show prints the revisions after the last shown one. Those that are no longer
+// in the head's history are left out.
+func (c *watchCommand) show(s *session, head publisher.Head) error {
+	for _, entry := range head.History {
+		if entry.Revision <= c.last {
+			continue
+		}
+		if c.count > 0 && c.shown >= c.count {
+			return nil
+		}
+		c.last = entry.Revision
+		c.shown++
+		if s.json() {
+			if err := s.writeJSON(entry); err != nil {
+				return err
+			}
+			continue
+		}
+		s.printf("revision %d by %s at %s: %s\n", entry.Revision, entry.Author, formatMillis(entry.TimeMillis), listChanges(entry))
+	}
+	return nil
+}
+
+func listChanges(entry publisher.HistoryEntry) string {
+	if entry.All {
+		return "many objects"
+	}
+	const maxListed = 8
+	var words []string
+	for i, c := range entry.Changes {
+		if i == maxListed {
+			words = append(words, fmt.Sprintf("and %d more", len(entry.Changes)-maxListed))
+			break
+		}
+		word := c.Kind + "/" + c.Name
+		if c.Deleted {
+			word += " deleted"
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, ", ")
+}
+
+// pause waits for the duration or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
