--- /dev/null
+++ b/pkg/admitter/admitter_test.go
@@ -0,0 +1,258 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+const (
+	interactive = messenger.Priority_PRIORITY_INTERACTIVE
+	standard    = messenger.Priority_PRIORITY_STANDARD
+	batch       = messenger.Priority_PRIORITY_BATCH
+)
+
+func newAdmitter(capacity int) *Admitter {
+	return &Admitter{
+		Capacity: func(identifier.Target) int { return capacity },
+		Entries:  func(time.Time) int { return 1 },
+	}
+}
+
+func request(team *parser.Team, cost int, p messenger.Priority, wait time.Duration) *identifier.Request {
+	return &identifier.Request{
+		Team: team, Cost: cost, Priority: p, Target: identifier.Target{Model: "m"}, Deadline: time.Now().Add(wait),
+	}
+}
+
+// load sends the requests of one team: workers at a time, each for a time in
+// proportion to its cost.
+type load struct {
+	admitter *Admitter
+	team     *parser.Team
+	workers  int
+	cost     int
+	priority messenger.Priority
+	until    time.Time
+
+	tokens atomic.Int64
+}
+
+const perToken = 10 * time.Microsecond
+
+func (l *load) run(done *sync.WaitGroup) {
+	defer done.Done()
+	for time.Now().Before(l.until) {
+		now := time.Now()
+		place, err := l.admitter.Admit(context.Background(), request(l.team, l.cost, l.priority, time.Minute), now)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		time.Sleep(time.Duration(l.cost) * perToken)
+		place.Release(time.Now())
+		// What is left in the queues at the end is not shared any more.
+		if time.Now().Before(l.until) {
+			l.tokens.Add(int64(l.cost))
+		}
+	}
+}
+
+// TestFairShare guards against a flooding team that takes the share of a small
+// one. Shares are of tokens, by weight.
+func TestFairShare(t *testing.T) {
+	tests := []struct {
+		name  string
+		small *load
+		flood *load
+		// share is what the small team is due.
+		share float64
+	}{
+		{
+			name:  "equal weights",
+			small: &load{team: &parser.Team{Name: "small", Weight: 1}, workers: 20, cost: 1000, priority: standard},
+			flood: &load{team: &parser.Team{Name: "flood", Weight: 1}, workers: 500, cost: 1000, priority: standard},
+			share: 0.5,
+		},
+		{
+			name:  "weights and larger requests of the flood",
+			small: &load{team: &parser.Team{Name: "small", Weight: 1}, workers: 60, cost: 300, priority: standard},
+			flood: &load{team: &parser.Team{Name: "flood", Weight: 3}, workers: 500, cost: 3000, priority: standard},
+			share: 0.25,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newAdmitter(8)
+				var done sync.WaitGroup
+				for _, l := range []*load{tt.flood, tt.small} {
+					l.admitter, l.until = a, time.Now().Add(20*time.Second)
+					for range l.workers {
+						done.Add(1)
+						go l.run(&done)
+					}
+				}
+				done.Wait()
+				small, total := float64(tt.small.tokens.Load()), float64(tt.small.tokens.Load()+tt.flood.tokens.Load())
+				got := small / total
+				t.Logf("share %.3f, due %.3f", got, tt.share)
+				qt.Assert(t, got >= 0.95*tt.share, qt.IsTrue, qt.Commentf("share %v, due %v", got, tt.share))
+				capacity := 8 * float64(20*time.Second) / float64(perToken)
+				qt.Assert(t, total >= 0.95*capacity, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestPriorities guards against interactive requests behind batch ones, and
+// against batch requests that never run.
+func TestPriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(1)
+		team := &parser.Team{Name: "t"}
+		first, err := a.Admit(t.Context(), request(team, 1, standard, time.Hour), time.Now())
+		qt.Assert(t, err, qt.IsNil)
+		order := make(chan messenger.Priority, 100)
+		for _, p := range []messenger.Priority{batch, standard, interactive} {
+			for range 20 {
+				go admit(a, request(team, 1, p, time.Hour), order)
+			}
+			synctest.Wait()
+		}
+		first.Release(time.Now())
+		var got []messenger.Priority
+		for range 60 {
+			got = append(got, <-order)
+		}
+		counts := map[messenger.Priority]int{}
+		for _, p := range got[:21] {
+			counts[p]++
+		}
+		qt.Assert(t, counts, qt.DeepEquals, map[messenger.Priority]int{interactive: 20, batch: 1})
+	})
+}
+
+func admit(a *Admitter, req *identifier.Request, order chan<- messenger.Priority) {
+	place, err := a.Admit(context.Background(), req, time.Now())
+	if err == nil {
+		order <- req.Priority
+		place.Release(time.Now())
+	}
+}
+
+// TestRefusals guards against late refusals, wrong statuses and a missing
+// retry-after.
+func TestRefusals(t *testing.T) {
+	team := &parser.Team{Name: "t"}
+	limited := &parser.Team{Name: "limited", RequestsPerSecond: 2}
+	tokens := &parser.Team{Name: "tokens", TokensPerSecond: 100}
+	tests := []struct {
+		name     string
+		capacity int
+		entries  int
+		req      func() *identifier.Request
+		times    int
+		status   int
+		code     string
+	}{
+		{name: "no replica", req: func() *identifier.Request { return request(team, 1, standard, time.Minute) }, times: 1, status: 503, code: "no-replica"},
+		{name: "within the limit", capacity: 100, entries: 1, req: func() *identifier.Request { return request(limited, 1, standard, time.Minute) }, times: 10},
+		{name: "requests per second", capacity: 100, entries: 1, req: func() *identifier.Request { return request(limited, 1, standard, time.Minute) }, times: 11, status: 429, code: "rate_limit_exceeded"},
+		{name: "limit divided by the entry daemons", capacity: 100, entries: 5, req: func() *identifier.Request { return request(limited, 1, standard, time.Minute) }, times: 3, status: 429, code: "rate_limit_exceeded"},
+		{name: "tokens per second", capacity: 100, entries: 1, req: func() *identifier.Request { return request(tokens, 250, standard, time.Minute) }, times: 3, status: 429, code: "rate_limit_exceeded"},
+		{name: "queue until the deadline", capacity: 1, entries: 1, req: func() *identifier.Request { return request(team, 1, standard, time.Second) }, times: 2, status: 503, code: "queue-timeout"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				a := newAdmitter(tt.capacity)
+				a.Entries = func(time.Time) int { return tt.entries }
+				var err error
+				for i := range tt.times {
+					c.Assert(err, qt.IsNil, qt.Commentf("request %d", i))
+					_, err = a.Admit(t.Context(), tt.req(), time.Now())
+				}
+				if tt.status == 0 {
+					c.Assert(err, qt.IsNil)
+					return
+				}
+				var refused *identifier.RequestError
+				c.Assert(errors.As(err, &refused), qt.IsTrue)
+				c.Assert(refused.Status, qt.Equals, tt.status)
+				c.Assert(refused.Code, qt.Equals, tt.code)
+				c.Assert(refused.Outcome, qt.Equals, identifier.OutcomeNotRun)
+				c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestEarlyRefusal guards against requests that wait although their turn
+// cannot come before their deadline.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(1)
+		team := &parser.Team{Name: "t"}
+		order := make(chan messenger.Priority, 100)
+		place, err := a.Admit(t.Context(), request(team, 100, standard, time.Hour), time.Now())
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Second)
+		place.Release(time.Now())
+		_, err = a.Admit(t.Context(), request(team, 100, standard, time.Hour), time.Now())
+		qt.Assert(t, err, qt.IsNil)
+		for range 10 {
+			go admit(a, request(team, 100, standard, time.Hour), order)
+		}
+		synctest.Wait()
+		// 10 requests of 1 s wait before this one.
+		began := time.Now()
+		_, err = a.Admit(t.Context(), request(team, 100, standard, 5*time.Second), began)
+		qt.Assert(t, err, qt.ErrorMatches, ".* are overloaded")
+		qt.Assert(t, time.Since(began), qt.Equals, time.Duration(0))
+		a.Capacity = func(identifier.Target) int { return 20 }
+		a.Wake()
+		for range 10 {
+			<-order
+		}
+	})
+}
+
+// TestConcurrency guards against a limit that stays high on a slow server or
+// falls on an idle one.
+func TestConcurrency(t *testing.T) {
+	now := time.Unix(0, 0)
+	tests := []struct {
+		name     string
+		delay    time.Duration
+		inFlight int
+		check    func(limit int) bool
+	}{
+		{name: "fast and used", delay: 50 * time.Millisecond, inFlight: 1000, check: func(l int) bool { return l > initialConcurrency }},
+		{name: "slow and used", delay: 2 * time.Second, inFlight: 1000, check: func(l int) bool { return l < initialConcurrency/2 }},
+		{name: "slow and unused", delay: 2 * time.Second, inFlight: 1, check: func(l int) bool { return l == initialConcurrency }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewConcurrency()
+			for range 20 {
+				c.Observe(50*time.Millisecond, 1, now)
+			}
+			for i := range 100 {
+				c.Observe(tt.delay, tt.inFlight, now.Add(time.Duration(i)*100*time.Millisecond))
+			}
+			qt.Assert(t, tt.check(c.Limit()), qt.IsTrue, qt.Commentf("limit %d", c.Limit()))
+		})
+	}
+}
--- /dev/null
+++ b/pkg/picker/picker_test.go
@@ -0,0 +1,254 @@
+package picker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const targetReplicas = 4300
+
+var (
+	model = identifier.Target{Model: "m"}
+	start = time.Unix(1_000_000, 0)
+)
+
+// directory spreads n replicas over 2 regions with 5 failure domains.
+func directory(n int) []Candidate {
+	all := make([]Candidate, n)
+	for i := range all {
+		domain := i % 5
+		all[i] = Candidate{
+			Replica: &messenger.Replica{
+				Vm: fmt.Sprintf("vm%d", i), Model: "m", Version: "v1", Incarnation: "i",
+				Region: fmt.Sprintf("r%d", domain%2), FailureDomain: fmt.Sprintf("d%d", domain),
+				State: messenger.ReplicaState_REPLICA_STATE_READY,
+			},
+			Load: &messenger.Load{Queued: uint32(i % 7), Rate: 100},
+		}
+	}
+	return all
+}
+
+// near makes n replicas in the failure domain of the entry daemon.
+func near(n int) []Candidate {
+	all := directory(n)
+	for _, c := range all {
+		c.Replica.Region, c.Replica.FailureDomain = "r0", "d0"
+		c.Load.Queued = 0
+	}
+	return all
+}
+
+func newPicker(t testing.TB, all []Candidate) *Picker {
+	t.Helper()
+	const seed = 7
+	t.Logf("seed %d", seed)
+	p := &Picker{VM: "entry", Region: "r0", FailureDomain: "d0", Random: rand.NewPCG(seed, seed).Uint64}
+	p.Update(all, start)
+	return p
+}
+
+// TestPickAllocations guards against garbage for each request.
+func TestPickAllocations(t *testing.T) {
+	tests := []struct {
+		name   string
+		prefix uint64
+	}{
+		{name: "two choices"},
+		{name: "prefix affinity", prefix: 99},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPicker(t, directory(targetReplicas))
+			allocs := testing.AllocsPerRun(1000, func() {
+				q := Query{Subject: "req", Target: model, PrefixHash: tt.prefix}
+				c, _ := p.Pick(&q, start)
+				c.Done(true, start)
+			})
+			qt.Assert(t, allocs, qt.Equals, 0.0)
+		})
+	}
+}
+
+// TestPickConditions guards against a pick of a server that must not be used
+// while another one is there.
+func TestPickConditions(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(all []Candidate, q *Query)
+		want   string
+	}{
+		{name: "near one first", change: func(all []Candidate, _ *Query) { all[1].Replica.FailureDomain = "d2" }, want: "vm0"},
+		{name: "region before other regions", change: func(all []Candidate, _ *Query) {
+			all[0].Replica.FailureDomain = "d2"
+			all[1].Replica.Region = "r1"
+		}, want: "vm0"},
+		{name: "far one when the near one is loaded", change: func(all []Candidate, _ *Query) {
+			all[0].Load.Queued = 50
+			all[1].Replica.FailureDomain = "d2"
+		}, want: "vm1"},
+		{name: "not a suspect one", change: func(all []Candidate, _ *Query) { all[0].Suspect = true }, want: "vm1"},
+		{name: "a suspect one when there is no other", change: func(all []Candidate, _ *Query) {
+			all[0].Suspect = true
+			all[1].Replica.Model = "other"
+		}, want: "vm0"},
+		{name: "not a draining one", change: func(all []Candidate, _ *Query) {
+			all[0].Replica.State = messenger.ReplicaState_REPLICA_STATE_DRAINING
+		}, want: "vm1"},
+		{name: "not one that reports draining", change: func(all []Candidate, _ *Query) { all[0].Load.Draining = true }, want: "vm1"},
+		{name: "the wanted version", change: func(all []Candidate, q *Query) {
+			all[1].Replica.Version = "v2"
+			q.Version = "v2"
+		}, want: "vm1"},
+		{name: "no other version", change: func(_ []Candidate, q *Query) { q.Version = "v2" }},
+		{name: "the wanted adapter", change: func(all []Candidate, q *Query) {
+			all[1].Replica.Adapters = []string{"a"}
+			q.Target.Adapter = "a"
+		}, want: "vm1"},
+	}
+	for _, tt := range tests {
+		for _, prefix := range []uint64{0, 5} {
+			t.Run(fmt.Sprintf("%s, prefix %d", tt.name, prefix), func(t *testing.T) {
+				all := near(2)
+				q := Query{Target: model, PrefixHash: prefix}
+				tt.change(all, &q)
+				p := newPicker(t, all)
+				for range 50 {
+					c, ok := p.Pick(&q, start)
+					qt.Assert(t, ok, qt.Equals, tt.want != "")
+					if ok {
+						qt.Assert(t, c.VM, qt.Equals, tt.want)
+						c.Release()
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestPrefixBound guards against a hot prefix that overloads its server.
+func TestPrefixBound(t *testing.T) {
+	p := newPicker(t, near(8))
+	q := Query{Target: model, PrefixHash: 12}
+	for picked := 1; picked <= 160; picked++ {
+		_, ok := p.Pick(&q, start)
+		qt.Assert(t, ok, qt.IsTrue)
+		for _, s := range p.Servers(model) {
+			mean := float64(picked) / 8
+			qt.Assert(t, float64(s.InFlight()) <= affinityBound*mean+1, qt.IsTrue)
+		}
+	}
+}
+
+// TestPrefixAffinity guards against prefixes that move while their server is
+// neither loaded nor gone.
+func TestPrefixAffinity(t *testing.T) {
+	all := near(16)
+	p := newPicker(t, all)
+	home := map[uint64]string{}
+	for round := range 3 {
+		moved := 0
+		for prefix := uint64(1); prefix <= 200; prefix++ {
+			c, _ := p.Pick(&Query{Target: model, PrefixHash: prefix}, start)
+			c.Release()
+			if home[prefix] != "" && home[prefix] != c.VM {
+				moved++
+				qt.Assert(t, home[prefix], qt.Equals, "vm0")
+			}
+			home[prefix] = c.VM
+		}
+		if round == 1 {
+			qt.Assert(t, moved, qt.Equals, 0)
+		}
+		if round == 1 {
+			p.Update(all[1:], start)
+		}
+	}
+}
+
+// TestEjection guards against requests for a server that fails fast, and
+// against ejecting more than a third of a model's replicas.
+func TestEjection(t *testing.T) {
+	p := newPicker(t, near(9))
+	failing := map[string]bool{"vm0": true, "vm1": true, "vm2": true, "vm3": true, "vm4": true}
+	picked := 0
+	const requests = 3000
+	for i := range requests {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		c, _ := p.Pick(&Query{Target: model}, now)
+		if failing[c.VM] {
+			picked++
+		}
+		c.Done(!failing[c.VM], now)
+		ejected := 0
+		for _, s := range p.Servers(model) {
+			if s.ejected.Load() > now.UnixNano() {
+				ejected++
+			}
+		}
+		qt.Assert(t, ejected <= 3, qt.IsTrue)
+	}
+	qt.Assert(t, picked < requests/4, qt.IsTrue, qt.Commentf("%d of %d picks on failing servers", picked, requests))
+}
+
+// TestSubset guards against subsets that are too large, unstable, or without
+// replicas outside of the failure domain.
+func TestSubset(t *testing.T) {
+	all := make([]Near, targetReplicas)
+	for i := range all {
+		all[i] = Near{VM: fmt.Sprintf("vm%d", i), Distance: i % 3}
+	}
+	chosen := Subset("entry", all, DefaultSubset)
+	qt.Assert(t, chosen, qt.HasLen, DefaultSubset)
+	perDistance := [distances]int{}
+	names := map[string]bool{}
+	for _, i := range chosen {
+		perDistance[all[i].Distance]++
+		names[all[i].VM] = true
+	}
+	qt.Assert(t, perDistance, qt.Equals, [distances]int{32, 16, 16})
+	kept := 0
+	for _, i := range Subset("entry", all[100:], DefaultSubset) {
+		if names[all[100+i].VM] {
+			kept++
+		}
+	}
+	qt.Assert(t, kept >= DefaultSubset-8, qt.IsTrue, qt.Commentf("%d of %d kept", kept, DefaultSubset))
+	qt.Assert(t, Subset("entry", all[:5], DefaultSubset), qt.HasLen, 5)
+}
+
+func BenchmarkPick(b *testing.B) {
+	tests := []struct {
+		name   string
+		policy Policy
+		subset int
+		prefix uint64
+	}{
+		{name: "two-choices", policy: TwoChoices{}},
+		{name: "prefix", policy: TwoChoices{}, prefix: 99},
+		{name: "two-choices-without-subset", policy: TwoChoices{}, subset: targetReplicas},
+		{name: "random", policy: Random{}, subset: targetReplicas},
+		{name: "round-robin", policy: RoundRobin{}, subset: targetReplicas},
+		{name: "least-reported", policy: LeastReported{}, subset: targetReplicas},
+		{name: "linear-scan", policy: LinearScan{}, subset: targetReplicas},
+	}
+	for _, tt := range tests {
+		b.Run(tt.name, func(b *testing.B) {
+			p := &Picker{VM: "entry", Region: "r0", FailureDomain: "d0", Policy: tt.policy, SubsetSize: tt.subset}
+			p.Update(directory(targetReplicas), start)
+			b.ReportAllocs()
+			for b.Loop() {
+				q := Query{Subject: "req", Target: model, PrefixHash: tt.prefix}
+				c, _ := p.Pick(&q, start)
+				c.Done(true, start)
+			}
+		})
+	}
+}
--- a/pkg/picker/policy.go
+++ b/pkg/picker/policy.go
@@ -93,6 +93,9 @@
 func (p *Picker) twoChoices(l *pool, q *Query, now int64) (s, other *Server, reason string) {
 	if q.PrefixHash != 0 && len(l.servers) <= searched {
 		if s = l.affine(q, now); s != nil {
+			if far := p.clearlyCheaper(l, q, now, s); far != nil {
+				return far, s, reasonFar
+			}
 			return s, nil, reasonAffinity
 		}
 	}
@@ -112,6 +115,19 @@
 	return nil, nil, reasonNone
 }
 
+// clearlyCheaper looks for a farther server that is worth the loss of the
+// cached prefix.
+func (p *Picker) clearlyCheaper(l *pool, q *Query, now int64, s *Server) *Server {
+	a, b := p.draw(l.servers[l.ends[s.distance]:], q, now, passFree)
+	if b != nil && b.cost(now) < a.cost(now) {
+		a = b
+	}
+	if a != nil && farCost*a.cost(now) < s.cost(now) {
+		return a
+	}
+	return nil
+}
+
 // nearest makes two random choices at each distance and takes the nearest,
 // unless a farther one is clearly cheaper.
 func (p *Picker) nearest(l *pool, q *Query, now int64, pass pass) (best, other *Server, reason string) {
