--- a/pkg/planner/choose.go
+++ b/pkg/planner/choose.go
@@ -229,13 +229,24 @@
 	return w.up && w.inFlight < limit && !now.Before(w.busyUntil) && !now.Before(w.avoidUntil)
 }
 
+// leastLoaded returns a usable holder of a chunk with the fewest requests in
+// flight. It chooses at random between equals: all importers of a region would
+// otherwise ask the same agent.
 func (p *Planner) leastLoaded(i int, now time.Time, eligible func(*watched) bool) *watched {
 	var best *watched
+	equals := 0
 	for _, w := range p.list {
 		if !eligible(w) || !w.usable(p.PerPeer, now) || !w.has.has(i) {
 			continue
 		}
+		if best != nil && w.inFlight > best.inFlight {
+			continue
+		}
 		if best == nil || w.inFlight < best.inFlight {
+			equals = 0
+		}
+		equals++
+		if p.Random.IntN(equals) == 0 {
 			best = w
 		}
 	}
--- /dev/null
+++ b/tools/bench/fleet.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
+)
+
+const (
+	benchSource = "assistant/2"
+	originVM    = "origin"
+	// unlimitedRate stands for a link that is not the bottleneck.
+	unlimitedRate = 1e12
+)
+
+// fleet is the origin and the VMs of one trial, in one process and connected
+// over loopback with limited rates.
+type fleet struct {
+	trial   trial
+	links   *links
+	origin  *emulator.Weights
+	server  *http.Server
+	ref     *messenger.VersionRef
+	vms     []*vm
+	running sync.WaitGroup
+}
+
+// vm is one agent's weights path.
+type vm struct {
+	fleet    *fleet
+	peer     *messenger.Peer
+	listener net.Listener
+	server   *grpc.Server
+	store    *storer.Storer
+	dial     fetcher.Dialer
+	source   adapter.WeightSource
+	cancel   context.CancelFunc
+	dead     bool
+	doneAt   time.Time
+	err      error
+}
+
+func newFleet(t trial) (*fleet, error) {
+	perWindow := func(copies float64) float64 { return copies * weightsBytes / window.Seconds() }
+	f := &fleet{trial: t, links: newLinks(perWindow(regionCopies))}
+	f.origin = &emulator.Weights{
+		Sources: map[string]emulator.WeightsVersion{
+			benchSource: {Model: "assistant", Name: "assistant-2", SizeBytes: weightsBytes, ChunkSizeBytes: chunkBytes, Seed: benchSeed},
+		},
+		BytesPerSecond: perWindow(originCopies),
+	}
+	f.ref = &messenger.VersionRef{Model: "assistant", Name: "assistant-2", Source: benchSource, SizeBytes: weightsBytes, Digest: f.origin.Digest(benchSource)}
+	f.links.add(originVM, originRegion, unlimitedRate)
+	l, err := f.listen(originVM)
+	if err != nil {
+		return nil, err
+	}
+	f.server = &http.Server{Handler: f.origin, ReadHeaderTimeout: time.Second}
+	go originServer{f.server}.run(l)
+	for i := range t.n {
+		region := t.regions[i%len(t.regions)]
+		v := &vm{fleet: f, peer: &messenger.Peer{Vm: fmt.Sprintf("vm-%02d", i), Region: region}}
+		f.links.add(v.peer.GetVm(), region, perWindow(vmCopies))
+		if err := v.listen(l.Addr().String()); err != nil {
+			return nil, err
+		}
+		f.vms = append(f.vms, v)
+	}
+	return f, nil
+}
+
+type originServer struct {
+	server *http.Server
+}
+
+func (o originServer) run(l net.Listener) {
+	// Serve returns when the fleet stops.
+	_ = o.server.Serve(l)
+}
+
+func (f *fleet) listen(vm string) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &linkListener{Listener: l, links: f.links, vm: vm}, nil
+}
+
+// vmAt returns the VM that listens on an address.
+func (f *fleet) vmAt(address string) string {
+	for _, v := range f.vms {
+		if v.peer.GetAddress() == address {
+			return v.peer.GetVm()
+		}
+	}
+	return originVM
+}
+
+func (v *vm) listen(originAddress string) error {
+	l, err := v.fleet.listen(v.peer.GetVm())
+	if err != nil {
+		return err
+	}
+	v.listener = l
+	v.peer.Address = l.Addr().String()
+	v.store = &storer.Storer{}
+	v.server = grpc.NewServer(fetcher.ServerOptions()...)
+	messenger.RegisterChunksServer(v.server, v.store)
+	dial := v.fleet.links.dial(v.peer.GetVm(), v.fleet.vmAt)
+	v.dial = fetcher.DialGRPC(grpc.WithContextDialer(dial))
+	transport := &http.Transport{
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxIdleConnsPerHost: 4,
+	}
+	v.source = &adapter.HTTPWeightSource{BaseURL: "http://" + originAddress, Client: &http.Client{Transport: transport}}
+	return nil
+}
+
+func (f *fleet) start(ctx context.Context) {
+	for _, v := range f.vms {
+		go v.loop()
+	}
+	for i, v := range f.vms {
+		vmCtx, cancel := context.WithCancel(ctx)
+		v.cancel = cancel
+		f.running.Add(1)
+		go v.run(vmCtx, i)
+	}
+}
+
+// loop serves the VM's chunks until the VM stops.
+func (v *vm) loop() {
+	_ = v.server.Serve(v.listener)
+}
+
+// run transfers the version to the VM.
+func (v *vm) run(ctx context.Context, index int) {
+	defer v.fleet.running.Done()
+	defer v.cancel()
+	if v.fleet.trial.by == byTree {
+		v.err = v.readFromParent(ctx, index)
+	} else {
+		v.err = v.transfer(index).Run(ctx)
+	}
+	v.doneAt = time.Now()
+}
+
+func (v *vm) transfer(index int) *fetcher.Transfer {
+	t := &fetcher.Transfer{
+		Version:      v.fleet.ref,
+		Self:         v.peer,
+		Policy:       v.fleet.trial.policy,
+		OriginRegion: originRegion,
+		Source:       v.source,
+		Dial:         v.dial,
+		Store:        v.store,
+		Seed:         uint64(benchSeed + index),
+	}
+	if v.fleet.trial.by == byOrigin {
+		return t
+	}
+	var peers []*messenger.Peer
+	for _, other := range v.fleet.vms {
+		peers = append(peers, other.peer)
+	}
+	t.SetPeers(peers)
+	return t
+}
+
+// kill stops the VM in the middle of its transfer.
+func (v *vm) kill() {
+	v.dead = true
+	v.cancel()
+	v.server.Stop()
+}
+
+func (f *fleet) wait() error {
+	f.running.Wait()
+	for _, v := range f.vms {
+		if v.err != nil && !v.dead {
+			return fmt.Errorf("%s: %w", v.peer.GetVm(), v.err)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) lastDone() time.Time {
+	var last time.Time
+	for _, v := range f.vms {
+		if !v.dead && v.doneAt.After(last) {
+			last = v.doneAt
+		}
+	}
+	return last
+}
+
+func (f *fleet) originCopies() float64 {
+	return float64(f.origin.Stats()[benchSource].DataBytes) / weightsBytes
+}
+
+func (f *fleet) stop() {
+	for _, v := range f.vms {
+		v.server.Stop()
+	}
+	_ = f.server.Close()
+}
--- /dev/null
+++ b/tools/bench/links.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// linkBurstBytes is one write of a connection at most.
+const linkBurstBytes = 16 << 10
+
+// links limits the connections between the VMs of one run. Every byte passes
+// the sender's uplink, the receiver's downlink and, between regions, the links
+// of both regions. Links are full duplex.
+type links struct {
+	regionBytesPerSecond float64
+
+	mu     sync.Mutex
+	up     map[string]*rate.Limiter
+	down   map[string]*rate.Limiter
+	region map[string]string
+	// dialers maps the local address of a connection to the VM that dialled.
+	dialers map[string]string
+	across  map[string]int64
+}
+
+func newLinks(regionBytesPerSecond float64) *links {
+	return &links{
+		regionBytesPerSecond: regionBytesPerSecond,
+		up:                   map[string]*rate.Limiter{},
+		down:                 map[string]*rate.Limiter{},
+		region:               map[string]string{},
+		dialers:              map[string]string{},
+		across:               map[string]int64{},
+	}
+}
+
+// add sets up the links of a VM.
+func (l *links) add(vm, region string, bytesPerSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.region[vm] = region
+	l.up[vm] = rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurstBytes)
+	l.down[vm] = rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurstBytes)
+	if l.up["region "+region] == nil {
+		l.up["region "+region] = rate.NewLimiter(rate.Limit(l.regionBytesPerSecond), linkBurstBytes)
+		l.down["region "+region] = rate.NewLimiter(rate.Limit(l.regionBytesPerSecond), linkBurstBytes)
+	}
+}
+
+// path returns the limits between two VMs.
+func (l *links) path(from, to string) []*rate.Limiter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	path := []*rate.Limiter{l.up[from], l.down[to]}
+	a, b := l.region[from], l.region[to]
+	if a != b {
+		path = append(path, l.up["region "+a], l.down["region "+b])
+	}
+	return path
+}
+
+// acrossBytes returns the bytes that entered each region from another one.
+func (l *links) acrossBytes() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]int64{}
+	for region, n := range l.across {
+		out[region] = n
+	}
+	return out
+}
+
+func (l *links) count(from, to string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.region[from] != l.region[to] {
+		l.across[l.region[to]] += int64(n)
+	}
+}
+
+func (l *links) dialer(address string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dialers[address]
+}
+
+// dial returns a dial function for connections from one VM to another.
+func (l *links) dial(from string, vmOf func(address string) string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		l.dialers[conn.LocalAddr().String()] = from
+		l.mu.Unlock()
+		return &linkConn{Conn: conn, links: l, from: from, to: vmOf(address)}, nil
+	}
+}
+
+// linkListener limits what the VM that listens sends.
+type linkListener struct {
+	net.Listener
+	links *links
+	vm    string
+}
+
+// Accept implements net.Listener.
+func (l *linkListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &linkConn{Conn: conn, links: l.links, from: l.vm}, nil
+}
+
+// linkConn writes at the rate of the slowest link of its path.
+type linkConn struct {
+	net.Conn
+	links *links
+	from  string
+	to    string
+	path  []*rate.Limiter
+}
+
+// Write implements net.Conn.
+func (c *linkConn) Write(p []byte) (int, error) {
+	if c.path == nil {
+		if c.to == "" {
+			c.to = c.links.dialer(c.RemoteAddr().String())
+		}
+		if c.to == "" {
+			// A gRPC server sends its settings before the dialler is registered.
+			return c.Conn.Write(p)
+		}
+		c.path = c.links.path(c.from, c.to)
+	}
+	written := 0
+	for written < len(p) {
+		n := min(len(p)-written, linkBurstBytes)
+		for _, limit := range c.path {
+			if err := limit.WaitN(context.Background(), n); err != nil {
+				return written, err
+			}
+		}
+		sent, err := c.Conn.Write(p[written : written+n])
+		c.links.count(c.from, c.to, sent)
+		written += sent
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -1,4 +1,54 @@
-// Command bench is a developer tool; see the Makefile.
+// Command bench measures the real code on one machine and prints lines of the
+// form "name value unit", each next to the baseline of the same run.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+)
+
+// benchmark is one entry of the table of benchmarks.
+type benchmark struct {
+	name  string
+	about string
+	run   func(w io.Writer) error
+}
+
+// benchmarks run in this order when none is named.
+var benchmarks = []benchmark{
+	{"distribution", "time to N replicas and bytes from the origin", benchDistribution},
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(names []string, stdout, stderr io.Writer) int {
+	for _, name := range names {
+		if !slices.ContainsFunc(benchmarks, func(b benchmark) bool { return b.name == name }) {
+			fmt.Fprintf(stderr, "bench: benchmark %q does not exist; use %s\n", name, knownNames())
+			return 2
+		}
+	}
+	for _, b := range benchmarks {
+		if len(names) > 0 && !slices.Contains(names, b.name) {
+			continue
+		}
+		if err := b.run(stdout); err != nil {
+			fmt.Fprintf(stderr, "bench: %s: %v\n", b.name, err)
+			return 1
+		}
+	}
+	return 0
+}
+
+func knownNames() string {
+	var names []string
+	for _, b := range benchmarks {
+		names = append(names, b.name)
+	}
+	return strings.Join(names, ", ")
+}
