--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -22,6 +22,8 @@
 
 const (
 	dialTimeout        = time.Second
+	maxIdleControl     = 2
+	idleControlTimeout = 30 * time.Second
 	maxTokenLineBytes  = 1 << 20
 	maxControlReply    = 4 << 20
 	maxErrorBodyBytes  = 4 << 10
@@ -33,13 +35,23 @@
 type HTTPEngine struct {
 	// Address is the engine's host and port.
 	Address string
-	// Client is used for all calls; NewHTTPEngine sets one.
-	Client *http.Client
+	// Client is used for Generate and Apply, Control for all other calls.
+	// NewHTTPEngine sets both.
+	Client  *http.Client
+	Control *http.Client
 }
 
 // NewHTTPEngine returns a client of the engine at the address.
 func NewHTTPEngine(address string) *HTTPEngine {
-	return &HTTPEngine{Address: address, Client: &http.Client{Transport: newConnectionTransport()}}
+	control := newConnectionTransport()
+	control.DisableKeepAlives = false
+	control.MaxIdleConnsPerHost = maxIdleControl
+	control.IdleConnTimeout = idleControlTimeout
+	return &HTTPEngine{
+		Address: address,
+		Client:  &http.Client{Transport: newConnectionTransport()},
+		Control: &http.Client{Transport: control},
+	}
 }
 
 // newConnectionTransport returns a transport that opens a connection for each
@@ -212,7 +224,7 @@
 	if err != nil {
 		return nil, &EngineError{Operation: operation, Cause: err}
 	}
-	client := kithttp.NewClient(method, target, encodeNothing, decode, kithttp.SetClient(e.Client))
+	client := kithttp.NewClient(method, target, encodeNothing, decode, kithttp.SetClient(e.Control))
 	reply, err := client.Endpoint()(ctx, nil)
 	if err == nil {
 		return reply, nil
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -1,7 +1,166 @@
-// Package agent is the entry point of lentil-agent.
+// Package agent is the daemon of a backend server VM. It runs attempts on the
+// VM's engine or service, carries out orders, and reports to entry daemons.
 package agent
 
-// Main runs the program and returns its exit code.
-func Main(_ []string) int {
-	return 0
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/pkg/guard"
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// Agent is one agent daemon. The exported fields are set before Run.
+//
+//	entry daemon → executor → engine or service     (attempts)
+//	entry daemon → orders → weights → guard → engine (orders)
+//	backend, executor, weights → reports → sessions → entry daemons
+type Agent struct {
+	Settings Settings
+	// Engine or Service is set, not both.
+	Engine  adapter.Engine
+	Service adapter.Service
+	// Weights is set with Engine.
+	Weights Weights
+	// Chunks serves chunks to other agents; nil serves none.
+	Chunks messenger.ChunksServer
+	Log    *logger.Logger
+	// Out gets the line "listening on ADDRESS" when the agent is ready to
+	// take calls.
+	Out io.Writer
+
+	executor *executor.Executor
+	guard    *guard.Guard
+	orders   *orders
+	backend  *backend
+	reports  *reports
+	sessions *sessions
+	rpc      *rpcServer
+	debug    *debugServer
+
+	running sync.WaitGroup
+	failed  chan error
+}
+
+// Run serves until the context ends, drains, and returns.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := a.listen(ctx, "--rpc-address", a.Settings.RPCAddress)
+	if err != nil {
+		return err
+	}
+	debugListener, err := a.listen(ctx, "--debug-address", a.Settings.DebugAddress)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	a.assemble(listener, debugListener, time.Now())
+
+	// The parts outlive ctx, because they finish what is in progress.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer a.running.Wait()
+	defer stop()
+	a.startParts(parts)
+	fmt.Fprintf(a.Out, "listening on %s\n", listener.Addr())
+	a.Log.Info("agent started", zap.String("vm", a.Settings.VM), zap.String("rpc-address", listener.Addr().String()),
+		zap.String("debug-address", debugListener.Addr().String()), zap.String("incarnation", a.executor.Incarnation))
+	select {
+	case err := <-a.failed:
+		return err
+	case <-ctx.Done():
+		return a.drain(parts)
+	}
+}
+
+// assemble builds the parts and connects them.
+func (a *Agent) assemble(listener, debugListener net.Listener, now time.Time) {
+	advertised := a.Settings.AdvertiseAddress
+	if advertised == "" {
+		advertised = listener.Addr().String()
+	}
+	a.failed = make(chan error, 1)
+	a.guard = &guard.Guard{Engine: a.Engine, Log: a.Log}
+	a.executor = &executor.Executor{
+		Incarnation: newIncarnation(), Engine: a.Engine, Service: a.Service, ServiceName: a.Settings.Service,
+		MaxRunning: a.Settings.MaxRunning, MaxWaiting: a.Settings.MaxWaiting,
+		Metrics: executorMetrics(), Log: a.Log,
+	}
+	if a.Weights != nil {
+		a.executor.Versions = a.Weights
+	}
+	a.orders = &orders{
+		Weights: a.Weights, Guard: a.guard, Engine: a.Engine, Gate: a.executor,
+		DrainTimeout: a.Settings.DrainTimeout, Log: a.Log,
+	}
+	a.backend = &backend{Engine: a.Engine, Service: a.Service, Weights: a.Weights, Executor: a.executor, Orders: a.orders, Log: a.Log}
+	a.reports = &reports{
+		Settings: a.Settings, Address: advertised, Started: now,
+		Executor: a.executor, Backend: a.backend, Orders: a.orders, Guard: a.guard, Weights: a.Weights,
+	}
+	a.sessions = &sessions{
+		VM: a.Settings.VM, Region: a.Settings.Region, FailureDomain: a.Settings.FailureDomain,
+		Seeds: a.Settings.Entries, Reports: a.reports, Guard: a.guard, Log: a.Log,
+	}
+	a.executor.OnCrash = a.backend.crashed
+	a.reports.Sessions = a.sessions
+	a.rpc = &rpcServer{Listener: listener, Executor: a.executor, Orders: a.orders, Chunks: a.Chunks}
+	a.debug = &debugServer{Listener: debugListener, Reports: a.reports}
+}
+
+func (a *Agent) startParts(ctx context.Context) {
+	parts := []part{
+		{"executor", a.executor.Run},
+		{"orders", a.orders.serve},
+		{"backend", a.backend.serve},
+		{"reports", a.reports.serve},
+		{"sessions", a.sessions.serve},
+		{"rpc", a.rpc.serve},
+		{"debug", a.debug.serve},
+	}
+	if a.Weights != nil {
+		parts = append(parts, part{"weights", a.Weights.Run})
+	}
+	for _, p := range parts {
+		a.running.Add(1)
+		go p.run(ctx, a)
+	}
+}
+
+// part is one part of the agent that runs as long as the agent does.
+type part struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+func (p part) run(ctx context.Context, a *Agent) {
+	defer a.running.Done()
+	err := p.serve(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		err = errors.New("ended")
+	}
+	select {
+	case a.failed <- fmt.Errorf("%s: %w", p.name, err):
+	default:
+	}
+}
+
+func (a *Agent) listen(ctx context.Context, setting, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, &SettingError{Setting: setting, Text: err.Error()}
+	}
+	return listener, nil
 }
--- /dev/null
+++ b/pkg/agent/main.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+)
+
+const (
+	exitDone       = 0
+	exitFailed     = 1
+	exitWrongUsage = 2
+
+	// maxServiceAnswerBytes keeps an answer below the 4 MiB that gRPC clients
+	// accept.
+	maxServiceAnswerBytes = 3 << 20
+)
+
+// Main runs lentil-agent and returns its exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return run(ctx, args, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	flags := flag.NewFlagSet(programName, flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	settings, err := ParseSettings(flags, args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", programName, err)
+		return exitWrongUsage
+	}
+	err = serveSettings(ctx, settings, out, errOut)
+	var settingErr *SettingError
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &settingErr):
+		fmt.Fprintf(errOut, "%s: %v\n", programName, err)
+		return exitWrongUsage
+	default:
+		fmt.Fprintf(errOut, "%s: %v\n", programName, err)
+		return exitFailed
+	}
+}
+
+func serveSettings(ctx context.Context, settings Settings, out, errOut io.Writer) error {
+	log, err := logger.New(errOut, settings.LogLevel)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	a := &Agent{Settings: settings, Log: log, Out: out}
+	if settings.EngineAddress != "" {
+		a.Engine = adapter.NewHTTPEngine(settings.EngineAddress)
+		a.Weights = &sourceWeights{Engine: a.Engine, Log: log}
+	} else {
+		service := adapter.NewHTTPService(settings.ServiceAddress)
+		service.MaxAnswerBytes = maxServiceAnswerBytes
+		a.Service = service
+	}
+	return a.Run(ctx)
+}
+
+func newIncarnation() string {
+	var b [8]byte
+	// Read never returns an error.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/pkg/agent/orders.go
@@ -0,0 +1,288 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/guard"
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const maxPendingOrders = 16
+
+var (
+	errNoEngine      = errors.New("the backend server runs no engine")
+	errTooManyOrders = errors.New("too many orders are pending")
+	errNoOrder       = errors.New("the order is empty")
+)
+
+// NotPreparedError reports an order to activate a version that is not here
+// as a whole.
+type NotPreparedError struct {
+	Digest string
+}
+
+func (e *NotPreparedError) Error() string {
+	return "version " + e.Digest + " is not complete and verified here"
+}
+
+// gate stops attempts while the engine switches versions.
+type gate interface {
+	Hold(ctx context.Context) error
+	Release()
+}
+
+// orders carries out orders, those to the engine one at a time. An accepted
+// order goes on when its sender's call ends; its result shows in the agent's
+// reports.
+type orders struct {
+	Weights      Weights
+	Guard        *guard.Guard
+	Engine       adapter.Engine
+	Gate         gate
+	DrainTimeout time.Duration
+	Log          *logger.Logger
+
+	mu        sync.Mutex
+	queue     []*pendingOrder
+	current   *pendingOrder
+	lastError string
+	// turns changes at the begin and the end of each order to the engine.
+	turns  uint64
+	wakeUp chan struct{}
+}
+
+// pendingOrder is an order to the engine. A restore has no request.
+type pendingOrder struct {
+	request *messenger.OrderRequest
+	cancel  context.CancelFunc
+}
+
+// Order implements messenger.AgentServer.
+func (o *orders) Order(_ context.Context, req *messenger.OrderRequest) (*messenger.OrderReply, error) {
+	err := o.take(req)
+	reply := &messenger.OrderReply{Accepted: err == nil, HighestEpoch: o.Guard.Highest(req.GetFence().GetShard())}
+	if err != nil {
+		reply.Error = err.Error()
+		o.Log.Info("order refused", zap.String("shard", req.GetFence().GetShard()), zap.Uint64("epoch", req.GetFence().GetEpoch()), zap.Error(err))
+	}
+	return reply, nil
+}
+
+func (o *orders) take(req *messenger.OrderRequest) error {
+	if o.Weights == nil {
+		return errNoEngine
+	}
+	if err := o.Guard.Check(req.GetFence()); err != nil {
+		return err
+	}
+	switch order := req.GetOrder().(type) {
+	case *messenger.OrderRequest_Prepare:
+		return o.Weights.Prepare(order.Prepare)
+	case *messenger.OrderRequest_Drop:
+		return o.Weights.Drop(order.Drop.GetDigest())
+	case *messenger.OrderRequest_Activate:
+		digest := order.Activate.GetVersion().GetDigest()
+		if !o.Weights.Ready(digest) && !o.Weights.Prepared(digest) {
+			return &NotPreparedError{Digest: digest}
+		}
+		return o.enqueueActivate(&pendingOrder{request: req}, digest)
+	case nil:
+		return errNoOrder
+	}
+	return o.enqueue(&pendingOrder{request: req})
+}
+
+// enqueueActivate replaces older orders to activate a version, also one for
+// another version that waits for running attempts to end.
+func (o *orders) enqueueActivate(p *pendingOrder, digest string) error {
+	o.mu.Lock()
+	o.queue = slices.DeleteFunc(o.queue, func(queued *pendingOrder) bool { return queued.activates() != "" })
+	if o.current != nil && o.current.activates() != "" && o.current.activates() != digest {
+		o.current.cancel()
+	}
+	o.mu.Unlock()
+	return o.enqueue(p)
+}
+
+func (o *orders) enqueue(p *pendingOrder) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.queue) >= maxPendingOrders {
+		return errTooManyOrders
+	}
+	o.queue = append(o.queue, p)
+	o.wake()
+	return nil
+}
+
+// enqueueRestore asks for the active version to be given to the engine again,
+// unless that or another order is pending.
+func (o *orders) enqueueRestore() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.queue) > 0 || o.current != nil {
+		return
+	}
+	o.queue = append(o.queue, &pendingOrder{})
+	o.wake()
+}
+
+// wake is called with the lock held.
+func (o *orders) wake() {
+	if o.wakeUp == nil {
+		o.wakeUp = make(chan struct{}, 1)
+	}
+	select {
+	case o.wakeUp <- struct{}{}:
+	default:
+	}
+}
+
+// serve carries out the orders to the engine.
+func (o *orders) serve(ctx context.Context) error {
+	o.mu.Lock()
+	o.wake()
+	wakeUp := o.wakeUp
+	o.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-wakeUp:
+		}
+		for p := o.next(); p != nil; p = o.next() {
+			o.carryOut(ctx, p)
+		}
+	}
+}
+
+func (o *orders) next() *pendingOrder {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.queue) == 0 {
+		return nil
+	}
+	p := o.queue[0]
+	o.queue = o.queue[1:]
+	return p
+}
+
+func (o *orders) carryOut(ctx context.Context, p *pendingOrder) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o.begin(p, cancel)
+	err := o.apply(ctx, p)
+	o.end(err)
+	if err != nil {
+		o.Log.Warn("order failed", zap.Stringer("order", p), zap.Error(err))
+		return
+	}
+	o.Log.Info("order carried out", zap.Stringer("order", p))
+}
+
+func (o *orders) begin(p *pendingOrder, cancel context.CancelFunc) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p.cancel = cancel
+	o.current = p
+	o.turns++
+}
+
+func (o *orders) end(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.current = nil
+	o.turns++
+	o.lastError = ""
+	if err != nil {
+		o.lastError = err.Error()
+	}
+}
+
+func (o *orders) apply(ctx context.Context, p *pendingOrder) error {
+	if p.request == nil {
+		return o.withGate(ctx, func(ctx context.Context) error { return o.Weights.Restore(ctx, o.Guard.Restore) })
+	}
+	fence := p.request.GetFence()
+	// The order may have waited long enough for its sender to lose the lease.
+	if err := o.Guard.Check(fence); err != nil {
+		return err
+	}
+	apply := func(ctx context.Context, order adapter.EngineOrder) error { return o.Guard.Apply(ctx, fence, order) }
+	switch order := p.request.GetOrder().(type) {
+	case *messenger.OrderRequest_Activate:
+		activate := func(ctx context.Context) error { return o.Weights.Activate(ctx, order.Activate, apply) }
+		if o.Weights.Ready(order.Activate.GetVersion().GetDigest()) {
+			return activate(ctx)
+		}
+		return o.withGate(ctx, activate)
+	case *messenger.OrderRequest_Unload:
+		return o.withGate(ctx, func(ctx context.Context) error { return o.Weights.Unload(ctx, order.Unload, apply) })
+	case *messenger.OrderRequest_LoadAdapter:
+		return o.Weights.LoadAdapter(ctx, order.LoadAdapter, apply)
+	case *messenger.OrderRequest_UnloadAdapter:
+		return o.Weights.UnloadAdapter(ctx, order.UnloadAdapter, apply)
+	case *messenger.OrderRequest_Role:
+		return apply(ctx, adapter.SetRole{Role: order.Role.GetRole()})
+	}
+	return errNoOrder
+}
+
+// withGate runs a switch of the engine while no attempt runs.
+func (o *orders) withGate(ctx context.Context, change func(ctx context.Context) error) error {
+	holding, cancel := context.WithTimeout(ctx, o.DrainTimeout)
+	defer cancel()
+	defer o.Gate.Release()
+	if err := o.Gate.Hold(holding); err != nil {
+		return err
+	}
+	return change(ctx)
+}
+
+// status returns what reports say about orders.
+func (o *orders) status() (switching bool, lastError string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.current != nil && o.current.switches(), o.lastError
+}
+
+// turn identifies the present order to the engine; odd while one is carried
+// out. What was read from the engine before a turn is old after it.
+func (o *orders) turn() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.turns
+}
+
+// activates returns the digest of the version that the order activates.
+func (p *pendingOrder) activates() string {
+	return p.request.GetActivate().GetVersion().GetDigest()
+}
+
+func (p *pendingOrder) switches() bool {
+	return p.request == nil || p.request.GetActivate() != nil || p.request.GetUnload() != nil
+}
+
+func (p *pendingOrder) String() string {
+	switch order := p.request.GetOrder().(type) {
+	case *messenger.OrderRequest_Activate:
+		return "activate " + order.Activate.GetVersion().GetDigest()
+	case *messenger.OrderRequest_Unload:
+		return "unload " + order.Unload.GetModel()
+	case *messenger.OrderRequest_LoadAdapter:
+		return "load adapter " + order.LoadAdapter.GetAdapter()
+	case *messenger.OrderRequest_UnloadAdapter:
+		return "unload adapter " + order.UnloadAdapter.GetAdapter()
+	case *messenger.OrderRequest_Role:
+		return "role " + order.Role.GetRole()
+	}
+	return "restore"
+}
--- /dev/null
+++ b/pkg/agent/reports.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/pkg/guard"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const (
+	// maxEventsPerReport keeps a session within the control traffic that the
+	// design allows to a daemon.
+	maxEventsPerReport = 32
+	// loadChange is the smallest change of the number of attempts that is
+	// reported at once, as a share of the number.
+	loadChange = 0.2
+)
+
+// reports builds the agent's reports and tells the sessions when a new one is
+// worth sending.
+type reports struct {
+	Settings Settings
+	Address  string
+	Started  time.Time
+	Executor *executor.Executor
+	Backend  *backend
+	Orders   *orders
+	Guard    *guard.Guard
+	Weights  Weights
+	Sessions *sessions
+
+	mu       sync.Mutex
+	leaving  messenger.ReplicaState
+	replica  *messenger.Replica
+	sequence uint64
+	last     *messenger.AgentReport
+}
+
+// serve announces significant changes until the context ends.
+func (r *reports) serve(ctx context.Context) error {
+	ticker := time.NewTicker(minReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			report := r.build(now, math.MaxUint64)
+			if r.last == nil || isSignificant(r.last, report) {
+				r.last = report
+				r.Sessions.notify()
+			}
+		}
+	}
+}
+
+// setState sets the state that the agent leaves with and announces it.
+func (r *reports) setState(state messenger.ReplicaState) {
+	r.mu.Lock()
+	r.leaving = state
+	r.mu.Unlock()
+	r.Sessions.notify()
+}
+
+// build returns the newest report with cache events after a sequence number.
+func (r *reports) build(now time.Time, after uint64) *messenger.AgentReport {
+	_, lastError := r.Orders.status()
+	report := &messenger.AgentReport{
+		Replica:        r.buildReplica(),
+		Load:           r.Executor.Load(now),
+		Revision:       r.Sessions.revision(),
+		CacheEvents:    r.Backend.eventsAfter(after, maxEventsPerReport),
+		LastOrderError: lastError,
+		Epochs:         r.Guard.Epochs(),
+	}
+	report.Load.Draining = report.Load.Draining || report.Replica.State == messenger.ReplicaState_REPLICA_STATE_DRAINING
+	if r.Weights != nil {
+		report.Transfers = r.Weights.Transfers()
+	}
+	return report
+}
+
+// buildReplica returns the directory record. Its sequence number rises with
+// each change.
+func (r *reports) buildReplica() *messenger.Replica {
+	_, _, role := r.Backend.status()
+	replica := &messenger.Replica{
+		Vm: r.Settings.VM, Address: r.Address, Region: r.Settings.Region, FailureDomain: r.Settings.FailureDomain,
+		Fleet: r.Settings.Fleet, Model: r.Settings.Model, Service: r.Settings.Service,
+		Incarnation: r.Executor.Incarnation, StartedMs: r.Started.UnixMilli(), Role: role,
+	}
+	if r.Weights != nil {
+		active := r.Weights.ActiveVersion()
+		replica.Version, replica.VersionName, replica.Adapters = active.Digest, active.Name, active.Adapters
+		if active.Model != "" {
+			replica.Model = active.Model
+		}
+	}
+	replica.State = r.state()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	replica.Sequence = r.sequence
+	if r.replica == nil || !proto.Equal(r.replica, replica) {
+		r.sequence++
+		replica.Sequence = r.sequence
+		r.replica = replica
+	}
+	return replica
+}
+
+func (r *reports) state() messenger.ReplicaState {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if leaving != messenger.ReplicaState_REPLICA_STATE_UNSPECIFIED {
+		return leaving
+	}
+	up, wasUp, _ := r.Backend.status()
+	switching, _ := r.Orders.status()
+	ready := r.Weights == nil || r.Weights.Ready("")
+	switch {
+	case !up && wasUp:
+		return messenger.ReplicaState_REPLICA_STATE_FAILED
+	case !up:
+		return messenger.ReplicaState_REPLICA_STATE_STARTING
+	case switching:
+		return messenger.ReplicaState_REPLICA_STATE_SWITCHING
+	case !ready:
+		return messenger.ReplicaState_REPLICA_STATE_STARTING
+	case r.Sessions.isDrainHinted():
+		return messenger.ReplicaState_REPLICA_STATE_DRAINING
+	}
+	return messenger.ReplicaState_REPLICA_STATE_READY
+}
+
+// isSignificant reports whether the change is worth a report of its own.
+func isSignificant(old, report *messenger.AgentReport) bool {
+	if old.GetReplica().GetSequence() != report.GetReplica().GetSequence() ||
+		old.GetLastOrderError() != report.GetLastOrderError() ||
+		old.GetRevision() != report.GetRevision() {
+		return true
+	}
+	before := float64(old.GetLoad().GetQueued() + old.GetLoad().GetRunning())
+	after := float64(report.GetLoad().GetQueued() + report.GetLoad().GetRunning())
+	if math.Abs(after-before) > math.Max(1, loadChange*before) {
+		return true
+	}
+	return transfersChanged(old.GetTransfers(), report.GetTransfers())
+}
+
+func transfersChanged(old, transfers []*messenger.Transfer) bool {
+	if len(old) != len(transfers) {
+		return true
+	}
+	complete := 0
+	held := 0
+	for i := range transfers {
+		held += int(transfers[i].GetChunksHeld()) - int(old[i].GetChunksHeld())
+		complete += countComplete(transfers[i]) - countComplete(old[i])
+	}
+	return held != 0 || complete != 0
+}
+
+func countComplete(t *messenger.Transfer) int {
+	if t.GetComplete() || t.GetError() != "" {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/agent/rpc.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const (
+	maxRequestBytes      = 16 << 20
+	maxConcurrentStreams = 4096
+	maxConnections       = 4096
+	maxHeaderListBytes   = 16 << 10
+	connectionTimeout    = 5 * time.Second
+	minKeepaliveInterval = 5 * time.Second
+)
+
+// rpcServer serves the calls of entry daemons and other agents.
+type rpcServer struct {
+	messenger.UnimplementedAgentServer
+	Listener net.Listener
+	Executor *executor.Executor
+	Orders   *orders
+	// Chunks is nil when the agent serves no chunks.
+	Chunks messenger.ChunksServer
+}
+
+func (s *rpcServer) serve(ctx context.Context) error {
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxRequestBytes),
+		grpc.MaxConcurrentStreams(maxConcurrentStreams),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.ConnectionTimeout(connectionTimeout),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+	messenger.RegisterAgentServer(server, s)
+	if s.Chunks != nil {
+		messenger.RegisterChunksServer(server, s.Chunks)
+	}
+	stopped := make(chan struct{})
+	unregister := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		limit := time.AfterFunc(goneTimeout, server.Stop)
+		defer limit.Stop()
+		server.GracefulStop()
+	})
+	err := server.Serve(netutil.LimitListener(s.Listener, maxConnections))
+	if unregister() {
+		server.Stop()
+		return err
+	}
+	<-stopped
+	if errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return err
+}
+
+// Attempt implements messenger.AgentServer.
+func (s *rpcServer) Attempt(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent]) error {
+	return s.Executor.Attempt(stream)
+}
+
+// Reserve implements messenger.AgentServer.
+func (s *rpcServer) Reserve(ctx context.Context, req *messenger.ReserveRequest) (*messenger.ReserveReply, error) {
+	return s.Executor.Reserve(ctx, req)
+}
+
+// Cancel implements messenger.AgentServer.
+func (s *rpcServer) Cancel(ctx context.Context, req *messenger.CancelRequest) (*messenger.CancelReply, error) {
+	return s.Executor.Cancel(ctx, req)
+}
+
+// AttemptStatus implements messenger.AgentServer.
+func (s *rpcServer) AttemptStatus(ctx context.Context, req *messenger.AttemptStatusRequest) (*messenger.AttemptStatusReply, error) {
+	return s.Executor.AttemptStatus(ctx, req)
+}
+
+// Order implements messenger.AgentServer.
+func (s *rpcServer) Order(ctx context.Context, req *messenger.OrderRequest) (*messenger.OrderReply, error) {
+	return s.Orders.Order(ctx, req)
+}
--- /dev/null
+++ b/pkg/agent/settings.go
@@ -0,0 +1,220 @@
+package agent
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+)
+
+const (
+	programName = "lentil-agent"
+	envPrefix   = "LENTIL"
+
+	defaultDrainTimeout = 10 * time.Minute
+	defaultMaxRunning   = 64
+	defaultMaxWaiting   = 256
+)
+
+// Settings are the settings of an agent.
+type Settings struct {
+	VM            string
+	Region        string
+	FailureDomain string
+	Fleet         string
+	// Model is the model of the fleet, if the agent is told.
+	Model string
+	// Service is the service that the backend server runs.
+	Service          string
+	RPCAddress       string
+	AdvertiseAddress string
+	DebugAddress     string
+	// Entries are RPC addresses of entry daemons to ask first.
+	Entries        []string
+	EngineAddress  string
+	ServiceAddress string
+	WeightsAddress string
+	DrainTimeout   time.Duration
+	LogLevel       string
+	MaxRunning     int
+	MaxWaiting     int
+	// Rates of weight transfers in bytes per second; 0 has no limit.
+	UploadRate   int64
+	DownloadRate int64
+	RegionRate   int64
+	OriginRate   int64
+}
+
+// SettingError reports a setting that prevents the start.
+type SettingError struct {
+	Setting string
+	Text    string
+}
+
+func (e *SettingError) Error() string { return e.Setting + ": " + e.Text }
+
+// ParseSettings reads the settings from arguments and environment variables
+// (LENTIL_VM for --vm). It returns flag.ErrHelp after --help.
+func ParseSettings(flags *flag.FlagSet, args []string) (Settings, error) {
+	var s Settings
+	flags.StringVar(&s.VM, "vm", "", "`name` of this VM")
+	flags.StringVar(&s.Region, "region", "", "`name` of this VM's region")
+	flags.StringVar(&s.FailureDomain, "failure-domain", "", "`name` of this VM's failure domain")
+	flags.StringVar(&s.Fleet, "fleet", "", "`name` of the fleet that this VM belongs to")
+	flags.StringVar(&s.Model, "model", "", "`name` of the fleet's model, reported until an order names it")
+	flags.StringVar(&s.Service, "service", "", "`name` of the service behind --service-address; the fleet's name when empty")
+	flags.StringVar(&s.RPCAddress, "rpc-address", "127.0.0.1:0", "`address` to listen on for entry daemons and other agents")
+	flags.StringVar(&s.AdvertiseAddress, "advertise-address", "", "`address` under which others reach --rpc-address, when it differs")
+	flags.StringVar(&s.DebugAddress, "debug-address", "127.0.0.1:0", "`address` to listen on for metrics, /healthz and /readyz")
+	entries := flags.String("entries", "", "comma-separated RPC `addresses` of entry daemons to ask first")
+	flags.StringVar(&s.EngineAddress, "engine-address", "", "`address` of the model engine")
+	flags.StringVar(&s.ServiceAddress, "service-address", "", "`address` of the plain service")
+	flags.StringVar(&s.WeightsAddress, "weights-address", "", "`address` of the origin of weights")
+	flags.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "how long running attempts may go on after SIGTERM")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	flags.IntVar(&s.MaxRunning, "max-running", defaultMaxRunning, "`number` of attempts that run at once")
+	flags.IntVar(&s.MaxWaiting, "max-waiting", defaultMaxWaiting, "`number` of attempts that wait for a place")
+	flags.Int64Var(&s.UploadRate, "upload-rate", 0, "`bytes` per second that this VM sends to peers; 0 has no limit")
+	flags.Int64Var(&s.DownloadRate, "download-rate", 0, "`bytes` per second that this VM reads; 0 has no limit")
+	flags.Int64Var(&s.RegionRate, "region-rate", 0, "`bytes` per second that this VM reads from other regions; 0 has no limit")
+	flags.Int64Var(&s.OriginRate, "origin-rate", 0, "`bytes` per second that this VM reads from the origin; 0 has no limit")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+		return s, err
+	}
+	if flags.NArg() > 0 {
+		return s, &SettingError{Setting: flags.Arg(0), Text: "unexpected argument; see " + programName + " --help"}
+	}
+	s.Entries = splitList(*entries)
+	if s.ServiceAddress != "" && s.Service == "" {
+		s.Service = s.Fleet
+	}
+	return s, s.check()
+}
+
+// check returns the first wrong setting.
+func (s *Settings) check() error {
+	for _, check := range []func() error{s.checkNames, s.checkBackend, s.checkAddresses, s.checkNumbers} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkNames() error {
+	required := []struct{ setting, value string }{
+		{"--vm", s.VM}, {"--region", s.Region}, {"--failure-domain", s.FailureDomain}, {"--fleet", s.Fleet},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return &SettingError{r.setting, fmt.Sprintf("is required; give %s NAME or set %s", r.setting, envName(r.setting))}
+		}
+	}
+	if len(s.Entries) == 0 {
+		return &SettingError{"--entries", "is required; give --entries ADDRESS,… or set LENTIL_ENTRIES"}
+	}
+	return nil
+}
+
+func (s *Settings) checkBackend() error {
+	switch {
+	case s.EngineAddress == "" && s.ServiceAddress == "":
+		return &SettingError{"--engine-address", "is required unless --service-address is given"}
+	case s.EngineAddress != "" && s.ServiceAddress != "":
+		return &SettingError{"--service-address", "can't be given with --engine-address; an agent has one backend server"}
+	case s.EngineAddress != "" && s.Service != "":
+		return &SettingError{"--service", "can't be given with --engine-address"}
+	case s.ServiceAddress != "" && s.Model != "":
+		return &SettingError{"--model", "can't be given with --service-address"}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() error {
+	addresses := []struct{ setting, value string }{
+		{"--rpc-address", s.RPCAddress},
+		{"--debug-address", s.DebugAddress},
+		{"--advertise-address", s.AdvertiseAddress},
+		{"--engine-address", s.EngineAddress},
+		{"--service-address", s.ServiceAddress},
+		{"--weights-address", s.WeightsAddress},
+	}
+	for _, entry := range s.Entries {
+		addresses = append(addresses, struct{ setting, value string }{"--entries", entry})
+	}
+	for _, a := range addresses {
+		if a.value == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return &SettingError{a.setting, fmt.Sprintf("%q is not an address; give HOST:PORT", a.value)}
+		}
+	}
+	return s.checkAdvertised()
+}
+
+// checkAdvertised refuses to advertise an address that others can't reach.
+func (s *Settings) checkAdvertised() error {
+	if s.AdvertiseAddress != "" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(s.RPCAddress)
+	if err != nil {
+		return &SettingError{"--rpc-address", fmt.Sprintf("%q is not an address; give HOST:PORT", s.RPCAddress)}
+	}
+	if ip := net.ParseIP(host); host == "" || ip != nil && ip.IsUnspecified() {
+		return &SettingError{"--advertise-address", "is required when --rpc-address names no host"}
+	}
+	return nil
+}
+
+func (s *Settings) checkNumbers() error {
+	if s.DrainTimeout <= 0 {
+		return &SettingError{"--drain-timeout", "must be above 0, for example 10m"}
+	}
+	if s.MaxRunning < 1 {
+		return &SettingError{"--max-running", "must be at least 1"}
+	}
+	if s.MaxWaiting < 1 {
+		return &SettingError{"--max-waiting", "must be at least 1"}
+	}
+	rates := []struct {
+		setting string
+		rate    int64
+	}{
+		{"--upload-rate", s.UploadRate},
+		{"--download-rate", s.DownloadRate},
+		{"--region-rate", s.RegionRate},
+		{"--origin-rate", s.OriginRate},
+	}
+	for _, r := range rates {
+		if r.rate < 0 {
+			return &SettingError{r.setting, "must not be negative"}
+		}
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		return &SettingError{"--log-level", (&logger.LevelError{Level: s.LogLevel}).Error()}
+	}
+	return nil
+}
+
+func splitList(text string) []string {
+	var list []string
+	for item := range strings.SplitSeq(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+func envName(setting string) string {
+	name := strings.TrimPrefix(setting, "--")
+	return envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
--- /dev/null
+++ b/pkg/executor/model.go
@@ -0,0 +1,171 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const engineCancelTimeout = time.Second
+
+func (a *attempt) serveModel(ctx context.Context) error {
+	end, err := a.runModel(ctx)
+	if err != nil {
+		return a.sendFailure(err)
+	}
+	a.settle(phaseFinished, nil)
+	a.executor.Metrics.Finished.Add(1)
+	end.Load = a.executor.Load(time.Now())
+	return a.send(&messenger.AttemptEvent{Event: &messenger.AttemptEvent_End{End: end}})
+}
+
+func (a *attempt) runModel(ctx context.Context) (*messenger.AttemptEnd, error) {
+	e := a.executor
+	a.dispatch(time.Now())
+	tokens, err := e.Engine.Generate(ctx, a.generateRequest())
+	if err != nil {
+		return nil, a.engineFailure(ctx, err, 0)
+	}
+	defer func() { _ = tokens.Close() }()
+	// Close also ends a Next that does not watch the context.
+	defer context.AfterFunc(ctx, func() { _ = tokens.Close() })()
+	if err := a.sendAccepted(); err != nil {
+		a.stopEngine()
+		return nil, err
+	}
+	end, err := a.relay(ctx, tokens)
+	if err != nil && ctx.Err() != nil {
+		a.stopEngine()
+	}
+	return end, err
+}
+
+// relay sends the pieces of the answer in order of their offsets. A piece
+// with another offset or of another version ends the attempt, because the
+// caller must not get an answer with a gap or of mixed versions.
+func (a *attempt) relay(ctx context.Context, tokens adapter.TokenStream) (*messenger.AttemptEnd, error) {
+	next := int(a.start.GetModel().GetResumeOffset())
+	for {
+		piece, err := tokens.Next()
+		sent := next - int(a.start.GetModel().GetResumeOffset())
+		if err != nil {
+			return nil, a.engineFailure(ctx, err, sent)
+		}
+		if err := a.checkPiece(piece, next); err != nil {
+			a.stopEngine()
+			return nil, &brokenError{detail: err.Error(), tokens: sent}
+		}
+		if len(piece.Tokens) > 0 {
+			if err := a.sendTokens(piece); err != nil {
+				a.stopEngine()
+				return nil, err
+			}
+			next += len(piece.Tokens)
+		}
+		if piece.End {
+			return a.endEvent(piece, next)
+		}
+	}
+}
+
+func (a *attempt) checkPiece(piece adapter.Generated, next int) error {
+	if piece.Version != a.record.version.Digest {
+		return fmt.Errorf("the engine answered with the version %q, expected %q", piece.Version, a.record.version.Digest)
+	}
+	if len(piece.Tokens) > 0 && piece.Offset != next {
+		return fmt.Errorf("the engine sent tokens from %d, expected %d", piece.Offset, next)
+	}
+	return nil
+}
+
+func (a *attempt) endEvent(piece adapter.Generated, next int) (*messenger.AttemptEnd, error) {
+	if piece.TokenCount != next {
+		sent := next - int(a.start.GetModel().GetResumeOffset())
+		return nil, &brokenError{detail: fmt.Sprintf("the engine counted %d tokens and sent %d", piece.TokenCount, next), tokens: sent}
+	}
+	return &messenger.AttemptEnd{
+		TokenCount: uint32(piece.TokenCount), Version: piece.Version,
+		FinishReason: piece.FinishReason, PromptTokens: uint32(piece.PromptTokens),
+	}, nil
+}
+
+func (a *attempt) sendTokens(piece adapter.Generated) error {
+	e := a.executor
+	e.mu.Lock()
+	e.rate.add(len(piece.Tokens), time.Now())
+	e.mu.Unlock()
+	e.Metrics.Tokens.Add(float64(len(piece.Tokens)))
+	return a.send(&messenger.AttemptEvent{Event: &messenger.AttemptEvent_Tokens{Tokens: &messenger.AttemptTokens{
+		Offset: uint32(piece.Offset), Tokens: piece.Tokens,
+	}}})
+}
+
+// stopEngine tells the engine to stop the request. An engine that ignores it
+// wastes its time, but none of its tokens reach a caller any more.
+func (a *attempt) stopEngine() {
+	ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
+	defer cancel()
+	_ = a.executor.Engine.Cancel(ctx, a.engineID())
+}
+
+// engineID is the identifier of the attempt at the engine.
+func (a *attempt) engineID() string {
+	return a.start.GetId().GetRequestId() + "." + strconv.FormatUint(uint64(a.start.GetId().GetNumber()), 10)
+}
+
+func (a *attempt) generateRequest() adapter.GenerateRequest {
+	call := a.start.GetModel()
+	return adapter.GenerateRequest{
+		ID: a.engineID(), Model: call.GetModel(), Adapter: call.GetAdapter(), Prompt: call.GetPrompt(),
+		MaxTokens: int(call.GetMaxTokens()), ResumeOffset: int(call.GetResumeOffset()),
+		Priority: int(a.start.GetPriority()), Temperature: call.GetTemperature(), Seed: call.GetSeed(),
+		Stop: call.GetStop(), Request: call.GetRequest(),
+	}
+}
+
+// engineFailure classifies an error of the engine.
+func (a *attempt) engineFailure(ctx context.Context, err error, tokens int) error {
+	if ctx.Err() != nil {
+		a.stopEngine()
+		return &brokenError{detail: canceledDetail(ctx), tokens: tokens}
+	}
+	if errors.Is(err, io.EOF) {
+		return &brokenError{detail: "the engine's answer has no end", tokens: tokens}
+	}
+	var engineErr *adapter.EngineError
+	if !errors.As(err, &engineErr) {
+		return &brokenError{detail: err.Error(), tokens: tokens}
+	}
+	if !engineErr.Started {
+		return &notStartedError{refusal: engineRefusal(engineErr)}
+	}
+	broken := &brokenError{detail: engineErr.Error(), tokens: tokens}
+	if engineErr.Crashed {
+		broken.crash = a.confirmCrash()
+	}
+	return broken
+}
+
+func engineRefusal(err *adapter.EngineError) refusal {
+	r := refusal{detail: err.Error()}
+	switch err.Status {
+	case 0, http.StatusServiceUnavailable:
+		r.reason = messenger.RefuseReason_REFUSE_REASON_NOT_READY
+		r.retryAfter = notReadyRetryAfter
+	case http.StatusTooManyRequests:
+		r.reason = messenger.RefuseReason_REFUSE_REASON_OVERLOADED
+		r.retryAfter = overloadedRetryAfter
+	case http.StatusNotFound:
+		r.reason = messenger.RefuseReason_REFUSE_REASON_UNKNOWN_TARGET
+	case http.StatusConflict:
+		r.reason = messenger.RefuseReason_REFUSE_REASON_DUPLICATE
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/executor/rpc.go
@@ -0,0 +1,173 @@
+package executor
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const maxIdentifierBytes = 256
+
+// Attempt implements messenger.AgentServer.
+func (e *Executor) Attempt(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent]) error {
+	e.start.Do(e.setUp)
+	frame, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	start := frame.GetStart()
+	if start == nil {
+		return status.Error(codes.InvalidArgument, "the first frame of an attempt must be a start frame")
+	}
+	if err := checkIdentifier(start.GetId()); err != nil {
+		return err
+	}
+	a := &attempt{executor: e, stream: stream, start: start}
+	return a.serve(time.Now())
+}
+
+// Reserve implements messenger.AgentServer.
+func (e *Executor) Reserve(_ context.Context, req *messenger.ReserveRequest) (*messenger.ReserveReply, error) {
+	e.start.Do(e.setUp)
+	if err := checkIdentifier(req.GetId()); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	reservation := rand.Text()
+	if r := e.reserve(req, reservation, now); r != nil {
+		e.logRefusal(keyOf(req.GetId()), *r)
+		return &messenger.ReserveReply{Refused: e.refusedEvent(*r, now)}, nil
+	}
+	return &messenger.ReserveReply{Reservation: reservation, ExpiresInMs: ReservationTime.Milliseconds()}, nil
+}
+
+func (e *Executor) reserve(req *messenger.ReserveRequest, reservation string, now time.Time) *refusal {
+	if req.GetIncarnation() != e.Incarnation {
+		return e.incarnationRefusal()
+	}
+	if r := e.serviceRefusal(req.GetService()); r != nil {
+		return r
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.state.Up {
+		return backendDownRefusal()
+	}
+	return e.table.reserve(keyOf(req.GetId()), reservation, req.GetService(), now)
+}
+
+// Cancel implements messenger.AgentServer. NEVER_STARTED is a promise: a start
+// that arrives later is refused. RUNNING says that the attempt had started; a
+// model call stops, and a service call that is not idempotent runs to its end.
+func (e *Executor) Cancel(_ context.Context, req *messenger.CancelRequest) (*messenger.CancelReply, error) {
+	e.start.Do(e.setUp)
+	if err := checkIdentifier(req.GetId()); err != nil {
+		return nil, err
+	}
+	if req.GetIncarnation() != e.Incarnation {
+		return &messenger.CancelReply{State: messenger.AttemptState_ATTEMPT_STATE_FORGOTTEN}, nil
+	}
+	e.mu.Lock()
+	rec, proven := e.table.cancel(keyOf(req.GetId()), time.Now())
+	state := stateOf(rec)
+	var stop context.CancelFunc
+	if rec != nil {
+		stop = rec.cancel
+	}
+	e.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	e.Metrics.Canceled.Add(1)
+	if !proven {
+		e.Metrics.CancelsUnproven.Add(1)
+		e.Log.Warn("cancel of an unknown attempt is not proven: too many attempts are remembered")
+	}
+	return &messenger.CancelReply{State: state}, nil
+}
+
+// AttemptStatus implements messenger.AgentServer. An attempt that is reserved
+// or waits is reported as RUNNING, because it may still run.
+func (e *Executor) AttemptStatus(_ context.Context, req *messenger.AttemptStatusRequest) (*messenger.AttemptStatusReply, error) {
+	e.start.Do(e.setUp)
+	if err := checkIdentifier(req.GetId()); err != nil {
+		return nil, err
+	}
+	if req.GetIncarnation() != e.Incarnation {
+		return &messenger.AttemptStatusReply{State: messenger.AttemptState_ATTEMPT_STATE_FORGOTTEN}, nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.advance(time.Now())
+	rec := e.table.records[keyOf(req.GetId())]
+	reply := &messenger.AttemptStatusReply{State: stateOf(rec)}
+	if rec != nil {
+		reply.Answer = rec.answer
+	}
+	return reply, nil
+}
+
+func stateOf(rec *record) messenger.AttemptState {
+	if rec == nil {
+		return messenger.AttemptState_ATTEMPT_STATE_FORGOTTEN
+	}
+	switch rec.phase {
+	case phaseReserved, phaseWaiting, phaseRunning:
+		return messenger.AttemptState_ATTEMPT_STATE_RUNNING
+	case phaseFinished:
+		return messenger.AttemptState_ATTEMPT_STATE_FINISHED
+	case phaseBroken:
+		return messenger.AttemptState_ATTEMPT_STATE_BROKEN
+	case phaseNeverStarted:
+		return messenger.AttemptState_ATTEMPT_STATE_NEVER_STARTED
+	}
+	return messenger.AttemptState_ATTEMPT_STATE_UNSPECIFIED
+}
+
+func checkIdentifier(id *messenger.AttemptId) error {
+	if id.GetRequestId() == "" || len(id.GetRequestId()) > maxIdentifierBytes {
+		return status.Errorf(codes.InvalidArgument, "the attempt's request-id must have 1 to %d bytes", maxIdentifierBytes)
+	}
+	return nil
+}
+
+func (e *Executor) refusedEvent(r refusal, now time.Time) *messenger.AttemptRefused {
+	e.Metrics.Refused.Add(1)
+	return &messenger.AttemptRefused{
+		Reason: r.reason, Detail: r.detail, RetryAfterMs: r.retryAfter.Milliseconds(), Load: e.Load(now),
+	}
+}
+
+func (e *Executor) logRefusal(key attemptKey, r refusal) {
+	logger.LogDecision(e.Log, logger.Decision{Kind: "admit", Subject: key.requestID, Reason: r.detail},
+		zap.Uint32("number", key.number), zap.Stringer("refuse-reason", r.reason))
+}
+
+func (e *Executor) incarnationRefusal() *refusal {
+	return &refusal{
+		reason: messenger.RefuseReason_REFUSE_REASON_WRONG_INCARNATION,
+		detail: "the attempt is for another incarnation of the agent than " + e.Incarnation,
+	}
+}
+
+func (e *Executor) serviceRefusal(service string) *refusal {
+	if e.Service == nil {
+		return &refusal{reason: messenger.RefuseReason_REFUSE_REASON_UNKNOWN_TARGET, detail: "the backend server runs no service"}
+	}
+	if e.ServiceName != "" && service != e.ServiceName {
+		return &refusal{reason: messenger.RefuseReason_REFUSE_REASON_UNKNOWN_TARGET, detail: "the backend server runs the service " + e.ServiceName + ", not " + service}
+	}
+	return nil
+}
+
+func backendDownRefusal() *refusal {
+	return &refusal{reason: messenger.RefuseReason_REFUSE_REASON_NOT_READY, detail: "the backend server's process does not answer", retryAfter: notReadyRetryAfter}
+}
--- /dev/null
+++ b/pkg/executor/service.go
@@ -0,0 +1,94 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func (a *attempt) serveService(ctx context.Context) error {
+	// A caller that has gone does not stop a call whose outcome has to be
+	// known, so the error of this send is left to the last one.
+	_ = a.sendAccepted()
+	answer, err := a.runService(ctx)
+	if err != nil {
+		return a.sendFailure(err)
+	}
+	a.settle(phaseFinished, answer)
+	a.executor.Metrics.Finished.Add(1)
+	sent := &messenger.ServiceAnswer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), Body: answer.GetBody()}
+	sent.Load = a.executor.Load(time.Now())
+	return a.send(&messenger.AttemptEvent{Event: &messenger.AttemptEvent_Answer{Answer: sent}})
+}
+
+func (a *attempt) runService(ctx context.Context) (*messenger.ServiceAnswer, error) {
+	e := a.executor
+	call := a.start.GetService()
+	a.dispatch(time.Now())
+	answer, err := e.Service.Call(ctx, adapter.ServiceCall{
+		Method: call.GetMethod(), Path: call.GetPath(), Header: headerOf(call.GetHeaders()), Body: call.GetBody(),
+	})
+	if err != nil {
+		return nil, a.serviceFailure(ctx, err)
+	}
+	e.mu.Lock()
+	e.rate.add(1, time.Now())
+	e.mu.Unlock()
+	return &messenger.ServiceAnswer{Status: uint32(answer.Status), Headers: headersOf(answer.Header), Body: answer.Body}, nil
+}
+
+// serviceFailure classifies an error of the service.
+func (a *attempt) serviceFailure(ctx context.Context, err error) error {
+	var serviceErr *adapter.ServiceError
+	if errors.As(err, &serviceErr) && !serviceErr.Started {
+		return &notStartedError{refusal: refusal{
+			reason: messenger.RefuseReason_REFUSE_REASON_NOT_READY, detail: err.Error(), retryAfter: notReadyRetryAfter,
+		}}
+	}
+	if ctx.Err() != nil {
+		return &brokenError{detail: canceledDetail(ctx)}
+	}
+	broken := &brokenError{detail: err.Error()}
+	broken.crash = a.confirmCrash()
+	return broken
+}
+
+func headerOf(headers []*messenger.Header) http.Header {
+	h := http.Header{}
+	for _, header := range headers {
+		name := http.CanonicalHeaderKey(header.GetName())
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = append(h[name], header.GetValues()...)
+		}
+	}
+	return h
+}
+
+func headersOf(h http.Header) []*messenger.Header {
+	headers := make([]*messenger.Header, 0, len(h))
+	for name, values := range h {
+		if !slices.Contains(hopHeaders, name) {
+			headers = append(headers, &messenger.Header{Name: name, Values: values})
+		}
+	}
+	slices.SortFunc(headers, compareNames)
+	return headers
+}
+
+func compareNames(a, b *messenger.Header) int {
+	if a.GetName() < b.GetName() {
+		return -1
+	}
+	return 1
+}
