--- a/pkg/activator/activator.go
+++ b/pkg/activator/activator.go
@@ -135,10 +135,11 @@
 func (a *Activator) Expect(ref *messenger.VersionRef) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.expected.GetDigest() == ref.GetDigest() {
+	same := a.expected.GetDigest() == ref.GetDigest()
+	a.expected = ref
+	if same {
 		return
 	}
-	a.expected = ref
 	a.adapters = nil
 	a.status = Status{Reason: "version is not confirmed yet"}
 	a.generation++
--- a/pkg/activator/confirm.go
+++ b/pkg/activator/confirm.go
@@ -30,6 +30,30 @@
 	return a.compare(state)
 }
 
+// Observe takes a state that was read while no order was applied. It reports
+// whether the engine has lost the expected version and can get it again. An
+// agent that has just started takes over the version of a running engine,
+// which was complete and verified when the engine got it.
+func (a *Activator) Observe(state adapter.EngineState) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.expected == nil && state.Version != "" {
+		a.expected = &messenger.VersionRef{Digest: state.Version}
+	}
+	a.status = Status{Instance: state.Instance}
+	var mismatch *MismatchError
+	if !asMismatch(a.compare(state), &mismatch) || mismatch.Found != "" {
+		return false
+	}
+	if _, _, err := a.Source.Reader(a.expected.GetDigest()); err != nil {
+		// Without the chunks the version has to be transferred again.
+		a.expected = nil
+		a.adapters = nil
+		return false
+	}
+	return true
+}
+
 func (a *Activator) compare(state adapter.EngineState) error {
 	if a.expected == nil {
 		a.status.Reason = "no version is expected"
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -34,7 +34,9 @@
 	Weights Weights
 	// Chunks serves chunks to other agents; nil serves none.
 	Chunks messenger.ChunksServer
-	Log    *logger.Logger
+	// OnFirstToken is told the first-token delay of live requests.
+	OnFirstToken func(delay time.Duration, now time.Time)
+	Log          *logger.Logger
 	// Out gets the line "listening on ADDRESS" when the agent is ready to
 	// take calls.
 	Out io.Writer
@@ -91,7 +93,7 @@
 	a.guard = &guard.Guard{Engine: a.Engine, Log: a.Log}
 	a.executor = &executor.Executor{
 		Incarnation: newIncarnation(), Engine: a.Engine, Service: a.Service, ServiceName: a.Settings.Service,
-		MaxRunning: a.Settings.MaxRunning, MaxWaiting: a.Settings.MaxWaiting,
+		MaxRunning: a.Settings.MaxRunning, MaxWaiting: a.Settings.MaxWaiting, OnFirstToken: a.OnFirstToken,
 		Metrics: executorMetrics(), Log: a.Log,
 	}
 	if a.Weights != nil {
--- a/pkg/agent/main.go
+++ b/pkg/agent/main.go
@@ -15,7 +15,10 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
 )
 
 const (
@@ -68,7 +71,7 @@
 	a := &Agent{Settings: settings, Log: log, Out: out}
 	if settings.EngineAddress != "" {
 		a.Engine = adapter.NewHTTPEngine(settings.EngineAddress)
-		a.Weights = &sourceWeights{Engine: a.Engine, Log: log}
+		a.useTransfers()
 	} else {
 		service := adapter.NewHTTPService(settings.ServiceAddress)
 		service.MaxAnswerBytes = maxServiceAnswerBytes
@@ -77,6 +80,30 @@
 	return a.Run(ctx)
 }
 
+// useTransfers gives an agent with an engine its weights path.
+func (a *Agent) useTransfers() {
+	s := a.Settings
+	limits := &limiter.Limiter{
+		DownloadPolicy:      limiter.Adaptive{MaxBytesPerSecond: float64(s.DownloadRate)},
+		UploadPolicy:        limiter.Adaptive{MaxBytesPerSecond: float64(s.UploadRate)},
+		AcrossRegionsPolicy: limiter.Adaptive{MaxBytesPerSecond: float64(s.RegionRate)},
+	}
+	store := &storer.Storer{Limiter: limits}
+	w := &transferWeights{
+		Self:    &messenger.Peer{Vm: s.VM, Address: s.advertised(), Region: s.Region, FailureDomain: s.FailureDomain},
+		Engine:  a.Engine,
+		Store:   store,
+		Limiter: limits,
+		Log:     a.Log,
+	}
+	if s.WeightsAddress != "" {
+		w.Source = &adapter.HTTPWeightSource{BaseURL: "http://" + s.WeightsAddress}
+	}
+	a.Weights = w
+	a.Chunks = store
+	a.OnFirstToken = limits.ObserveFirstToken
+}
+
 func newIncarnation() string {
 	var b [8]byte
 	// Read never returns an error.
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -48,7 +48,6 @@
 	UploadRate   int64
 	DownloadRate int64
 	RegionRate   int64
-	OriginRate   int64
 }
 
 // SettingError reports a setting that prevents the start.
@@ -83,7 +82,6 @@
 	flags.Int64Var(&s.UploadRate, "upload-rate", 0, "`bytes` per second that this VM sends to peers; 0 has no limit")
 	flags.Int64Var(&s.DownloadRate, "download-rate", 0, "`bytes` per second that this VM reads; 0 has no limit")
 	flags.Int64Var(&s.RegionRate, "region-rate", 0, "`bytes` per second that this VM reads from other regions; 0 has no limit")
-	flags.Int64Var(&s.OriginRate, "origin-rate", 0, "`bytes` per second that this VM reads from the origin; 0 has no limit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
 		return s, err
 	}
@@ -97,6 +95,14 @@
 	return s, s.check()
 }
 
+// advertised is the address that others use; the listener's own when empty.
+func (s *Settings) advertised() string {
+	if s.AdvertiseAddress != "" {
+		return s.AdvertiseAddress
+	}
+	return s.RPCAddress
+}
+
 // check returns the first wrong setting.
 func (s *Settings) check() error {
 	for _, check := range []func() error{s.checkNames, s.checkBackend, s.checkAddresses, s.checkNumbers} {
@@ -191,7 +197,6 @@
 		{"--upload-rate", s.UploadRate},
 		{"--download-rate", s.DownloadRate},
 		{"--region-rate", s.RegionRate},
-		{"--origin-rate", s.OriginRate},
 	}
 	for _, r := range rates {
 		if r.rate < 0 {
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -101,8 +101,10 @@
 	ServiceTimeout time.Duration
 	// OnCrash is told the fingerprints that were in progress at a crash.
 	OnCrash func(fingerprints []string)
-	Metrics Metrics
-	Log     *logger.Logger
+	// OnFirstToken is told the delay of the first token of each model answer.
+	OnFirstToken func(delay time.Duration, now time.Time)
+	Metrics      Metrics
+	Log          *logger.Logger
 
 	start sync.Once
 	mu    sync.Mutex
--- a/pkg/executor/model.go
+++ b/pkg/executor/model.go
@@ -28,7 +28,8 @@
 
 func (a *attempt) runModel(ctx context.Context) (*messenger.AttemptEnd, error) {
 	e := a.executor
-	a.dispatch(time.Now())
+	dispatched := time.Now()
+	a.dispatch(dispatched)
 	tokens, err := e.Engine.Generate(ctx, a.generateRequest())
 	if err != nil {
 		return nil, a.engineFailure(ctx, err, 0)
@@ -40,7 +41,7 @@
 		a.stopEngine()
 		return nil, err
 	}
-	end, err := a.relay(ctx, tokens)
+	end, err := a.relay(ctx, tokens, dispatched)
 	if err != nil && ctx.Err() != nil {
 		a.stopEngine()
 	}
@@ -50,7 +51,7 @@
 // relay sends the pieces of the answer in order of their offsets. A piece
 // with another offset or of another version ends the attempt, because the
 // caller must not get an answer with a gap or of mixed versions.
-func (a *attempt) relay(ctx context.Context, tokens adapter.TokenStream) (*messenger.AttemptEnd, error) {
+func (a *attempt) relay(ctx context.Context, tokens adapter.TokenStream, dispatched time.Time) (*messenger.AttemptEnd, error) {
 	next := int(a.start.GetModel().GetResumeOffset())
 	for {
 		piece, err := tokens.Next()
@@ -63,6 +64,9 @@
 			return nil, &brokenError{detail: err.Error(), tokens: sent}
 		}
 		if len(piece.Tokens) > 0 {
+			if sent == 0 {
+				a.noteFirstToken(dispatched, time.Now())
+			}
 			if err := a.sendTokens(piece); err != nil {
 				a.stopEngine()
 				return nil, err
@@ -75,6 +79,12 @@
 	}
 }
 
+func (a *attempt) noteFirstToken(dispatched, now time.Time) {
+	if a.executor.OnFirstToken != nil {
+		a.executor.OnFirstToken(now.Sub(dispatched), now)
+	}
+}
+
 func (a *attempt) checkPiece(piece adapter.Generated, next int) error {
 	if piece.Version != a.record.version.Digest {
 		return fmt.Errorf("the engine answered with the version %q, expected %q", piece.Version, a.record.version.Digest)
--- /dev/null
+++ b/pkg/router/owners.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/pkg/claimer"
+	"github.com/lentilbridge/lentilbridge/pkg/controller"
+	"github.com/lentilbridge/lentilbridge/pkg/isolator"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// cleanUpShard is the lease for deleting what nothing refers to any more.
+const cleanUpShard = "clean-up"
+
+// statusShard is the lease for writing the status of a region.
+func statusShard(region string) string {
+	return "status-" + region
+}
+
+// shardsOf lists the leases that an entry daemon of a region contends for.
+func shardsOf(region string) []string {
+	shards := []string{cleanUpShard, statusShard(region)}
+	for n := range claimer.ShardCount {
+		shards = append(shards, claimer.ShardName(n))
+	}
+	for n := range controller.ShardCount {
+		shards = append(shards, controller.ShardName(n))
+	}
+	for n := range isolator.ShardCount {
+		shards = append(shards, isolator.ShardName(n))
+	}
+	return shards
+}
+
+// owner returns a client to the entry daemon that holds the lease of a shard,
+// or nil when this daemon holds it or no live holder is known.
+func (d *daemon) owner(shard string) messenger.EntryClient {
+	now := time.Now()
+	if d.held(shard, now) {
+		return nil
+	}
+	holder, _ := d.leases.Holder(shard)
+	if holder == "" || holder == d.cfg.VM {
+		return nil
+	}
+	for _, e := range d.membership.Entries(now) {
+		if e.GetVm() != holder {
+			continue
+		}
+		client, err := d.connections.Entry(e.GetRpcAddress())
+		if err != nil {
+			return nil
+		}
+		return client
+	}
+	return nil
+}
+
+func (d *daemon) held(shard string, now time.Time) bool {
+	_, held := d.leases.Held(shard, now)
+	return held
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -1,7 +1,42 @@
-// Package router is the entry point of lentil-entry.
+// Package router is the daemon of an entry VM: it admits and routes requests,
+// shares the work that needs one owner with the other entry daemons and passes
+// on configuration.
 package router
 
-// Main runs the program and returns its exit code.
-func Main(_ []string) int {
-	return 0
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit codes of lentil-entry.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Main runs the entry daemon until SIGINT or SIGTERM and returns its exit
+// code.
+func Main(args []string) int {
+	cfg, err := parseSettings(args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lentil-entry: %v\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d := &daemon{cfg: cfg}
+	if err := d.run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "lentil-entry: %v\n", err)
+		return exitFailed
+	}
+	return exitDone
 }
