--- a/pkg/accepter/decode.go
+++ b/pkg/accepter/decode.go
@@ -13,6 +13,8 @@
 const (
 	// maxDepth bounds nesting; tool schemas of real clients stay below 20.
 	maxDepth = 64
+	// maxKeys bounds the top-level keys; the interface has fewer than 50.
+	maxKeys = 256
 	// maxMessages bounds the messages of one chat.
 	maxMessages = 4096
 	// maxStops is the limit of the OpenAI interface.
@@ -106,6 +108,9 @@
 		if err != nil || !ok {
 			return nil, notObject
 		}
+		if len(o) == maxKeys {
+			return nil, invalid("", "invalid_json", "the body has too many keys")
+		}
 		if _, twice := o[key]; twice {
 			return nil, invalid(key, "invalid_json", "the body has the same key twice")
 		}
@@ -190,13 +195,14 @@
 	if json.Unmarshal(m.Content, &parts) != nil {
 		return "", invalid("messages", "invalid_type", "the content of a message is neither a text nor a list of parts")
 	}
+	var joined strings.Builder
 	for _, p := range parts {
 		if p.Type != "text" {
 			return "", invalid("messages", "unsupported_value", "only parts of type \"text\" are supported")
 		}
-		text += p.Text
+		joined.WriteString(p.Text)
 	}
-	return text, nil
+	return joined.String(), nil
 }
 
 // fields reads fields of an object and keeps the first error.
