--- a/tools/demo/system.go
+++ b/tools/demo/system.go
@@ -172,7 +172,7 @@
 			"--rpc-address", e.ip+":9090",
 			"--debug-address", e.ip+":6060",
 			"--object-api", s.objectAPI,
-			"--vm-list", s.vmList+"/vms",
+			"--vm-list", s.vmList,
 			"--seeds", s.seeds(),
 			"--origin-region", s.opts.OriginRegion,
 		); err != nil {
@@ -223,13 +223,14 @@
 		"--entries", s.seeds(),
 	}
 	if a.service {
-		args = append(args, "--service", s.set.Fleets[a.fleet].Service, "--service-address", "http://"+a.ip+":8000")
+		args = append(args, "--service", s.set.Fleets[a.fleet].Service, "--service-address", a.ip+":8000")
 	} else {
 		args = append(args,
 			"--model", s.set.Fleets[a.fleet].Model,
-			"--engine-address", "http://"+a.ip+":8000",
-			"--weights-address", s.weights,
-			"--link-bytes-per-second", fmt.Sprintf("%.0f", linkRate),
+			"--engine-address", a.ip+":8000",
+			"--weights-address", strings.TrimPrefix(s.weights, "http://"),
+			"--download-rate", fmt.Sprintf("%.0f", linkRate),
+			"--upload-rate", fmt.Sprintf("%.0f", linkRate),
 		)
 	}
 	return s.run(a.name, "lentil-agent", args...)
