--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -43,8 +43,14 @@
 		set:      d.Set,
 		names:    namesByKind(d.Set),
 		rollouts: rolloutsByFleet(d.Set),
+		routes:   map[string]*parser.Declared{},
 		digests:  map[string]string{},
 	}
+	for _, o := range d.Objects {
+		if ref := o.Object.Ref(); ref.Kind == parser.KindRoute {
+			c.routes[ref.Name] = o
+		}
+	}
 	for _, o := range d.Objects {
 		c.checkObject(o)
 	}
@@ -80,6 +86,8 @@
 	set      *parser.Set
 	names    map[string][]string
 	rollouts map[string][]*parser.Rollout
+	// routes holds the places of the routes, for cycles.
+	routes map[string]*parser.Declared
 	// digests maps each API key digest to its team.
 	digests  map[string]string
 	problems []parser.Problem
--- a/pkg/commander/blocks.go
+++ b/pkg/commander/blocks.go
@@ -56,15 +56,7 @@
 	if err := s.needObjects(); err != nil {
 		return err
 	}
-	var err error
-	for range maxBlockTries {
-		err = s.deleteBlockOnce(ctx, fingerprint)
-		var conflict *adapter.ConflictError
-		if !errors.As(err, &conflict) {
-			break
-		}
-	}
-	if err != nil {
+	if err := s.tryDeleteBlock(ctx, fingerprint); err != nil {
 		return err
 	}
 	if s.json() {
@@ -74,6 +66,28 @@
 	return nil
 }
 
+// tryDeleteBlock takes a block that is gone after a lost answer as deleted.
+func (s *session) tryDeleteBlock(ctx context.Context, fingerprint string) error {
+	uncertain := false
+	var err error
+	for range maxBlockTries {
+		err = s.deleteBlockOnce(ctx, fingerprint)
+		var conflict *adapter.ConflictError
+		var unavailable *adapter.UnavailableError
+		var missing *FailedError
+		switch {
+		case errors.As(err, &conflict):
+		case errors.As(err, &unavailable) && mayHaveChanged(unavailable):
+			uncertain = true
+		case errors.As(err, &missing) && uncertain:
+			return nil
+		default:
+			return err
+		}
+	}
+	return err
+}
+
 func (s *session) deleteBlockOnce(ctx context.Context, fingerprint string) error {
 	listed, err := s.publisher.Objects.List(ctx, parser.BlockPrefix)
 	if err != nil {
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -15,6 +15,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"golang.org/x/term"
+
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 // Program is one call of lentil.
@@ -23,6 +25,8 @@
 	Stderr io.Writer
 	// Terminal turns the progress display on.
 	Terminal bool
+	// Width is the number of columns of the terminal; 0 when not known.
+	Width int
 	// Author is the default of --author.
 	Author string
 }
@@ -37,6 +41,9 @@
 		Terminal: term.IsTerminal(int(os.Stdout.Fd())),
 		Author:   os.Getenv("USER"),
 	}
+	if width, _, err := term.GetSize(int(os.Stdout.Fd())); err == nil {
+		p.Width = width
+	}
 	return p.Run(ctx, args)
 }
 
@@ -81,7 +88,7 @@
 		return nil
 	}
 	if err != nil {
-		return &UsageError{Message: err.Error(), Suggestion: "type lentil " + v.name + " --help"}
+		return flagError(v, fs, err)
 	}
 	if err := s.start(); err != nil {
 		return err
@@ -110,7 +117,7 @@
 	var positional []string
 	for {
 		if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("LENTIL")); err != nil {
-			return nil, flagError(err)
+			return nil, err
 		}
 		if fs.NArg() == 0 {
 			return positional, nil
@@ -120,12 +127,20 @@
 	}
 }
 
-// flagError drops the library's prefix from its message.
-func flagError(err error) error {
-	if errors.Is(err, flag.ErrHelp) {
-		return err
-	}
-	return errors.New(strings.TrimPrefix(err.Error(), "error parsing commandline arguments: "))
+// flagError names a similar flag where there is one.
+func flagError(v verb, fs *flag.FlagSet, err error) error {
+	message := strings.TrimPrefix(err.Error(), "error parsing commandline arguments: ")
+	suggestion := "type lentil " + v.name + " --help"
+	name, unknown := strings.CutPrefix(message, "flag provided but not defined: -")
+	if !unknown {
+		return &UsageError{Message: message, Suggestion: suggestion}
+	}
+	var names []string
+	fs.VisitAll(func(f *flag.Flag) { names = append(names, f.Name) })
+	if near := parser.Nearest(name, names); near != "" {
+		suggestion = "write " + dashes(near)
+	}
+	return &UsageError{Message: "flag " + dashes(name) + " does not exist", Suggestion: suggestion}
 }
 
 func isHelpFlag(arg string) bool {
--- a/pkg/commander/delete.go
+++ b/pkg/commander/delete.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"flag"
+	"slices"
+	"strings"
 
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -40,5 +42,32 @@
 			return err
 		}
 	}
+	if err := checkUnused(base.Set, refs); err != nil {
+		return err
+	}
 	return s.publishAndPrint(ctx, planEdits(base, parser.NewDeclaration(), refs))
 }
+
+// checkUnused reports objects to which objects refer that are to stay.
+func checkUnused(set *parser.Set, refs []parser.Ref) error {
+	var problems []parser.Problem
+	for _, ref := range refs {
+		var users []string
+		for _, user := range usedBy(set, ref) {
+			if !slices.Contains(refs, user) {
+				users = append(users, user.String())
+			}
+		}
+		if len(users) > 0 {
+			problems = append(problems, parser.Problem{
+				File: publishedObjects, Object: ref,
+				Message:    "the object is used by " + strings.Join(users, ", "),
+				Suggestion: "edit or delete these, too",
+			})
+		}
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	return &parser.ProblemsError{Problems: problems}
+}
--- a/pkg/commander/display.go
+++ b/pkg/commander/display.go
@@ -15,11 +15,12 @@
 	w        io.Writer
 	terminal bool
 	silent   bool
+	width    int
 	last     string
 }
 
 func (s *session) newDisplay() *display {
-	return &display{w: s.program.Stdout, terminal: s.program.Terminal, silent: s.json()}
+	return &display{w: s.program.Stdout, terminal: s.program.Terminal, silent: s.json(), width: s.program.Width}
 }
 
 // show displays the text, with a bar when the total is known.
@@ -37,8 +38,13 @@
 		filled := min(barWidth, done*barWidth/total)
 		bar = "[" + strings.Repeat("#", filled) + strings.Repeat(".", barWidth-filled) + "] "
 	}
+	// A line that wraps could not be overwritten.
+	line := []rune(bar + text)
+	if d.width > 1 && len(line) >= d.width {
+		line = line[:d.width-1]
+	}
 	// Return to the start of the line and erase it.
-	fmt.Fprintf(d.w, "\r\x1b[K%s%s", bar, text)
+	fmt.Fprintf(d.w, "\r\x1b[K%s", string(line))
 }
 
 // end leaves the last line on the terminal.
--- a/pkg/commander/exit.go
+++ b/pkg/commander/exit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
@@ -93,6 +94,8 @@
 	var notInForce *NotInForceError
 	text := err.Error()
 	switch {
+	case errors.As(err, &conflict) && conflict.OtherDeleted:
+		return fmt.Sprintf("%s; nothing was published; use --based-on %d to create it again", text, conflict.OtherRevision)
 	case errors.As(err, &conflict):
 		return fmt.Sprintf("%s; nothing was published; type lentil describe %s, edit again and use --based-on %d",
 			text, conflict.Object, conflict.OtherRevision)
@@ -103,7 +106,11 @@
 	case errors.As(err, &race):
 		return text + "; other operators publish at the same time; repeat the command"
 	case errors.As(err, &unavailable):
-		return text + "; nothing was changed; check --object-api or LENTIL_OBJECT_API and repeat the command"
+		outcome := "nothing was changed"
+		if mayHaveChanged(unavailable) {
+			outcome = "the change may have taken effect"
+		}
+		return text + "; " + outcome + "; check --object-api or LENTIL_OBJECT_API and repeat the command"
 	case errors.Is(err, context.DeadlineExceeded):
 		return text + "; repeat the command"
 	case errors.As(err, &corrupt):
@@ -115,3 +122,11 @@
 	}
 	return text
 }
+
+// mayHaveChanged is false for parts: they have no effect without the head.
+func mayHaveChanged(e *adapter.UnavailableError) bool {
+	if e.Refused || strings.HasPrefix(e.Key, publisher.PartPrefix) {
+		return false
+	}
+	return e.Operation == "create" || e.Operation == "update" || e.Operation == "delete"
+}
--- a/pkg/commander/plan.go
+++ b/pkg/commander/plan.go
@@ -17,6 +17,9 @@
 	actionDelete = "delete"
 )
 
+// publishedObjects stands for the file of an object that is not in the files.
+const publishedObjects = "published objects"
+
 // change is what a publish does to one object.
 type change struct {
 	Action string                   `json:"action"`
@@ -98,7 +101,7 @@
 }
 
 // validate checks the whole set that would be published. Objects that are not
-// declared in the files are reported as "published objects".
+// declared in the files are reported as publishedObjects.
 func (p *plan) validate(before, after *parser.Set) error {
 	places := map[parser.Ref]*parser.Declared{}
 	for _, o := range p.declared.Objects {
@@ -107,7 +110,7 @@
 	d := parser.NewDeclaration()
 	d.Problems = p.declared.Problems
 	for _, o := range after.All() {
-		declared := parser.Declared{File: "published objects"}
+		declared := parser.Declared{File: publishedObjects}
 		if place := places[o.Ref()]; place != nil {
 			declared = *place
 		}
@@ -152,7 +155,7 @@
 func (s *session) printResult(p *plan, result publisher.Result) {
 	switch {
 	case !result.Changed:
-		s.printf("no change: %d objects are as in revision %d\n", p.unchanged, result.Revision)
+		s.printf("no change: %s as in revision %d\n", countObjects(p.unchanged), result.Revision)
 	case result.Merged:
 		s.printf("revision %d published, merged with edits of other operators to other objects\n", result.Revision)
 	default:
--- a/pkg/commander/rollout_state.go
+++ b/pkg/commander/rollout_state.go
@@ -32,6 +32,6 @@
 		edited.State = state
 	}
 	declared := parser.NewDeclaration()
-	declared.Add(&parser.Declared{Object: &edited, File: "published objects"})
+	declared.Add(&parser.Declared{Object: &edited, File: publishedObjects})
 	return s.publishAndPrint(ctx, planEdits(base, declared, nil))
 }
--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -94,7 +94,7 @@
 }
 
 func writeVerbHelp(w io.Writer, v verb, fs *flag.FlagSet) {
-	fmt.Fprintf(w, "%s\n\nUsage:\n  %s\n", v.details, strings.TrimRight("lentil "+v.name+" "+v.arguments, " "))
+	fmt.Fprintf(w, "%s\n\nUsage:\n  %s\n", v.details, strings.Join(strings.Fields("lentil "+v.name+" "+v.arguments+" [FLAGS]"), " "))
 	hasFlags := false
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fs.VisitAll(func(f *flag.Flag) {
--- a/pkg/parser/nearest.go
+++ b/pkg/parser/nearest.go
@@ -4,7 +4,7 @@
 
 // Nearest returns the known word that is closest to the given one, whatever its
 // case, or "" when
-// none is close enough to be a likely slip of the keyboard.
+// none is close enough to be a likely typing mistake.
 func Nearest(word string, known []string) string {
 	best, bestDistance := "", len(word)/3+2
 	word = strings.ToLower(word)
--- a/pkg/publisher/errors.go
+++ b/pkg/publisher/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -10,8 +11,9 @@
 // revision on which the edit is based.
 type ConflictError struct {
 	Object parser.Ref
-	// Field is a field that both changed, else one that the other changed.
-	Field string
+	// Fields are those that the other operator changed and that this edit sets
+	// to something else. They are empty when the other deleted the object.
+	Fields []string
 	// BaseRevision is the revision on which the edit is based.
 	BaseRevision uint64
 	// OtherRevision is the revision in which the other operator changed the
@@ -24,8 +26,8 @@
 
 func (e *ConflictError) Error() string {
 	what := e.Object.String()
-	if e.Field != "" {
-		what += ": " + e.Field
+	if len(e.Fields) > 0 {
+		what += ": " + strings.Join(e.Fields, ", ")
 	}
 	verb := "changed"
 	if e.OtherDeleted {
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -138,10 +139,7 @@
 		}
 		fields := changedFields(before, edit.After)
 		if entry, other, changed := head.lastChange(edit.Ref, request.BaseRevision); changed {
-			return nil, nil, &ConflictError{
-				Object: edit.Ref, Field: commonField(other.Fields, fields), BaseRevision: request.BaseRevision,
-				OtherRevision: entry.Revision, OtherAuthor: entry.Author, OtherDeleted: other.Deleted,
-			}
+			return nil, nil, conflictError(edit, request.BaseRevision, entry, other, fields)
 		}
 		edits[edit.Ref] = edit.After
 		changes = append(changes, HistoryChange{Kind: edit.Ref.Kind, Name: edit.Ref.Name, Fields: fields, Deleted: edit.After == nil})
@@ -172,20 +170,19 @@
 	return fields
 }
 
-// commonField returns a field that both changed, else the first that the other
-// operator changed.
-func commonField(other, own []string) string {
-	for _, a := range other {
-		for _, b := range own {
-			if a == b {
-				return a
-			}
-		}
+// conflictError names the fields that the other operator changed and that the
+// edit, which differs from the current object in the own fields, would change.
+func conflictError(edit Edit, base uint64, entry HistoryEntry, other HistoryChange, own []string) error {
+	e := &ConflictError{
+		Object: edit.Ref, BaseRevision: base,
+		OtherRevision: entry.Revision, OtherAuthor: entry.Author, OtherDeleted: other.Deleted,
 	}
-	if len(other) > 0 {
-		return other[0]
+	for _, field := range other.Fields {
+		if !other.Deleted && slices.Contains(own, field) {
+			e.Fields = append(e.Fields, field)
+		}
 	}
-	return ""
+	return e
 }
 
 func (p *Publisher) writeParts(ctx context.Context, now time.Time, next *parser.Set, head Head) ([]string, error) {
--- /dev/null
+++ b/test/cases_test.go
@@ -0,0 +1,116 @@
+// Package test runs golden sessions of the programs.
+package test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/commander"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lentil": func() { os.Exit(commander.Main(os.Args[1:])) },
+	})
+}
+
+// The sessions guard what operators see: output, errors and exit codes.
+func TestOperator(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "cases/operator",
+		Setup:               setUpOperator,
+		RequireExplicitExec: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits":      runExits,
+			"object-api": runObjectAPI,
+			"object":     runObject,
+		},
+		UpdateScripts: os.Getenv("UPDATE_GOLDEN") != "",
+	})
+}
+
+type objectAPIKey struct{}
+
+func setUpOperator(env *testscript.Env) error {
+	api := &emulator.ObjectAPI{}
+	server := httptest.NewServer(api)
+	env.Defer(server.Close)
+	env.Values[objectAPIKey{}] = api
+	env.Setenv("LENTIL_OBJECT_API", server.URL)
+	env.Setenv("LENTIL_AUTHOR", "mali")
+	examples, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	env.Setenv("EXAMPLES", examples+"/../examples")
+	return nil
+}
+
+// runExits runs a program that must end with an exit code: exits 3 lentil check bad.yaml.
+func runExits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE PROGRAM ARGUMENT...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	err = ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	switch {
+	case errors.As(err, &exit):
+		got = exit.ExitCode()
+	case err != nil:
+		ts.Fatalf("%v", err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// runObjectAPI injects faults: object-api down, up, lose-answers N.
+func runObjectAPI(ts *testscript.TestScript, neg bool, args []string) {
+	api := ts.Value(objectAPIKey{}).(*emulator.ObjectAPI)
+	switch {
+	case neg || len(args) == 0:
+		ts.Fatalf("usage: object-api down|up|lose-answers N")
+	case args[0] == "down":
+		api.SetDown(true)
+	case args[0] == "up":
+		api.SetDown(false)
+	case args[0] == "lose-answers" && len(args) == 2:
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		api.LoseAnswers(n)
+	default:
+		ts.Fatalf("unknown fault %q", args)
+	}
+}
+
+// runObject writes a status object as a daemon would: object status/central status.json.
+func runObject(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: object KEY FILE")
+	}
+	api := ts.Value(objectAPIKey{}).(*emulator.ObjectAPI)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	value := []byte(ts.ReadFile(args[1]))
+	current, err := api.Get(ctx, args[0])
+	var notFound *adapter.NotFoundError
+	if errors.As(err, &notFound) {
+		_, err = api.Create(ctx, args[0], value)
+	} else if err == nil {
+		_, err = api.Update(ctx, args[0], value, current.Version)
+	}
+	ts.Check(err)
+}
