--- a/pkg/fetcher/manifest.go
+++ b/pkg/fetcher/manifest.go
@@ -14,8 +14,6 @@
 const (
 	// manifestTimeout bounds one try to read a manifest.
 	manifestTimeout = 5 * time.Second
-	// manifestPeers is the number of peers asked in one round.
-	manifestPeers = 3
 	// manifestRounds is the number of rounds in which only peers are asked, so
 	// that a burst of agents does not read the manifest from the origin.
 	manifestRounds = 10
@@ -34,10 +32,10 @@
 	}
 	pause := minManifestPause
 	for round := 0; ; round++ {
-		if t.manifestFromPeers(ctx) {
+		if (round >= manifestRounds || t.readsManifestFirst()) && t.manifestFromOrigin(ctx) {
 			return nil
 		}
-		if (round >= manifestRounds || t.readsManifestFirst()) && t.manifestFromOrigin(ctx) {
+		if t.manifestFromPeers(ctx, round) {
 			return nil
 		}
 		if round >= manifestRounds {
@@ -63,15 +61,16 @@
 	return t.acceptManifest(raw, "origin")
 }
 
-func (t *Transfer) manifestFromPeers(ctx context.Context) bool {
-	peers := t.regionPeers()
-	t.random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	for _, peer := range peers[:min(len(peers), manifestPeers)] {
-		if t.manifestFromPeer(ctx, peer) {
-			return true
-		}
+// manifestFromPeers asks one peer. The number of peers to choose from doubles
+// with each round, beginning with those that read from the origin, so that the
+// manifest spreads without many connections to agents that lack it.
+func (t *Transfer) manifestFromPeers(ctx context.Context, round int) bool {
+	peers := planner.Ranked(t.Version.GetDigest(), t.regionPeers())
+	if len(peers) == 0 {
+		return false
 	}
-	return false
+	among := min(len(peers), manifestReaders<<min(round, manifestRounds))
+	return t.manifestFromPeer(ctx, peers[t.random.IntN(among)])
 }
 
 func (t *Transfer) manifestFromPeer(ctx context.Context, peer planner.Peer) bool {
--- a/pkg/planner/choose.go
+++ b/pkg/planner/choose.go
@@ -277,10 +277,10 @@
 }
 
 func (p *Planner) better(i int, w *watched, bestChunk int, best *watched) bool {
-	if a, b := p.chunks[i].holders, p.chunks[bestChunk].holders; a != b {
-		return a < b
+	if w.inFlight != best.inFlight {
+		return w.inFlight < best.inFlight
 	}
-	return w.inFlight < best.inFlight
+	return p.chunks[i].holders < p.chunks[bestChunk].holders
 }
 
 // rarestOf returns the rarest wanted chunk of a random sample of what the
--- a/pkg/planner/peers.go
+++ b/pkg/planner/peers.go
@@ -348,3 +348,10 @@
 	}
 	return rank
 }
+
+// Ranked returns the peers in the rendezvous order of a version.
+func Ranked(digest string, peers []Peer) []Peer {
+	out := slices.Clone(peers)
+	sortBy(out, func(peer Peer) uint64 { return weight(digest, -1, peer.VM) })
+	return out
+}
--- a/pkg/storer/serve.go
+++ b/pkg/storer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -68,6 +69,10 @@
 		return reply, err
 	}
 	defer s.endUpload()
+	if err := s.sending().Acquire(ctx, 1); err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	defer s.sending().Release(1)
 	link := limiter.Upload
 	if req.GetAcrossRegions() {
 		link = limiter.AcrossRegions
@@ -78,6 +83,16 @@
 	return &messenger.ChunkReply{Data: data}, nil
 }
 
+// sending admits MaxUploads requests at once, in the order of their arrival.
+func (s *Storer) sending() *semaphore.Weighted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots == nil {
+		s.slots = semaphore.NewWeighted(int64(orDefault(s.MaxUploads, DefaultMaxUploads)))
+	}
+	return s.slots
+}
+
 func (s *Storer) beginWatch(digest string) (*version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +135,7 @@
 	if !v.bitmap.Has(int(req.GetIndex())) {
 		return nil, &messenger.ChunkReply{Missing: true}, nil
 	}
-	if s.uploads >= orDefault(s.MaxUploads, DefaultMaxUploads) {
+	if s.uploads >= orDefault(s.MaxUploads, DefaultMaxUploads)+orDefault(s.MaxQueued, DefaultMaxQueued) {
 		return nil, &messenger.ChunkReply{Busy: true}, nil
 	}
 	s.uploads++
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -17,8 +18,12 @@
 
 // Defaults of the limits.
 const (
-	// DefaultMaxUploads bounds the chunk requests that are served at once.
-	DefaultMaxUploads = 16
+	// DefaultMaxUploads bounds the chunks that are sent at once. A few keep the
+	// link busy; more of them share its rate, so that each chunk arrives later
+	// and can be passed on later.
+	DefaultMaxUploads = 3
+	// DefaultMaxQueued bounds the requests that wait for their turn.
+	DefaultMaxQueued = 16
 	// DefaultMaxWatches bounds the open Have streams of all versions.
 	DefaultMaxWatches = 1024
 	// DefaultMaxVersions allows the running version, the next one and
@@ -36,6 +41,7 @@
 	// MaxBytes bounds the size of all versions together; 0 is no bound.
 	MaxBytes    int64
 	MaxUploads  int
+	MaxQueued   int
 	MaxWatches  int
 	MaxVersions int
 
@@ -43,6 +49,7 @@
 	versions map[string]*version
 	bytes    int64
 	uploads  int
+	slots    *semaphore.Weighted
 	watches  int
 }
 
--- a/tools/bench/distribution.go
+++ b/tools/bench/distribution.go
@@ -18,10 +18,10 @@
 	chunkBytes   = 64 << 10
 	// window is the time in which the origin's link carries originCopies and
 	// a VM's link vmCopies in each direction.
-	window       = 4 * time.Second
+	window       = 8 * time.Second
 	originCopies = 4
 	vmCopies     = 2
-	// regionCopies is the rate of the link of a region in each direction.
+	// regionCopies is the rate of the link from one region to another.
 	regionCopies = 2
 	// benchSeed makes the choice of VMs that die reproducible.
 	benchSeed = 1
@@ -154,9 +154,14 @@
 
 // lowerBound is the largest of size / origin rate, size / VM rate, N · size /
 // (origin rate + N · VM rate) and, across regions, size / region-link rate.
+// With policy "time" the origin sends one copy per region.
 func (t trial) lowerBound() time.Duration {
 	n := float64(t.n - t.dying)
-	bound := max(1.0/originCopies, 1.0/vmCopies, n/(originCopies+n*vmCopies))
+	copies := 1.0
+	if t.policy == "time" {
+		copies = float64(len(t.regions))
+	}
+	bound := max(copies/originCopies, 1.0/vmCopies, n/(originCopies+n*vmCopies))
 	if len(t.regions) > 1 {
 		bound = max(bound, 1.0/regionCopies)
 	}
--- a/tools/bench/links.go
+++ b/tools/bench/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/time/rate"
 )
@@ -12,8 +13,8 @@
 const linkBurstBytes = 16 << 10
 
 // links limits the connections between the VMs of one run. Every byte passes
-// the sender's uplink, the receiver's downlink and, between regions, the links
-// of both regions. Links are full duplex.
+// the sender's uplink, the receiver's downlink and, between regions, the link
+// from the one region to the other. Links are full duplex.
 type links struct {
 	regionBytesPerSecond float64
 
@@ -21,6 +22,8 @@
 	up     map[string]*rate.Limiter
 	down   map[string]*rate.Limiter
 	region map[string]string
+	// regions holds the links from one region to another.
+	regions map[[2]string]*rate.Limiter
 	// dialers maps the local address of a connection to the VM that dialled.
 	dialers map[string]string
 	across  map[string]int64
@@ -32,6 +35,7 @@
 		up:                   map[string]*rate.Limiter{},
 		down:                 map[string]*rate.Limiter{},
 		region:               map[string]string{},
+		regions:              map[[2]string]*rate.Limiter{},
 		dialers:              map[string]string{},
 		across:               map[string]int64{},
 	}
@@ -44,10 +48,6 @@
 	l.region[vm] = region
 	l.up[vm] = rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurstBytes)
 	l.down[vm] = rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurstBytes)
-	if l.up["region "+region] == nil {
-		l.up["region "+region] = rate.NewLimiter(rate.Limit(l.regionBytesPerSecond), linkBurstBytes)
-		l.down["region "+region] = rate.NewLimiter(rate.Limit(l.regionBytesPerSecond), linkBurstBytes)
-	}
 }
 
 // path returns the limits between two VMs.
@@ -57,11 +57,19 @@
 	path := []*rate.Limiter{l.up[from], l.down[to]}
 	a, b := l.region[from], l.region[to]
 	if a != b {
-		path = append(path, l.up["region "+a], l.down["region "+b])
+		path = append(path, l.between(a, b))
 	}
 	return path
 }
 
+func (l *links) between(a, b string) *rate.Limiter {
+	pair := [2]string{a, b}
+	if l.regions[pair] == nil {
+		l.regions[pair] = rate.NewLimiter(rate.Limit(l.regionBytesPerSecond), linkBurstBytes)
+	}
+	return l.regions[pair]
+}
+
 // acrossBytes returns the bytes that entered each region from another one.
 func (l *links) acrossBytes() map[string]int64 {
 	l.mu.Lock()
@@ -125,17 +133,30 @@
 	from  string
 	to    string
 	path  []*rate.Limiter
+	// heard is set once the other end has sent something. Only then is its
+	// address sure to be registered; before, the port may still be that of an
+	// earlier connection.
+	heard atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *linkConn) Write(p []byte) (int, error) {
 	if c.path == nil {
-		if c.to == "" {
-			c.to = c.links.dialer(c.RemoteAddr().String())
+		if c.to == "" && !c.heard.Load() {
+			// A gRPC server sends its settings before it has read anything.
+			return c.Conn.Write(p)
 		}
 		if c.to == "" {
-			// A gRPC server sends its settings before the dialler is registered.
-			return c.Conn.Write(p)
+			c.to = c.links.dialer(c.RemoteAddr().String())
 		}
 		c.path = c.links.path(c.from, c.to)
 	}
