--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/lentilbridge/lentilbridge/pkg/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/recorder"
+	"github.com/lentilbridge/lentilbridge/pkg/reporter"
 )
 
 const (
@@ -63,6 +64,7 @@
 	claims        *claimer.Claimer
 	isolation     *isolator.Isolator
 	rollouts      *controller.Controller
+	statuses      *reporter.Reporter
 	picker        *picker.Picker
 	requests      *Requests
 
@@ -153,6 +155,11 @@
 		Agent: d.agents.Dial, OriginRegion: d.cfg.OriginRegion, MaxRateBytesPerSecond: d.cfg.MaxTransferBytes,
 		Now: time.Now, Log: d.log,
 	}
+	d.statuses = &reporter.Reporter{
+		API: d.api, Regions: []string{d.cfg.Region}, Held: d.leases.Held,
+		Self: d.status, Send: d.membership.SendStatus, SelfChanged: d.configuration.Changed, Log: d.log,
+	}
+	d.membership.OnStatus = d.statuses.Put
 }
 
 func (d *daemon) connectRequests() {
@@ -178,6 +185,8 @@
 		{"claims", d.claims.Run},
 		{"isolation", d.isolation.Run},
 		{"rollouts", d.rollouts.Run},
+		{"status", d.statuses.Run},
+		{"clean-up", d.cleanUp},
 		{"directory", d.updatePicker},
 	} {
 		d.running.Add(1)
--- a/pkg/router/owners.go
+++ b/pkg/router/owners.go
@@ -7,19 +7,15 @@
 	"github.com/lentilbridge/lentilbridge/pkg/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/reporter"
 )
 
 // cleanUpShard is the lease for deleting what nothing refers to any more.
 const cleanUpShard = "clean-up"
 
-// statusShard is the lease for writing the status of a region.
-func statusShard(region string) string {
-	return "status-" + region
-}
-
 // shardsOf lists the leases that an entry daemon of a region contends for.
 func shardsOf(region string) []string {
-	shards := []string{cleanUpShard, statusShard(region)}
+	shards := []string{cleanUpShard, reporter.ShardPrefix + region}
 	for n := range claimer.ShardCount {
 		shards = append(shards, claimer.ShardName(n))
 	}
--- /dev/null
+++ b/pkg/router/status.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+const (
+	cleanUpInterval = 10 * time.Minute
+	cleanUpTimeout  = time.Minute
+)
+
+// status is this daemon's own status.
+func (d *daemon) status(now time.Time) *messenger.DaemonStatus {
+	return &messenger.DaemonStatus{
+		Vm:       d.cfg.VM,
+		Role:     "entry",
+		Region:   d.cfg.Region,
+		Revision: d.configuration.Number(),
+		Sequence: uint64(now.UnixMilli()),
+	}
+}
+
+// cleanUp deletes parts of configurations that nothing refers to, on the
+// daemon that holds the lease for it.
+func (d *daemon) cleanUp(ctx context.Context) error {
+	for {
+		if err := wait(ctx, cleanUpInterval); err != nil {
+			return err
+		}
+		now := time.Now()
+		if !d.held(cleanUpShard, now) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, cleanUpTimeout)
+		deleted, err := d.publisher.CollectParts(callCtx, now)
+		cancel()
+		if err != nil {
+			d.log.Warn("configuration parts not cleaned up", zap.Error(err))
+			continue
+		}
+		d.log.Info("configuration parts cleaned up", zap.Int("deleted", deleted))
+	}
+}
