--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -67,7 +67,7 @@
 	// baselineWeight and recentWeight are the weights of a new observation in
 	// the two moving averages.
 	baselineWeight = 1.0 / 32
-	recentWeight   = 1.0 / 8
+	recentWeight   = 1.0 / 16
 )
 
 // Defaults of Adaptive.
@@ -91,6 +91,8 @@
 	mu       sync.Mutex
 	ceiling  float64
 	baseline float64
+	// measured is set once the baseline was learnt without a transfer.
+	measured bool
 	recent   float64
 	lastMove time.Time
 	lastStep time.Time
@@ -142,14 +144,18 @@
 	defer l.mu.Unlock()
 	seconds := d.Seconds()
 	if l.lastMove.IsZero() || now.Sub(l.lastMove) > idleAfter {
+		if !l.measured {
+			l.baseline = 0
+		}
 		l.baseline = average(l.baseline, seconds, baselineWeight)
+		l.measured = true
 		l.recent = l.baseline
 		return
 	}
 	l.recent = average(l.recent, seconds, recentWeight)
-	// A VM that never saw a request without a transfer takes the lowest delay
-	// as its baseline.
-	if l.baseline == 0 || seconds < l.baseline {
+	// A VM that never saw a request without a transfer follows the low delays.
+	// A measured baseline stays, or noise would pull it down during a transfer.
+	if !l.measured && (l.baseline == 0 || seconds < l.baseline) {
 		l.baseline = average(l.baseline, seconds, baselineWeight)
 	}
 	l.step(now)
--- /dev/null
+++ b/pkg/limiter/limiter_test.go
@@ -0,0 +1,117 @@
+package limiter_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/limiter"
+)
+
+const megabyte = 1e6
+
+func adaptive() limiter.Policy {
+	return limiter.Adaptive{MinBytesPerSecond: megabyte, MaxBytesPerSecond: 9 * megabyte, Increase: megabyte, Decrease: 0.5}
+}
+
+// observe reports delays for a while, ten each second, with a transfer running.
+func observe(c *qt.C, l *limiter.Limiter, delay, during time.Duration) {
+	for range int(during / (100 * time.Millisecond)) {
+		c.Assert(l.Wait(context.Background(), limiter.Download, 1000), qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+		l.ObserveFirstToken(delay, time.Now())
+	}
+}
+
+// Guards against transfers that keep their rate while live requests wait, and
+// against transfers that stay slow when they do not.
+func TestAdaptiveFollowsFirstTokenDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: adaptive(), UploadPolicy: adaptive()}
+		for range 50 {
+			l.ObserveFirstToken(100*time.Millisecond, time.Now())
+		}
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 5*megabyte)
+		observe(c, l, 100*time.Millisecond, 2*time.Second)
+		raised := l.Rate(limiter.Download)
+		c.Assert(raised > 6*megabyte && raised < 8*megabyte, qt.IsTrue, qt.Commentf("%f", raised))
+		observe(c, l, 200*time.Millisecond, 3*time.Second)
+		c.Assert(l.Rate(limiter.Download), qt.Equals, megabyte)
+		c.Assert(l.Rate(limiter.Upload), qt.Equals, megabyte)
+		observe(c, l, 100*time.Millisecond, 20*time.Second)
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 9*megabyte)
+	})
+}
+
+// Guards against variation of the delays that counts as lateness.
+func TestBaselineIgnoresVariation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: adaptive()}
+		delays := []time.Duration{50 * time.Millisecond, 150 * time.Millisecond}
+		for i := range 100 {
+			l.ObserveFirstToken(delays[i%2], time.Now())
+		}
+		for i := range 100 {
+			observe(c, l, delays[i%2], 100*time.Millisecond)
+		}
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 9*megabyte)
+	})
+}
+
+// Guards against a transfer that stays slow on a VM without live requests.
+func TestTickRaisesRateWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: adaptive()}
+		for range 100 {
+			l.Tick(time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 9*megabyte)
+	})
+}
+
+// Guards against a late stretch before a transfer that becomes the baseline.
+func TestBaselineIsNotLearntDuringTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: adaptive()}
+		l.ObserveFirstToken(100*time.Millisecond, time.Now())
+		observe(c, l, 300*time.Millisecond, 30*time.Second)
+		c.Assert(l.Rate(limiter.Download), qt.Equals, megabyte)
+	})
+}
+
+// Guards against transfers above their share, and against a missing policy
+// that blocks them.
+func TestWaitPacesByPolicy(t *testing.T) {
+	tests := []struct {
+		name    string
+		policy  limiter.Policy
+		ceiling float64
+		took    time.Duration
+	}{
+		{"fixed share", limiter.FixedShare{LinkBytesPerSecond: 10 * megabyte, Share: 0.2}, 0, 5 * time.Second},
+		{"unlimited", limiter.Unlimited{}, 0, 0},
+		{"no policy", nil, 0, 0},
+		{"ceiling", limiter.Unlimited{}, 5 * megabyte, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				l := &limiter.Limiter{DownloadPolicy: test.policy}
+				l.SetCeiling(test.ceiling)
+				started := time.Now()
+				c.Assert(l.Wait(t.Context(), limiter.Download, 10*megabyte), qt.IsNil)
+				took := time.Since(started)
+				c.Assert(took >= test.took*98/100 && took <= test.took, qt.IsTrue, qt.Commentf("%s", took))
+			})
+		})
+	}
+}
--- a/pkg/planner/choose.go
+++ b/pkg/planner/choose.go
@@ -182,7 +182,7 @@
 }
 
 func (p *Planner) nextImport(now time.Time) (Request, bool) {
-	if p.importInFlight >= p.ImportInFlight {
+	if p.importInFlight >= p.importLimit(now) {
 		return Request{}, false
 	}
 	for at, i := range p.importQueue {
@@ -200,6 +200,15 @@
 	return Request{}, false
 }
 
+// importLimit is one across a region link: the importers together fill it, and
+// with more requests in flight each chunk arrives later.
+func (p *Planner) importLimit(now time.Time) int {
+	if p.importsAcross() && !p.noRemote(now) {
+		return 1
+	}
+	return p.ImportInFlight
+}
+
 func (p *Planner) importFrom(i int, now time.Time) (Request, bool) {
 	req := Request{Kind: FromOrigin, Chunk: i, Reason: ReasonFirst}
 	for _, peer := range p.ImportOrder(i) {
@@ -326,14 +335,15 @@
 	return Request{}, false
 }
 
-// nextEndgame asks a second sender for one of the last chunks.
+// nextEndgame asks a second sender for one of the last chunks when the first
+// takes twice as long as usual.
 func (p *Planner) nextEndgame(now time.Time) (Request, bool) {
 	if p.missing > endgameChunks || p.peerTime.value == 0 {
 		return Request{}, false
 	}
 	for i := range p.chunks {
 		c := &p.chunks[i]
-		if c.held || c.inFlight != 1 || now.Sub(c.askedAt) < p.peerTime.value {
+		if c.held || c.inFlight != 1 || now.Sub(c.askedAt) < 2*p.peerTime.value {
 			continue
 		}
 		w := p.leastLoaded(i, now, func(w *watched) bool { return !w.remote && w.inFlight == 0 })
--- /dev/null
+++ b/pkg/planner/planner_test.go
@@ -0,0 +1,272 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/planner"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func peers(region string, n int) []planner.Peer {
+	var out []planner.Peer
+	for i := range n {
+		vm := fmt.Sprintf("%s-%02d", region, i)
+		out = append(out, planner.Peer{VM: vm, Address: vm, Region: region})
+	}
+	return out
+}
+
+func none(int) bool { return false }
+
+func newPlanner(self planner.Peer, chunks int, all []planner.Peer) *planner.Planner {
+	p := &planner.Planner{
+		Self:         self,
+		Digest:       "d",
+		Chunks:       chunks,
+		Policy:       planner.PolicyTime,
+		OriginRegion: "central",
+		Random:       rand.New(rand.NewPCG(1, 2)),
+	}
+	p.Start(none, epoch)
+	p.SetPeers(all, epoch)
+	return p
+}
+
+// allUp reports all watched agents as reached, with the chunks they hold.
+func allUp(p *planner.Planner, now time.Time, chunks ...uint32) {
+	for _, peer := range p.Watched() {
+		p.Up(peer.VM, now)
+		p.Has(peer.VM, chunks, now)
+	}
+	p.Tick(now)
+}
+
+// drain starts all requests that may start.
+func drain(p *planner.Planner, now time.Time) []planner.Request {
+	var out []planner.Request
+	for {
+		req, ok := p.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, req)
+	}
+}
+
+// Guards against agents that disagree about who imports a chunk, and against
+// one agent that imports most of a version.
+func TestImportOrderIsCommonAndBalanced(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 40)
+	counts := map[string]int{}
+	a := newPlanner(all[0], 800, all)
+	b := newPlanner(all[39], 800, all)
+	for i := range 800 {
+		c.Assert(a.ImportOrder(i), qt.DeepEquals, b.ImportOrder(i))
+		counts[a.ImportOrder(i)[0].VM]++
+	}
+	c.Assert(counts, qt.HasLen, planner.DefaultImporters)
+	for vm, n := range counts {
+		c.Check(n > 60 && n < 140, qt.IsTrue, qt.Commentf("%s imports %d of 800", vm, n))
+	}
+}
+
+// Guards against agents that nobody reads from and agents that all read from.
+func TestNeighboursAreBalanced(t *testing.T) {
+	for _, n := range []int{2, 5, 9, 16, 64, 140} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			all := peers("central", n)
+			readers := map[string]int{}
+			for _, self := range all {
+				p := newPlanner(self, 1, all)
+				p.Importers = 1
+				p.SetPeers(all, epoch)
+				for _, peer := range p.Watched() {
+					readers[peer.VM]++
+				}
+			}
+			for _, peer := range all {
+				got := readers[peer.VM]
+				c.Check(got >= min(n-1, 8) && got <= 9, qt.IsTrue, qt.Commentf("%s has %d readers", peer.VM, got))
+			}
+		})
+	}
+}
+
+// Guards against chunks that stay with an importer that died or stalled, and
+// against a takeover while the importer makes progress.
+func TestTakeoverNeedsLackOfProgress(t *testing.T) {
+	all := peers("central", 2)
+	tests := []struct {
+		name string
+		// event happens one second after the start.
+		event func(p *planner.Planner, first []uint32, now time.Time)
+		after time.Duration
+		takes bool
+	}{
+		{"importer present", func(*planner.Planner, []uint32, time.Time) {}, 5 * time.Second, false},
+		{"importer stalls", func(*planner.Planner, []uint32, time.Time) {}, 15 * time.Second, true},
+		{"importer dies", func(p *planner.Planner, _ []uint32, now time.Time) { p.Down(all[1].VM, now) }, 3 * time.Second, true},
+		{"importer restarts at once", func(p *planner.Planner, _ []uint32, now time.Time) {
+			p.Down(all[1].VM, now)
+			p.Up(all[1].VM, now.Add(100*time.Millisecond))
+		}, 3 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPlanner(all[0], 40, all)
+			allUp(p, epoch)
+			var foreign []uint32
+			for i := range 40 {
+				if p.ImportOrder(i)[0].VM == all[1].VM {
+					foreign = append(foreign, uint32(i))
+				}
+			}
+			test.event(p, foreign, epoch.Add(time.Second))
+			// The agent's own imports go on, so that it may take over.
+			now := epoch
+			taken := 0
+			for now.Before(epoch.Add(test.after)) {
+				now = now.Add(200 * time.Millisecond)
+				p.Tick(now)
+				for _, req := range drain(p, now) {
+					if req.Reason == planner.ReasonTakeover {
+						taken++
+					}
+					p.Finish(req, planner.Done, now)
+				}
+			}
+			c.Assert(taken > 0, qt.Equals, test.takes, qt.Commentf("%d taken of %d", taken, len(foreign)))
+		})
+	}
+}
+
+// Guards against a sender of corrupt chunks that is avoided after one chunk,
+// not at all, or for ever.
+func TestSenderIsAvoidedAfterSecondCorruptChunk(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 2)
+	p := newPlanner(all[0], 20, all)
+	held := make([]uint32, 20)
+	for i := range held {
+		held[i] = uint32(i)
+	}
+	allUp(p, epoch, held...)
+	for range 2 {
+		c.Assert(p.Avoided(), qt.HasLen, 0)
+		req, ok := p.Next(epoch)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(req.VM, qt.Equals, all[1].VM)
+		p.Finish(req, planner.Corrupt, epoch)
+	}
+	c.Assert(p.Avoided(), qt.DeepEquals, []planner.Avoided{{VM: all[1].VM, Until: epoch.Add(planner.AvoidFor)}})
+	during := epoch.Add(planner.AvoidFor - time.Second)
+	p.Tick(during)
+	for _, req := range drain(p, during) {
+		c.Assert(req.Kind, qt.Equals, planner.FromOrigin)
+		p.Finish(req, planner.Cancelled, during)
+	}
+	after := epoch.Add(planner.AvoidFor)
+	p.Tick(after)
+	asked := 0
+	for _, req := range drain(p, after) {
+		if req.VM == all[1].VM {
+			asked++
+		}
+	}
+	c.Assert(asked, qt.Equals, planner.DefaultPerPeer)
+}
+
+// Guards against common chunks that are fetched before rare ones and against
+// more requests than the limits allow.
+func TestNextTakesRarestChunksFirst(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 6)
+	p := newPlanner(all[0], 30, all)
+	watched := p.Watched()
+	for i, peer := range watched {
+		p.Up(peer.VM, epoch)
+		// Chunk 10+i is held by one agent, chunks 0 to 9 by all.
+		p.Has(peer.VM, []uint32{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, uint32(10 + i)}, epoch)
+	}
+	reqs := drain(p, epoch)
+	c.Assert(reqs, qt.HasLen, planner.DefaultInFlight)
+	perPeer := map[string]int{}
+	for i, req := range reqs {
+		c.Check(req.Chunk >= 10, qt.Equals, i < len(watched), qt.Commentf("request %d is for chunk %d", i, req.Chunk))
+		perPeer[req.VM]++
+		c.Check(perPeer[req.VM] <= planner.DefaultPerPeer, qt.IsTrue)
+	}
+}
+
+// Guards against a last chunk that waits for one slow sender, and against
+// second requests before the end.
+func TestEndgameAsksSecondSender(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 4)
+	p := newPlanner(all[0], 12, all)
+	held := []uint32{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}
+	allUp(p, epoch, held...)
+	now := epoch
+	var slow planner.Request
+	var endgame []planner.Request
+	for range 10 {
+		reqs := drain(p, now)
+		now = now.Add(50 * time.Millisecond)
+		for _, req := range reqs {
+			switch {
+			case req.Reason == planner.ReasonEndgame:
+				endgame = append(endgame, req)
+			case req.Chunk == 11:
+				slow = req
+			default:
+				p.Finish(req, planner.Done, now)
+			}
+		}
+	}
+	c.Assert(p.MissingChunks(), qt.Equals, 1)
+	c.Assert(endgame, qt.HasLen, 1)
+	c.Assert(endgame[0].Chunk, qt.Equals, 11)
+	c.Assert(endgame[0].VM, qt.Not(qt.Equals), slow.VM)
+	c.Assert(endgame[0].StartedAt.Sub(slow.StartedAt) >= 100*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against a region that reads from the origin under policy
+// origin-bytes while agents of the origin's region can serve it, and against
+// one that waits for ever when there are none.
+func TestOriginBytesImportsAcrossRegions(t *testing.T) {
+	c := qt.New(t)
+	north := peers("north", 3)
+	all := append(peers("central", 3), north...)
+	p := newPlanner(north[0], 30, all)
+	p.Policy = planner.PolicyOriginBytes
+	p.SetPeers(all, epoch)
+	for _, peer := range p.Watched() {
+		p.Up(peer.VM, epoch)
+	}
+	p.Tick(epoch)
+	c.Assert(drain(p, epoch), qt.HasLen, 0)
+	for _, peer := range all[:3] {
+		p.Has(peer.VM, []uint32{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, epoch)
+	}
+	p.Tick(epoch)
+	reqs := drain(p, epoch)
+	c.Assert(len(reqs) > 0, qt.IsTrue)
+	for _, req := range reqs {
+		c.Check(req.Kind, qt.Equals, planner.AcrossRegions)
+		c.Check(p.ImportOrder(req.Chunk)[0].VM, qt.Equals, north[0].VM)
+	}
+	alone := newPlanner(north[0], 30, north)
+	alone.Policy = planner.PolicyOriginBytes
+	alone.SetPeers(north, epoch)
+	allUp(alone, epoch)
+	c.Assert(drain(alone, epoch)[0].Kind, qt.Equals, planner.FromOrigin)
+}
--- a/pkg/storer/serve.go
+++ b/pkg/storer/serve.go
@@ -69,14 +69,15 @@
 		return reply, err
 	}
 	defer s.endUpload()
-	if err := s.sending().Acquire(ctx, 1); err != nil {
-		return nil, status.FromContextError(err).Err()
-	}
-	defer s.sending().Release(1)
 	link := limiter.Upload
 	if req.GetAcrossRegions() {
 		link = limiter.AcrossRegions
 	}
+	sending := s.sending(req.GetAcrossRegions())
+	if err := sending.Acquire(ctx, 1); err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	defer sending.Release(1)
 	if err := s.Limiter.Wait(ctx, link, len(data)); err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
@@ -84,13 +85,19 @@
 }
 
 // sending admits MaxUploads requests at once, in the order of their arrival.
-func (s *Storer) sending() *semaphore.Weighted {
+// Requests from other regions do not wait behind those of this region, because
+// the link between regions is the scarcer one.
+func (s *Storer) sending(acrossRegions bool) *semaphore.Weighted {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.slots == nil {
-		s.slots = semaphore.NewWeighted(int64(orDefault(s.MaxUploads, DefaultMaxUploads)))
+	slots := &s.slots
+	if acrossRegions {
+		slots = &s.acrossSlots
+	}
+	if *slots == nil {
+		*slots = semaphore.NewWeighted(int64(orDefault(s.MaxUploads, DefaultMaxUploads)))
 	}
-	return s.slots
+	return *slots
 }
 
 func (s *Storer) beginWatch(digest string) (*version, error) {
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -50,7 +50,9 @@
 	bytes    int64
 	uploads  int
 	slots    *semaphore.Weighted
-	watches  int
+	// acrossSlots admits requests from other regions.
+	acrossSlots *semaphore.Weighted
+	watches     int
 }
 
 // version is one version, in transfer or complete.
--- a/tools/bench/fleet.go
+++ b/tools/bench/fleet.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/experimental"
+	"google.golang.org/grpc/mem"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
@@ -24,6 +26,10 @@
 	unlimitedRate = 1e12
 )
 
+// benchBuffers has a size that fits a chunk. The default pool clears 1 MiB for
+// each message of 64 KiB, which would make the processor the bottleneck.
+var benchBuffers = mem.NewTieredBufferPool(256, 4<<10, 16<<10, 33<<10, chunkBytes+1<<10, 1<<20)
+
 // fleet is the origin and the VMs of one trial, in one process and connected
 // over loopback with limited rates.
 type fleet struct {
@@ -115,10 +121,10 @@
 	v.listener = l
 	v.peer.Address = l.Addr().String()
 	v.store = &storer.Storer{}
-	v.server = grpc.NewServer(fetcher.ServerOptions()...)
+	v.server = grpc.NewServer(append(fetcher.ServerOptions(), experimental.BufferPool(benchBuffers))...)
 	messenger.RegisterChunksServer(v.server, v.store)
 	dial := v.fleet.links.dial(v.peer.GetVm(), v.fleet.vmAt)
-	v.dial = fetcher.DialGRPC(grpc.WithContextDialer(dial))
+	v.dial = fetcher.DialGRPC(grpc.WithContextDialer(dial), experimental.WithBufferPool(benchBuffers))
 	transport := &http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: 4,
