--- a/pkg/adapter/object_api_http.go
+++ b/pkg/adapter/object_api_http.go
@@ -24,8 +24,9 @@
 	// watchTimeout is the longest wait of a watch (30 s) plus time to answer.
 	watchTimeout = 40 * time.Second
 	dialTimeout  = 2 * time.Second
-	// maxListAnswerBytes bounds the answer to a list or a watch.
-	maxListAnswerBytes = 256 << 20
+	// maxListAnswerBytes bounds the answer to a list or a watch to half of the
+	// memory that a daemon may use.
+	maxListAnswerBytes = 64 << 20
 	// maxErrorAnswerBytes bounds the text of an error answer.
 	maxErrorAnswerBytes = 1024
 	maxIdleConnections  = 16
@@ -220,11 +221,7 @@
 }
 
 func decodeObjectAnswer(_ context.Context, r *http.Response) (any, error) {
-	limit := int64(maxListAnswerBytes)
-	if r.StatusCode >= http.StatusBadRequest && r.StatusCode != http.StatusGone {
-		limit = maxErrorAnswerBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit))
+	body, err := readBounded(r)
 	if err != nil {
 		return nil, err
 	}
@@ -232,6 +229,32 @@
 	return objectAnswer{status: r.StatusCode, version: version, body: body}, nil
 }
 
+// readBounded cuts long error texts; any other answer above its bound is an
+// error, because a cut value would be taken for the whole.
+func readBounded(r *http.Response) ([]byte, error) {
+	if r.StatusCode >= http.StatusBadRequest && r.StatusCode != http.StatusGone {
+		return io.ReadAll(io.LimitReader(r.Body, maxErrorAnswerBytes))
+	}
+	limit := maxListAnswerBytes
+	if strings.Contains(r.Request.URL.Path, objectPath("")) {
+		limit = MaxObjectBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		return nil, &AnswerTooLargeError{Limit: limit}
+	}
+	return body, err
+}
+
+// AnswerTooLargeError reports an answer above the bound of its call.
+type AnswerTooLargeError struct {
+	Limit int
+}
+
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
+}
+
 // check turns the status of the answer into an error. A server error says
 // nothing about whether a write took effect.
 func (c objectCall) check(answer objectAnswer) error {
--- a/pkg/emulator/memory_objects.go
+++ b/pkg/emulator/memory_objects.go
@@ -18,6 +18,10 @@
 	defaultHistoryLength = 10_000
 	// defaultWatchWait is how long a watch waits for a change.
 	defaultWatchWait = 30 * time.Second
+	// maxWatchChanges and maxWatchBytes bound the answer of a watch; the next
+	// watch continues after the last change of the answer.
+	maxWatchChanges = 1_000
+	maxWatchBytes   = 4 << 20
 	// replayedChanges is how many earlier changes a replayed watch repeats.
 	replayedChanges = 16
 )
@@ -375,24 +379,32 @@
 		return nil, m.version, nil, &adapter.GapError{Prefix: prefix, After: after}
 	}
 	first := int(after - oldest)
-	changes := selectChanges(m.history[first:], prefix)
+	changes, next := selectChanges(m.history[first:], prefix, m.version)
 	if len(changes) > 0 && m.Faults.ReplayWatch > 0 {
 		m.Faults.ReplayWatch--
-		earlier := m.history[max(0, first-replayedChanges):first]
-		changes = append(selectChanges(earlier, prefix), changes...)
+		earlier, _ := selectChanges(m.history[max(0, first-replayedChanges):first], prefix, after)
+		changes = append(earlier, changes...)
 	}
-	return changes, m.version, m.changed, nil
+	return changes, next, m.changed, nil
 }
 
-func selectChanges(history []adapter.Change, prefix string) []adapter.Change {
+// selectChanges returns the first changes of the prefix and the version up to
+// which they are complete: the given last one, unless a bound was reached.
+func selectChanges(history []adapter.Change, prefix string, last uint64) ([]adapter.Change, uint64) {
 	var selected []adapter.Change
+	size := 0
 	for _, c := range history {
-		if strings.HasPrefix(c.Object.Key, prefix) {
-			c.Object = copyObject(c.Object)
-			selected = append(selected, c)
+		if !strings.HasPrefix(c.Object.Key, prefix) {
+			continue
 		}
+		size += len(c.Object.Value)
+		if len(selected) > 0 && (len(selected) >= maxWatchChanges || size > maxWatchBytes) {
+			return selected, selected[len(selected)-1].Object.Version
+		}
+		c.Object = copyObject(c.Object)
+		selected = append(selected, c)
 	}
-	return selected
+	return selected, last
 }
 
 func newLimiter(perSecond float64) *rate.Limiter {
--- a/pkg/emulator/memory_objects_test.go
+++ b/pkg/emulator/memory_objects_test.go
@@ -107,3 +107,25 @@
 		c.Assert(m.Stats().Reads >= 29, qt.IsTrue)
 	})
 }
+
+// An answer with the whole history would not fit into a daemon's memory, and
+// one that is cut must not lose changes.
+func TestWatchAnswersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var m MemoryObjects
+	value := make([]byte, adapter.MaxObjectBytes)
+	const written = 10
+	for i := range written {
+		_, err := m.Create(t.Context(), string(rune('a'+i)), value)
+		c.Assert(err, qt.IsNil)
+	}
+	seen, after := 0, uint64(0)
+	for after < written {
+		changes, next, err := m.Watch(t.Context(), "", after)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(changes) <= 5, qt.IsTrue)
+		seen += len(changes)
+		after = next
+	}
+	c.Assert(seen, qt.Equals, written)
+}
--- a/pkg/publisher/head.go
+++ b/pkg/publisher/head.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"regexp"
+	"slices"
+	"strings"
 
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
@@ -132,3 +135,9 @@
 	}
 	return HistoryEntry{}, HistoryChange{}, false
 }
+
+// references tells whether the object is a part of the revision.
+func (h Head) references(o adapter.Object) bool {
+	digest := strings.TrimPrefix(o.Key, PartPrefix)
+	return slices.Contains(h.Parts, digest)
+}
--- a/pkg/publisher/part.go
+++ b/pkg/publisher/part.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,10 +19,6 @@
 const (
 	// maxPartBytes leaves room below the object API's limit of 1 MB.
 	maxPartBytes = 900_000
-	// touchAge is the age from which a publish renews the time of a part that
-	// it uses again. It is far below collectAge, so that clean-up by a daemon
-	// with another clock does not delete a part in use by a publish.
-	touchAge = 10 * time.Minute
 	// collectAge is the age from which an unreferenced part is deleted.
 	collectAge = time.Hour
 	// maxPartTries bounds the tries of a part that others write, too.
@@ -106,8 +104,10 @@
 	return body, nil
 }
 
-// writePart makes sure that the part exists and is not about to be deleted.
-// A lost answer is resolved by the repetition: the content is the same.
+// writePart makes sure that the part exists and is not about to be deleted: a
+// part that the head does not reference is written again, so that clean-up
+// finds another version than it read. A lost answer is resolved by repeating
+// the call, because the content is the same.
 func (p *Publisher) writePart(ctx context.Context, now time.Time, piece part, referenced bool) error {
 	return p.retry(ctx, func() error {
 		var err error
@@ -131,7 +131,7 @@
 		_, err = p.Objects.Create(ctx, key, value)
 		return err
 	}
-	if err != nil || isUsable(existing, now, referenced) {
+	if err != nil || (referenced && isIntact(existing)) {
 		return err
 	}
 	_, err = p.Objects.Update(ctx, key, value, existing.Version)
@@ -145,38 +145,76 @@
 	return errors.As(err, &conflict) || errors.As(err, &notFound)
 }
 
-// isUsable tells whether the existing part is intact and is either referenced
-// by the head on which the publish is conditional or too young to be deleted.
-func isUsable(existing adapter.Object, now time.Time, referenced bool) bool {
-	body, err := decodePart(existing)
-	if err != nil {
-		return false
-	}
-	return referenced || now.Sub(time.UnixMilli(body.WrittenMillis)) < touchAge
+// isIntact tells whether the part can be used as it is.
+func isIntact(existing adapter.Object) bool {
+	_, err := decodePart(existing)
+	return err == nil
 }
 
 // CollectParts deletes parts that the head does not reference and that were
-// written more than an hour before now. It returns their number. A part that
-// a publish takes into use meanwhile has another version and stays.
+// written more than an hour before now, so that nobody still reads them. It
+// returns their number.
+//
+// Before it deletes it writes the head again, unchanged. A publish that is
+// paused between its parts and the head then finds another version, starts
+// again and writes its parts again, however long the pause was.
 func (p *Publisher) CollectParts(ctx context.Context, now time.Time) (int, error) {
-	listed, err := p.Objects.List(ctx, PartPrefix)
+	deleted := 0
+	for _, prefix := range partPrefixes() {
+		expired, err := p.listExpired(ctx, now, prefix)
+		if err != nil {
+			return deleted, err
+		}
+		if len(expired) == 0 {
+			continue
+		}
+		n, err := p.deleteParts(ctx, expired)
+		deleted += n
+		if err != nil {
+			return deleted, err
+		}
+	}
+	return deleted, nil
+}
+
+// partPrefixes splits the parts by the first two digits of their digests: all
+// parts of an hour in one answer, about 450 MB at 12,000 changes a day, would
+// not fit into a daemon's memory.
+func partPrefixes() []string {
+	prefixes := make([]string, 256)
+	for i := range prefixes {
+		prefixes[i] = fmt.Sprintf("%s%02x", PartPrefix, i)
+	}
+	return prefixes
+}
+
+// listExpired returns the objects without their values.
+func (p *Publisher) listExpired(ctx context.Context, now time.Time, prefix string) ([]adapter.Object, error) {
+	listed, err := p.Objects.List(ctx, prefix)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	head, _, err := p.ReadHead(ctx)
+	var expired []adapter.Object
+	for _, o := range listed {
+		if isExpired(o, now) {
+			expired = append(expired, adapter.Object{Key: o.Key, Version: o.Version})
+		}
+	}
+	return expired, nil
+}
+
+func (p *Publisher) deleteParts(ctx context.Context, expired []adapter.Object) (int, error) {
+	head, err := p.rewriteHead(ctx, expired)
 	if err != nil {
 		return 0, err
 	}
-	referenced := map[string]bool{}
-	for _, digest := range head.Parts {
-		referenced[PartPrefix+digest] = true
-	}
 	deleted := 0
-	for _, o := range listed {
-		if referenced[o.Key] || !isExpired(o, now) {
+	for _, o := range expired {
+		if head.references(o) {
 			continue
 		}
 		err := p.Objects.Delete(ctx, o.Key, o.Version)
+		// A publish has taken the part into use, and so written it, since.
 		if isRaced(err) {
 			continue
 		}
@@ -188,6 +226,22 @@
 	return deleted, nil
 }
 
+// rewriteHead gives the head another version. It leaves the head alone when
+// all the parts are referenced. An update without an answer is an error: it
+// may take effect later, but then nothing is deleted.
+func (p *Publisher) rewriteHead(ctx context.Context, expired []adapter.Object) (Head, error) {
+	o, err := p.Objects.Get(ctx, HeadKey)
+	if err != nil {
+		return Head{}, err
+	}
+	head, err := DecodeHead(o.Value)
+	if err != nil || !slices.ContainsFunc(expired, func(o adapter.Object) bool { return !head.references(o) }) {
+		return head, err
+	}
+	_, err = p.Objects.Update(ctx, HeadKey, o.Value, o.Version)
+	return head, err
+}
+
 // isExpired also holds for a part that cannot be decoded: no head can use it.
 func isExpired(o adapter.Object, now time.Time) bool {
 	body, err := decodePart(o)
