--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"golang.org/x/term"
 
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
@@ -29,6 +30,8 @@
 	Width int
 	// Author is the default of --author.
 	Author string
+	// Objects replaces the object API that --object-api names.
+	Objects adapter.ObjectAPI
 }
 
 // Main runs the program and returns its exit code.
--- a/pkg/commander/session.go
+++ b/pkg/commander/session.go
@@ -42,7 +42,11 @@
 	if author == "" {
 		author = "unknown"
 	}
-	s.publisher = &publisher.Publisher{Objects: &adapter.HTTPObjectAPI{BaseURL: s.objectAPI}, Author: author}
+	objects := s.program.Objects
+	if objects == nil {
+		objects = &adapter.HTTPObjectAPI{BaseURL: s.objectAPI}
+	}
+	s.publisher = &publisher.Publisher{Objects: objects, Author: author}
 	return nil
 }
 
@@ -56,7 +60,7 @@
 }
 
 func (s *session) needObjects() error {
-	if s.objectAPI == "" {
+	if s.objectAPI == "" && s.program.Objects == nil {
 		return &UsageError{Message: "the address of the object API is missing", Suggestion: "write --object-api http://HOST:PORT or set LENTIL_OBJECT_API"}
 	}
 	return nil
--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -103,7 +103,7 @@
 			hasFlags = true
 		}
 		placeholder, usage := flag.UnquoteUsage(f)
-		if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" && f.Name != "author" {
+		if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" && f.DefValue != "-1" && f.Name != "author" {
 			usage += " (default " + f.DefValue + ")"
 		}
 		fmt.Fprintf(table, "  %s\t%s\n", strings.TrimRight(dashes(f.Name)+" "+placeholder, " "), usage)
--- a/pkg/commander/watch.go
+++ b/pkg/commander/watch.go
@@ -25,12 +25,14 @@
 	objects: true,
 	setUp: func(fs *flag.FlagSet) runner {
 		c := &watchCommand{}
+		fs.Int64Var(&c.after, "after", -1, "begin with the edits after this `revision`, as far as they are known")
 		fs.IntVar(&c.count, "count", 0, "end after this `number` of revisions")
 		return c.run
 	},
 }
 
 type watchCommand struct {
+	after int64
 	count int
 	shown int
 	last  uint64
@@ -48,6 +50,9 @@
 		return err
 	}
 	c.last = max(head.Revision, 1) - 1
+	if c.after >= 0 {
+		c.last = uint64(c.after)
+	}
 	for {
 		if err := c.show(s, head); err != nil {
 			return err
