--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -21,6 +21,8 @@
 	maxTimeoutMillis     = 600_000
 	maxServiceBodyBytes  = 64 << 20
 	digestDigits         = 64
+	// maxFallbacks bounds the routes that one request may be passed along.
+	maxFallbacks = 8
 )
 
 var (
@@ -40,17 +42,12 @@
 // included, ordered by file and line.
 func Check(d *parser.Declaration) []parser.Problem {
 	c := &check{
+		places:   d,
 		set:      d.Set,
 		names:    namesByKind(d.Set),
 		rollouts: rolloutsByFleet(d.Set),
-		routes:   map[string]*parser.Declared{},
 		digests:  map[string]string{},
 	}
-	for _, o := range d.Objects {
-		if ref := o.Object.Ref(); ref.Kind == parser.KindRoute {
-			c.routes[ref.Name] = o
-		}
-	}
 	for _, o := range d.Objects {
 		c.checkObject(o)
 	}
@@ -83,11 +80,10 @@
 }
 
 type check struct {
+	places   *parser.Declaration
 	set      *parser.Set
 	names    map[string][]string
 	rollouts map[string][]*parser.Rollout
-	// routes holds the places of the routes, for cycles.
-	routes map[string]*parser.Declared
 	// digests maps each API key digest to its team.
 	digests  map[string]string
 	problems []parser.Problem
--- a/pkg/checker/checker_test.go
+++ b/pkg/checker/checker_test.go
@@ -75,6 +75,9 @@
 		{"team limits", "weight: 1,", "weight: 1, requests-per-second: 50, tokens-per-second: 10, priority: high,", `f:19: team/t: tokens-per-second: 10 tokens/s cannot serve 50 requests/s: a request has at least one token; write at least 50
 f:19: team/t: priority: "high" is not allowed; write one of interactive, standard, batch`},
 		{"cycle", "name: y, model: m", "name: y, model: m, fallback: x", `f:21: route/x: fallback: the fallbacks form a cycle: x → y → x; delete this fallback`},
+		{"cycle beyond the start", "name: y, model: m", "name: y, model: m, fallback: z}\n---\n{kind: route, name: z, model: m, fallback: y", `f:23: route/y: fallback: the fallbacks form a cycle: y → z → y; delete this fallback`},
+		{"too many fallbacks", "name: y, model: m}", "name: y, model: m, fallback: z1}\n---\n{kind: route, name: z1, model: m, fallback: z2}\n---\n{kind: route, name: z2, model: m, fallback: z3}\n---\n{kind: route, name: z3, model: m, fallback: z4}\n---\n{kind: route, name: z4, model: m, fallback: z5}\n---\n{kind: route, name: z5, model: m, fallback: z6}\n---\n{kind: route, name: z6, model: m, fallback: z7}\n---\n{kind: route, name: z7, model: m, fallback: z8}\n---\n{kind: route, name: z8, model: m, fallback: z9}\n---\n{kind: route, name: z9, model: m}", `f:21: route/x: fallback: more than 8 routes follow each other as fallbacks; write a route that is nearer to the end
+f:23: route/y: fallback: more than 8 routes follow each other as fallbacks; write a route that is nearer to the end`},
 		{"methods", "[GET]", "[get, GET, GET]", `f:15: service/s: idempotent-methods[2]: "GET" is also item 1; delete one of the two
 f:15: service/s: idempotent-methods[0]: "get" is not allowed; write GET`},
 		{"no second problem for a bad field", "replicas: 4", "replcas: 4", `f:13: fleet/f: replcas: the key is not known for kind fleet; write replicas`},
--- a/pkg/checker/kinds.go
+++ b/pkg/checker/kinds.go
@@ -252,7 +252,7 @@
 		c.oneOf(o, "priority", r.Priority, priorities)
 	}
 	if r.Fallback != "" && c.reference(o, "fallback", parser.KindRoute, r.Fallback) {
-		c.checkCycle(o, r)
+		c.checkFallbacks(o, r)
 	}
 }
 
@@ -275,36 +275,49 @@
 		fmt.Sprintf("add it to the adapters of a fleet of model %s", r.Model))
 }
 
-// checkCycle reports a cycle once: at the route with the first name among
+// checkFallbacks reports a cycle once: at the route with the first name among
 // those that are in a file, else among all.
-func (c *check) checkCycle(o *parser.Declared, start *parser.Route) {
-	cycle := c.findCycle(start)
+func (c *check) checkFallbacks(o *parser.Declared, start *parser.Route) {
+	chain, last := c.followFallbacks(start)
+	switch {
+	case last == nil:
+	case last != start:
+		c.report(o, "fallback", fmt.Sprintf("more than %d routes follow each other as fallbacks", maxFallbacks),
+			"write a route that is nearer to the end")
+	case c.isReporter(o, chain):
+		c.report(o, "fallback", "the fallbacks form a cycle: "+strings.Join(append(chain, start.Name), " → "),
+			"delete this fallback")
+	}
+}
+
+// followFallbacks returns the names of the routes from start on, and the route
+// at which it stopped: start itself in a cycle, nil at the end of the chain or
+// at a cycle that does not contain start.
+func (c *check) followFallbacks(start *parser.Route) ([]string, *parser.Route) {
+	chain := []string{start.Name}
+	r := c.set.Routes[start.Fallback]
+	for r != nil && r != start && len(chain) <= maxFallbacks {
+		if slices.Contains(chain, r.Name) {
+			return chain, nil
+		}
+		chain = append(chain, r.Name)
+		r = c.set.Routes[r.Fallback]
+	}
+	return chain, r
+}
+
+func (c *check) isReporter(o *parser.Declared, cycle []string) bool {
 	for _, name := range cycle {
-		other := c.routes[name]
+		other := c.places.Find(parser.Ref{Kind: parser.KindRoute, Name: name})
 		if other == nil || other == o {
 			continue
 		}
-		if other.Line > 0 && o.Line == 0 || (other.Line > 0) == (o.Line > 0) && name < start.Name {
-			return
+		if other.Line > 0 && o.Line == 0 {
+			return false
 		}
-	}
-	if len(cycle) == 0 {
-		return
-	}
-	c.report(o, "fallback", "the fallbacks form a cycle: "+strings.Join(append(cycle, start.Name), " → "),
-		"delete this fallback")
-}
-
-// findCycle returns the names of the cycle that the route is part of.
-func (c *check) findCycle(start *parser.Route) []string {
-	path := []string{start.Name}
-	seen := map[string]bool{}
-	for r := c.set.Routes[start.Fallback]; r != nil && !seen[r.Name]; r = c.set.Routes[r.Fallback] {
-		if r.Name == start.Name {
-			return path
+		if (other.Line > 0) == (o.Line > 0) && name < o.Object.Ref().Name {
+			return false
 		}
-		seen[r.Name] = true
-		path = append(path, r.Name)
 	}
-	return nil
+	return true
 }
--- a/pkg/commander/check.go
+++ b/pkg/commander/check.go
@@ -69,8 +69,5 @@
 		return nil, err
 	}
 	p := planEdits(base, declared, nil)
-	if err := p.validate(base.Set, p.result()); err != nil {
-		return err.(*parser.ProblemsError).Problems, nil //nolint:errorlint // validate returns no other error
-	}
-	return nil, nil
+	return p.problems(base.Set, p.result()), nil
 }
--- a/pkg/commander/plan.go
+++ b/pkg/commander/plan.go
@@ -100,9 +100,17 @@
 	return after
 }
 
-// validate checks the whole set that would be published. Objects that are not
-// declared in the files are reported as publishedObjects.
+// validate returns the problems of the set that would be published as an error.
 func (p *plan) validate(before, after *parser.Set) error {
+	if problems := p.problems(before, after); len(problems) > 0 {
+		return &parser.ProblemsError{Problems: problems}
+	}
+	return nil
+}
+
+// problems checks the whole set that would be published. Objects that are not
+// declared in the files are reported as publishedObjects.
+func (p *plan) problems(before, after *parser.Set) []parser.Problem {
 	places := map[parser.Ref]*parser.Declared{}
 	for _, o := range p.declared.Objects {
 		places[o.Object.Ref()] = o
@@ -118,11 +126,8 @@
 		d.Add(&declared)
 	}
 	problems := append(checker.Check(d), checker.CheckReplacement(before, d)...)
-	if len(problems) == 0 {
-		return nil
-	}
 	parser.SortProblems(problems)
-	return &parser.ProblemsError{Problems: problems}
+	return problems
 }
 
 // publish validates the plan and brings it into force.
--- a/pkg/parser/files.go
+++ b/pkg/parser/files.go
@@ -52,11 +52,13 @@
 	Objects []*Declared
 	// Problems were found while reading.
 	Problems []Problem
+
+	index map[Ref]*Declared
 }
 
 // NewDeclaration returns an empty declaration.
 func NewDeclaration() *Declaration {
-	return &Declaration{Set: NewSet()}
+	return &Declaration{Set: NewSet(), index: map[Ref]*Declared{}}
 }
 
 // Add adds the object, or a problem when its name is taken.
@@ -64,6 +66,7 @@
 	ref := o.Object.Ref()
 	if d.Set.Add(o.Object) {
 		d.Objects = append(d.Objects, o)
+		d.index[ref] = o
 		return
 	}
 	message := "the name is used twice"
@@ -78,12 +81,7 @@
 
 // Find returns the declared object, or nil.
 func (d *Declaration) Find(ref Ref) *Declared {
-	for _, o := range d.Objects {
-		if o.Object.Ref() == ref {
-			return o
-		}
-	}
-	return nil
+	return d.index[ref]
 }
 
 // PathError reports a path that cannot be read.
