Keep an accepted activation in progress until its result is reported

An agent accepts an activation and carries it out later, so that the controller gave the same order up to four times (seen in the demo). It now waits for the report.

A transfer without configured bounds could be slowed down to nothing, because the adaptive policy had no least rate and no increase by default; TestAdaptiveDefaultsKeepMoving.

--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -58,6 +58,8 @@
 	// Refused is told of requests that were refused before Serve, if set.
 	Refused func(id string, err *identifier.RequestError)
 
+	// EntriesValid is DefaultEntriesValid when 0.
+	EntriesValid time.Duration
 	// MaxBody and MaxRequests are the defaults when 0.
 	MaxBody     int64
 	MaxRequests int64
--- a/pkg/accepter/endpoints.go
+++ b/pkg/accepter/endpoints.go
@@ -17,9 +17,9 @@
 	"github.com/lentilbridge/lentilbridge/pkg/relayer"
 )
 
-// EntriesValid is how long a caller may use the list of entry daemons. A
-// leaving daemon serves until the last list that named it has expired.
-const EntriesValid = 30 * time.Second
+// DefaultEntriesValid is how long a caller may use the list of entry daemons.
+// A leaving daemon serves until the last list that named it has expired.
+const DefaultEntriesValid = 30 * time.Second
 
 // modelsRequest asks for the models of the key's team.
 type modelsRequest struct {
@@ -55,8 +55,8 @@
 }
 
 // Headers implements httptransport.Headerer.
-func (entriesAnswer) Headers() http.Header {
-	maxAge := "max-age=" + strconv.Itoa(int(EntriesValid.Seconds()))
+func (e entriesAnswer) Headers() http.Header {
+	maxAge := "max-age=" + strconv.Itoa(e.ValidForSeconds)
 	return http.Header{"Cache-Control": {maxAge}}
 }
 
@@ -127,7 +127,11 @@
 // entries lists the entry daemons that callers may use, those of this region
 // first. A leaving one is not named.
 func (a *Accepter) entries(context.Context, any) (any, error) {
-	answer := entriesAnswer{Entries: []entryAnswer{}, ValidForSeconds: int(EntriesValid.Seconds())}
+	valid := a.EntriesValid
+	if valid == 0 {
+		valid = DefaultEntriesValid
+	}
+	answer := entriesAnswer{Entries: []entryAnswer{}, ValidForSeconds: int(valid.Seconds())}
 	for _, e := range a.Entries(time.Now()) {
 		if e.GetLeaving() || e.GetPublicAddress() == "" {
 			continue
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -29,6 +29,8 @@
 	shortOrderTimeout = 5 * time.Second
 	// activateTimeout covers the drain of streams that are in progress.
 	activateTimeout = 15 * time.Minute
+	// reportWait covers the way of a report through the relays to this daemon.
+	reportWait = 3 * time.Second
 	// takeoverDelay is the time that a new holder of a shard waits for reports
 	// before it counts replicas, so that a replica that has not reported yet
 	// is not mistaken for one that is gone.
@@ -67,13 +69,19 @@
 type fleet struct {
 	epoch     uint64
 	heldSince time.Time
-	prepared  map[string]preparation
-	// ordered holds the VMs with an order in progress, by the order's kind.
-	ordered map[string]string
+	prepared  map[preparedKey]preparation
+	// ordered holds the VMs with an order in progress.
+	ordered map[string]orderState
 	// statuses holds the progress of each rollout of the fleet by name.
 	statuses map[string]*statusWriter
 }
 
+// preparedKey names a version on a VM.
+type preparedKey struct {
+	vm     string
+	digest string
+}
+
 // preparation is the last prepare order that a VM accepted.
 type preparation struct {
 	digest      string
@@ -152,8 +160,8 @@
 		state = &fleet{
 			epoch:     lease.Epoch,
 			heldSince: now,
-			prepared:  map[string]preparation{},
-			ordered:   map[string]string{},
+			prepared:  map[preparedKey]preparation{},
+			ordered:   map[string]orderState{},
 			statuses:  map[string]*statusWriter{},
 		}
 		c.fleets[name] = state
@@ -165,10 +173,11 @@
 	in := input{set: set, fleet: f, members: members, now: now}
 	in.target, in.rollout = set.DesiredVersion(f.Name)
 	c.mu.Lock()
+	settleOrders(state.ordered, members, now)
 	in.prepared, in.ordered = state.prepared, state.ordered
 	orders := decide(in)
 	for _, o := range orders {
-		state.ordered[o.vm] = o.kind()
+		state.ordered[o.vm] = orderState{kind: o.kind(), version: o.version(), name: o.subject, incarnation: o.incarnation}
 	}
 	c.mu.Unlock()
 	for _, o := range orders {
@@ -234,9 +243,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if pending := r.fleet.ordered[r.order.vm]; err == nil && pending.version != "" {
+		// The agent carries out an activation after it has accepted it, so the
+		// order stays in progress until the agent's reports show its result.
+		pending.acceptedAt = c.Now()
+		r.fleet.ordered[r.order.vm] = pending
+		return
+	}
 	delete(r.fleet.ordered, r.order.vm)
 	if _, isPrepare := r.order.action.(prepareAction); isPrepare && err == nil {
-		r.fleet.prepared[r.order.vm] = r.order.preparation
+		r.fleet.prepared[preparedKey{r.order.vm, r.order.preparation.digest}] = r.order.preparation
 	}
 }
 
@@ -269,6 +285,41 @@
 	return nil
 }
 
+// orderState is an order in progress. The version is set for activations.
+type orderState struct {
+	kind        string
+	version     string
+	name        string
+	incarnation string
+	acceptedAt  time.Time
+}
+
+// settleOrders forgets accepted activations whose result the agent reports:
+// the version is active, the order failed, or the agent has started anew. An
+// agent that neither switches nor fails within reportWait has lost the order.
+func settleOrders(ordered map[string]orderState, members []Replica, now time.Time) {
+	byVM := make(map[string]Replica, len(members))
+	for _, m := range members {
+		byVM[m.Replica.GetVm()] = m
+	}
+	for vm, o := range ordered {
+		if o.acceptedAt.IsZero() {
+			continue
+		}
+		m, found := byVM[vm]
+		state := m.Replica.GetState()
+		waited := now.Sub(o.acceptedAt)
+		switch {
+		case !found, m.Replica.GetIncarnation() != o.incarnation:
+		case m.Replica.GetVersion() == o.version && m.Replica.GetVersionName() == o.name && state == messenger.ReplicaState_REPLICA_STATE_READY:
+		case waited > reportWait && state != messenger.ReplicaState_REPLICA_STATE_SWITCHING:
+		default:
+			continue
+		}
+		delete(ordered, vm)
+	}
+}
+
 // LostLeaseError reports an order that was not sent because its lease ended.
 type LostLeaseError struct {
 	Shard string
--- a/pkg/controller/controller_test.go
+++ b/pkg/controller/controller_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilbridge/lentilbridge/pkg/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
@@ -23,19 +24,24 @@
 const (
 	transferTime = 2 * time.Second
 	switchTime   = time.Second
+	reportDelay  = 700 * time.Millisecond
 )
 
-// fleetFake is a fleet of agents that obey orders after a while.
+// fleetFake is a fleet of agents that obey orders after a while. What they
+// report arrives reportDelay later.
 type fleetFake struct {
 	mu       sync.Mutex
 	replicas map[string]*controller.Replica
+	reported map[string]controller.Replica
 	epochs   map[string]uint64
 	maxAway  int
 	orders   int
+	// activations counts the orders to activate by VM.
+	activations map[string]int
 }
 
 func newFleet(n int, version string) *fleetFake {
-	f := &fleetFake{replicas: map[string]*controller.Replica{}, epochs: map[string]uint64{}}
+	f := &fleetFake{replicas: map[string]*controller.Replica{}, reported: map[string]controller.Replica{}, epochs: map[string]uint64{}, activations: map[string]int{}}
 	for k := range n {
 		f.add(fmt.Sprintf("vm-%02d", k), version)
 	}
@@ -45,29 +51,55 @@
 func (f *fleetFake) add(vm, version string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.replicas[vm] = &controller.Replica{Replica: &messenger.Replica{
-		Vm: vm, Address: vm, Fleet: "drafting", Version: version,
+	r := &controller.Replica{Replica: &messenger.Replica{
+		Vm: vm, Address: vm, Fleet: "drafting", Version: version, VersionName: nameOf[version],
 		FailureDomain: "fd-" + vm[len(vm)-1:],
 		State:         messenger.ReplicaState_REPLICA_STATE_READY,
 	}}
+	f.replicas[vm] = r
+	f.reported[vm] = cloneView(r)
 }
 
+// nameOf maps the digests of the tests to version names.
+var nameOf = map[string]string{"d1": "draft-1", "d2": "draft-2"}
+
 func (f *fleetFake) remove(vm string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.replicas, vm)
+	delete(f.reported, vm)
 }
 
 func (f *fleetFake) view(time.Time) []controller.Replica {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []controller.Replica
-	for _, r := range f.replicas {
-		all = append(all, controller.Replica{Replica: cloneReplica(r.Replica), Transfers: r.Transfers})
+	for _, r := range f.reported {
+		all = append(all, r)
 	}
 	return all
 }
 
+// change applies a change to a replica, and to its report later.
+func (f *fleetFake) change(vm string, apply func(*controller.Replica)) {
+	f.mu.Lock()
+	r := f.replicas[vm]
+	if r == nil {
+		f.mu.Unlock()
+		return
+	}
+	apply(r)
+	f.noteAway()
+	report := cloneView(r)
+	f.mu.Unlock()
+	time.Sleep(reportDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replicas[vm] != nil {
+		f.reported[vm] = report
+	}
+}
+
 func (f *fleetFake) countVersion(version string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -80,6 +112,18 @@
 	return n
 }
 
+// noteAway counts the replicas that served a version and are not ready. A new
+// VM that loads its first version takes no capacity away.
+func (f *fleetFake) noteAway() {
+	away := 0
+	for _, r := range f.replicas {
+		if r.Replica.GetVersion() != "" && r.Replica.GetState() != messenger.ReplicaState_REPLICA_STATE_READY {
+			away++
+		}
+	}
+	f.maxAway = max(f.maxAway, away)
+}
+
 func (f *fleetFake) agent(address string) (messenger.AgentClient, error) {
 	return &agentFake{fleet: f, vm: address}, nil
 }
@@ -90,7 +134,7 @@
 	vm    string
 }
 
-func (a *agentFake) Order(ctx context.Context, req *messenger.OrderRequest, _ ...grpc.CallOption) (*messenger.OrderReply, error) {
+func (a *agentFake) Order(_ context.Context, req *messenger.OrderRequest, _ ...grpc.CallOption) (*messenger.OrderReply, error) {
 	f := a.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,59 +144,45 @@
 		return &messenger.OrderReply{HighestEpoch: known, Error: "old epoch"}, nil
 	}
 	f.epochs[a.vm] = req.GetFence().GetEpoch()
-	r := f.replicas[a.vm]
-	if r == nil {
+	if f.replicas[a.vm] == nil {
 		return nil, fmt.Errorf("VM %q is gone", a.vm)
 	}
-	switch o := req.GetOrder().(type) {
-	case *messenger.OrderRequest_Prepare:
-		if len(r.Transfers) == 0 {
-			t := &transferFake{fleet: f, vm: a.vm, digest: o.Prepare.GetVersion().GetDigest()}
-			go t.run(ctx)
-		}
-	case *messenger.OrderRequest_Activate:
-		r.Replica.State = messenger.ReplicaState_REPLICA_STATE_SWITCHING
-		f.noteAway()
-		f.mu.Unlock()
-		time.Sleep(switchTime)
-		f.mu.Lock()
-		r.Replica.Version = o.Activate.GetVersion().GetDigest()
-		r.Replica.State = messenger.ReplicaState_REPLICA_STATE_READY
+	if req.GetActivate() != nil {
+		f.activations[a.vm]++
 	}
+	go (&orderFake{fleet: f, vm: a.vm, request: req}).run()
 	return &messenger.OrderReply{Accepted: true, HighestEpoch: req.GetFence().GetEpoch()}, nil
 }
 
-// noteAway counts the replicas that served a version and are not ready. A new
-// VM that loads its first version takes no capacity away.
-func (f *fleetFake) noteAway() {
-	away := 0
-	for _, r := range f.replicas {
-		if r.Replica.GetVersion() != "" && r.Replica.GetState() != messenger.ReplicaState_REPLICA_STATE_READY {
-			away++
-		}
-	}
-	f.maxAway = max(f.maxAway, away)
-}
-
-type transferFake struct {
-	fleet      *fleetFake
-	vm, digest string
+// orderFake carries out one accepted order.
+type orderFake struct {
+	fleet   *fleetFake
+	vm      string
+	request *messenger.OrderRequest
 }
 
-func (t *transferFake) run(context.Context) {
-	time.Sleep(transferTime)
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	if r := t.fleet.replicas[t.vm]; r != nil {
-		r.Transfers = []*messenger.Transfer{{Digest: t.digest, Complete: true}}
+func (o *orderFake) run() {
+	switch order := o.request.GetOrder().(type) {
+	case *messenger.OrderRequest_Prepare:
+		time.Sleep(transferTime)
+		o.fleet.change(o.vm, func(r *controller.Replica) {
+			r.Transfers = []*messenger.Transfer{{Digest: order.Prepare.GetVersion().GetDigest(), Complete: true}}
+		})
+	case *messenger.OrderRequest_Activate:
+		o.fleet.change(o.vm, func(r *controller.Replica) {
+			r.Replica.State = messenger.ReplicaState_REPLICA_STATE_SWITCHING
+		})
+		time.Sleep(switchTime)
+		o.fleet.change(o.vm, func(r *controller.Replica) {
+			r.Replica.Version = order.Activate.GetVersion().GetDigest()
+			r.Replica.VersionName = order.Activate.GetVersion().GetName()
+			r.Replica.State = messenger.ReplicaState_REPLICA_STATE_READY
+		})
 	}
 }
 
-func cloneReplica(r *messenger.Replica) *messenger.Replica {
-	return &messenger.Replica{
-		Vm: r.GetVm(), Address: r.GetAddress(), Fleet: r.GetFleet(), Version: r.GetVersion(),
-		FailureDomain: r.GetFailureDomain(), State: r.GetState(),
-	}
+func cloneView(r *controller.Replica) controller.Replica {
+	return controller.Replica{Replica: proto.Clone(r.Replica).(*messenger.Replica), Transfers: r.Transfers}
 }
 
 // leaseFake is the lease that several controllers believe in.
@@ -198,15 +228,16 @@
 // when a VM or the controlling daemon dies, or leaves out a new VM.
 func TestRolloutReachesEveryReplica(t *testing.T) {
 	tests := []struct {
-		name   string
-		during func(*fleetFake, *leaseFake)
+		name        string
+		activations int
+		during      func(*fleetFake, *leaseFake)
 	}{
-		{"undisturbed", func(*fleetFake, *leaseFake) {}},
-		{"a VM dies and another one comes", func(f *fleetFake, _ *leaseFake) {
+		{"undisturbed", 1, func(*fleetFake, *leaseFake) {}},
+		{"a VM dies and another one comes", 1, func(f *fleetFake, _ *leaseFake) {
 			f.remove("vm-03")
 			f.add("vm-99", "")
 		}},
-		{"the controlling daemon is replaced", func(_ *fleetFake, l *leaseFake) { l.take("entry-2") }},
+		{"the controlling daemon is replaced", 2, func(_ *fleetFake, l *leaseFake) { l.take("entry-2") }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -224,6 +255,9 @@
 				test.during(fleet, leases)
 				time.Sleep(time.Minute)
 				c.Assert(fleet.countVersion("d2"), qt.Equals, 8)
+				for vm, n := range fleet.activations {
+					c.Assert(n <= test.activations, qt.IsTrue, qt.Commentf("%s was ordered to activate %d times", vm, n))
+				}
 				c.Assert(fleet.maxAway <= 2, qt.IsTrue, qt.Commentf("%d replicas away at once", fleet.maxAway))
 				stored, err := api.Get(ctx, "rollouts/to-draft-2")
 				c.Assert(err, qt.IsNil)
--- a/pkg/controller/decide.go
+++ b/pkg/controller/decide.go
@@ -22,8 +22,8 @@
 	target   *parser.ModelVersion
 	rollout  *parser.Rollout
 	members  []Replica
-	prepared map[string]preparation
-	ordered  map[string]string
+	prepared map[preparedKey]preparation
+	ordered  map[string]orderState
 	now      time.Time
 }
 
@@ -60,6 +60,7 @@
 type order struct {
 	vm           string
 	address      string
+	incarnation  string
 	subject      string
 	reason       string
 	alternatives []string
@@ -101,7 +102,7 @@
 	var orders []order
 	var waiting []Replica
 	for _, m := range members {
-		if m.Suspect || in.ordered[m.Replica.GetVm()] != "" || m.Replica.GetState() == messenger.ReplicaState_REPLICA_STATE_DRAINING {
+		if m.Suspect || in.isOrdered(m) || m.Replica.GetState() == messenger.ReplicaState_REPLICA_STATE_DRAINING {
 			continue
 		}
 		target := in.targetOf(m)
@@ -109,7 +110,7 @@
 			continue
 		}
 		if m.Replica.GetVersion() == target.Digest {
-			if o, ok := in.followUp(m, target); ok {
+			if o, ok := in.followUp(m, target, peers); ok {
 				orders = append(orders, o)
 			}
 			continue
@@ -125,6 +126,19 @@
 	return append(orders, in.activate(members, waiting)...)
 }
 
+func (in input) isOrdered(m Replica) bool {
+	_, ordered := in.ordered[m.Replica.GetVm()]
+	return ordered
+}
+
+// version is the digest that an activation leads to; empty for other orders.
+func (o order) version() string {
+	if a, ok := o.action.(activateAction); ok {
+		return a.version.Digest
+	}
+	return ""
+}
+
 // targetOf returns the version that a replica is to run. While a rollout is
 // paused, replicas keep what they run, and new ones take the fleet's own
 // version.
@@ -148,10 +162,10 @@
 		peers:       hashPeers(peers),
 		at:          in.now,
 	}
-	last, ordered := in.prepared[vm]
+	last, ordered := in.prepared[preparedKey{vm, target.Digest}]
 	reason := "version wanted"
 	switch {
-	case !ordered || last.digest != wanted.digest || last.incarnation != wanted.incarnation:
+	case !ordered || last.incarnation != wanted.incarnation:
 	case last.peers != wanted.peers:
 		reason = "peers changed"
 	case transferOf(m, target.Digest) == nil && in.now.Sub(last.at) > prepareAgain:
@@ -166,6 +180,7 @@
 	return order{
 		vm:          vm,
 		address:     m.Replica.GetAddress(),
+		incarnation: m.Replica.GetIncarnation(),
 		subject:     target.Name,
 		reason:      reason,
 		action:      prepareAction{version: target, policy: policy, peers: peers},
@@ -216,6 +231,7 @@
 	return order{
 		vm:           m.Replica.GetVm(),
 		address:      m.Replica.GetAddress(),
+		incarnation:  m.Replica.GetIncarnation(),
 		subject:      target.Name,
 		reason:       reason,
 		alternatives: alternatives,
@@ -225,13 +241,24 @@
 }
 
 // followUp frees versions that are no longer needed and loads adapters.
-func (in input) followUp(m Replica, target *parser.ModelVersion) (order, bool) {
-	o := order{vm: m.Replica.GetVm(), address: m.Replica.GetAddress()}
+func (in input) followUp(m Replica, target *parser.ModelVersion, peers []*messenger.Peer) (order, bool) {
+	o := order{vm: m.Replica.GetVm(), address: m.Replica.GetAddress(), incarnation: m.Replica.GetIncarnation()}
+	if m.Replica.GetVersionName() != target.Name && m.Replica.GetState() == messenger.ReplicaState_REPLICA_STATE_READY {
+		o.subject, o.reason = target.Name, "active under another name"
+		o.action = activateAction{version: target}
+		return o, true
+	}
 	for _, name := range in.fleet.Adapters {
 		a := in.set.Adapters[name]
 		if a == nil || a.Version != target.Name || slices.Contains(m.Replica.GetAdapters(), name) {
 			continue
 		}
+		if !transferOf(m, a.Digest).GetComplete() {
+			if prepare, ok := in.prepare(m, adapterVersion(a, target.Model), peers); ok {
+				return prepare, true
+			}
+			continue
+		}
 		o.subject, o.reason = name, "adapter of the fleet"
 		o.action = adapterAction{adapter: a, model: target.Model}
 		return o, true
@@ -263,7 +290,7 @@
 // isAway reports a replica that serves a version in normal times and is not
 // available now.
 func (in input) isAway(m Replica) bool {
-	switch in.ordered[m.Replica.GetVm()] {
+	switch in.ordered[m.Replica.GetVm()].kind {
 	case kindSwitch:
 		return true
 	case kindActivate:
@@ -276,6 +303,12 @@
 	return m.Suspect
 }
 
+// adapterVersion describes an adapter for its transfer, which is that of a
+// small version.
+func adapterVersion(a *parser.Adapter, model string) *parser.ModelVersion {
+	return &parser.ModelVersion{Name: a.Name, Model: model, Digest: a.Digest, Source: a.Source, SizeBytes: a.SizeBytes}
+}
+
 func (in input) maxUnavailable() int {
 	if in.rollout != nil && in.rollout.MaxUnavailable > 0 {
 		return in.rollout.MaxUnavailable
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -74,6 +74,11 @@
 const (
 	DefaultDecrease  = 0.7
 	DefaultTolerance = 1.1
+	// DefaultMinShare of the largest rate keeps a transfer moving on a VM whose
+	// requests are late for another reason.
+	DefaultMinShare = 0.1
+	// DefaultIncreaseShare of the largest rate is added each second.
+	DefaultIncreaseShare = 0.1
 	// DefaultMaxBytesPerSecond is a link of 10 Gbit/s. A finite bound is
 	// needed, because an infinite rate cannot be lowered by a factor.
 	DefaultMaxBytesPerSecond = 1.25e9
@@ -242,6 +247,12 @@
 	if a.MaxBytesPerSecond <= 0 {
 		a.MaxBytesPerSecond = DefaultMaxBytesPerSecond
 	}
+	if a.MinBytesPerSecond <= 0 {
+		a.MinBytesPerSecond = a.MaxBytesPerSecond * DefaultMinShare
+	}
+	if a.Increase <= 0 {
+		a.Increase = a.MaxBytesPerSecond * DefaultIncreaseShare
+	}
 	return a
 }
 
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -115,3 +115,19 @@
 		})
 	}
 }
+
+// Guards against an adaptive policy without settings that comes to a stop or
+// never speeds up again: a transfer once stalled in the middle of a rollout.
+func TestAdaptiveDefaultsKeepMoving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: limiter.Adaptive{MaxBytesPerSecond: 10 * megabyte}}
+		for range 50 {
+			l.ObserveFirstToken(100*time.Millisecond, time.Now())
+		}
+		observe(c, l, time.Second, 30*time.Second)
+		c.Assert(l.Rate(limiter.Download), qt.Equals, megabyte)
+		observe(c, l, 100*time.Millisecond, 30*time.Second)
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 10*megabyte)
+	})
+}
--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -168,6 +168,7 @@
 		Region: d.cfg.Region, Config: d.configuration.Current, Entries: d.membership.Entries, Picker: d.picker,
 		Dial: d.agents.Dial, Claims: d.claims, Isolation: d.isolation,
 		Metrics: recorder.ExpvarMetrics(), Counters: forwarder.NewCounters(recorder.Counter), Log: d.log,
+		EntriesValid: d.cfg.EntriesValid, MaxBody: d.cfg.MaxBodyBytes,
 	}
 }
 
--- a/pkg/router/leave.go
+++ b/pkg/router/leave.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/lentilbridge/lentilbridge/pkg/accepter"
 )
 
 // propagation is the time until no other daemon names this one any more.
@@ -19,7 +17,7 @@
 func (d *daemon) leave(public *http.Server) error {
 	d.log.Info("entry daemon leaves")
 	d.membership.Leave()
-	time.Sleep(accepter.EntriesValid + propagation)
+	time.Sleep(d.cfg.EntriesValid + propagation)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
 	defer cancel()
 	err := public.Shutdown(ctx)
--- a/pkg/router/requests.go
+++ b/pkg/router/requests.go
@@ -33,6 +33,9 @@
 	Metrics   *recorder.Metrics
 	Counters  *forwarder.Counters
 	Log       *logger.Logger
+	// EntriesValid and MaxBody are the accepter's defaults when 0.
+	EntriesValid time.Duration
+	MaxBody      int64
 
 	identifier *identifier.Identifier
 	admitter   *admitter.Admitter
@@ -55,6 +58,7 @@
 	a := &accepter.Accepter{
 		Region: r.Region, Config: r.Config, Entries: r.Entries,
 		Identify: r.identifier, Serve: r.serve, Refused: r.refused,
+		EntriesValid: r.EntriesValid, MaxBody: r.MaxBody,
 	}
 	return a.Handler()
 }
--- a/pkg/router/settings.go
+++ b/pkg/router/settings.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
+
+	"github.com/lentilbridge/lentilbridge/pkg/accepter"
 )
 
 // settings are the checked settings of an entry daemon.
@@ -27,6 +29,7 @@
 	Seeds            []string
 	OriginRegion     string
 	DrainTimeout     time.Duration
+	EntriesValid     time.Duration
 	LogLevel         string
 	MaxBodyBytes     int64
 	MaxTransferBytes uint64
@@ -73,6 +76,7 @@
 	flags.StringVar(&seeds, "seeds", "", "gRPC `addresses` of other entry daemons, separated by commas")
 	flags.StringVar(&cfg.OriginRegion, "origin-region", "", "`region` of the origin of weights; --region when empty")
 	flags.DurationVar(&cfg.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` that a stop waits for requests in progress")
+	flags.DurationVar(&cfg.EntriesValid, "entries-valid", accepter.DefaultEntriesValid, "`time` that callers may use an answer of /v1/entries")
 	flags.StringVar(&cfg.LogLevel, "log-level", "info", "debug, info, warn or error")
 	flags.Int64Var(&cfg.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in `bytes`")
 	flags.Uint64Var(&cfg.MaxTransferBytes, "max-transfer-bytes", 0, "weight transfer limit for each VM in `bytes/s`; 0 leaves it to the agents")
@@ -134,6 +138,9 @@
 			return &SettingError{Flag: u.flag, Value: u.value, Advice: "give a URL, for example http://10.0.0.2:7000"}
 		}
 	}
+	if cfg.EntriesValid < time.Second || cfg.EntriesValid > time.Hour {
+		return &SettingError{Flag: "entries-valid", Value: cfg.EntriesValid.String(), Advice: "give 1s to 1h"}
+	}
 	if cfg.DrainTimeout < 0 {
 		return &SettingError{Flag: "drain-timeout", Value: cfg.DrainTimeout.String(), Advice: "give 0s or more"}
 	}
--- a/tools/demo/load.go
+++ b/tools/demo/load.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -265,7 +266,8 @@
 	if err == nil {
 		return
 	}
-	if _, isWrong := err.(*wrongAnswerError); isWrong {
+	var wrong *wrongAnswerError
+	if errors.As(err, &wrong) {
 		o.wrong++
 	}
 	if len(o.examples) < 5 {
--- a/tools/demo/process.go
+++ b/tools/demo/process.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(p.path, p.args...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
--- a/tools/demo/system.go
+++ b/tools/demo/system.go
@@ -175,6 +175,7 @@
 			"--vm-list", s.vmList,
 			"--seeds", s.seeds(),
 			"--origin-region", s.opts.OriginRegion,
+			"--entries-valid", "2s",
 		); err != nil {
 			return err
 		}
