--- a/tools/demo/load.go
+++ b/tools/demo/load.go
@@ -28,12 +28,14 @@
 // load sends requests at a fixed rate, whether or not earlier ones have been
 // answered, and checks every answer to the last token.
 type load struct {
-	system   *system
-	route    string
-	service  string
-	team     string
-	rate     float64
-	versions map[string]string // version name to digest
+	system  *system
+	route   string
+	service string
+	// callers and recorders are teams, each as often as its weight.
+	callers   []string
+	recorders []string
+	rate      float64
+	versions  map[string]string // version name to digest
 
 	mu         sync.Mutex
 	outcomes   outcomes
@@ -115,7 +117,7 @@
 		return "", "", err
 	}
 	started := time.Now()
-	resp, err := c.post(ctx, "/v1/completions", body, nil)
+	resp, err := c.post(ctx, c.team(c.load.callers), "/v1/completions", body, nil)
 	if err != nil {
 		return "unknown", "", err
 	}
@@ -149,7 +151,7 @@
 func (c *call) record(ctx context.Context) (string, error) {
 	key := fmt.Sprintf("demo-%d", c.number)
 	header := http.Header{"Idempotency-Key": {key}}
-	resp, err := c.post(ctx, "/services/"+c.load.service+"/records", []byte("order "+key), header)
+	resp, err := c.post(ctx, c.team(c.load.recorders), "/services/"+c.load.service+"/records", []byte("order "+key), header)
 	if err != nil {
 		return "unknown", err
 	}
@@ -171,7 +173,13 @@
 	return outcome, nil
 }
 
-func (c *call) post(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
+// team picks the team that sends this request.
+func (c *call) team(teams []string) string {
+	random := rand.New(rand.NewPCG(c.load.system.opts.Seed+1, uint64(c.number)))
+	return teams[random.IntN(len(teams))]
+}
+
+func (c *call) post(ctx context.Context, team, path string, body []byte, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.ip+":8080"+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -179,7 +187,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	req.Header.Set("Authorization", "Bearer "+keyOf(c.load.team))
+	req.Header.Set("Authorization", "Bearer "+c.load.system.keyOf(team))
 	req.Header.Set("Content-Type", "application/json")
 	return http.DefaultClient.Do(req)
 }
--- a/tools/demo/objects.go
+++ b/tools/demo/objects.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,8 +75,7 @@
 	return names
 }
 
-// resolveDigests writes the digests of the generated weights and the API keys
-// of this run into the objects.
+// resolveDigests writes the digests of the generated weights into the objects.
 func (s *system) resolveDigests(ctx context.Context) error {
 	for _, v := range s.set.ModelVersions {
 		digest, err := s.manifestDigest(ctx, v.Source)
@@ -96,10 +93,6 @@
 		a.Digest = digest
 		a.SizeBytes = s.opts.WeightBytes / 16
 	}
-	for _, t := range s.set.Teams {
-		sum := sha256.Sum256([]byte(keyOf(t.Name)))
-		t.KeyDigests = []string{hex.EncodeToString(sum[:])}
-	}
 	return nil
 }
 
@@ -111,9 +104,9 @@
 	return verifier.Sum(body), nil
 }
 
-// keyOf is the API key of a team in this run.
-func keyOf(team string) string {
-	return "demo-key-of-" + team
+// keyOf is the API key of a team in the examples.
+func (s *system) keyOf(team string) string {
+	return s.opts.Deployment + "-" + team
 }
 
 // baseObjects returns the objects without rollouts.
--- a/tools/demo/story.go
+++ b/tools/demo/story.go
@@ -109,11 +109,16 @@
 		}
 	}
 	for _, team := range s.set.Teams {
-		better := l.team == "" || team.Weight > s.set.Teams[l.team].Weight
-		if len(team.Routes) == 0 && len(team.Services) == 0 && better {
-			l.team = team.Name
+		weighted := slices.Repeat([]string{team.Name}, team.Weight)
+		if len(team.Routes) == 0 || slices.Contains(team.Routes, l.route) {
+			l.callers = append(l.callers, weighted...)
+		}
+		if len(team.Services) == 0 || slices.Contains(team.Services, l.service) {
+			l.recorders = append(l.recorders, weighted...)
 		}
 	}
+	slices.Sort(l.callers)
+	slices.Sort(l.recorders)
 	for name, v := range s.set.ModelVersions {
 		l.versions[name] = v.Digest
 	}
@@ -132,7 +137,7 @@
 	request := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"Draft a mould specification"}],"max_tokens":8,"stream":%%t}`, l.route)
 	for _, stream := range []bool{false, true} {
 		c := &call{load: l, entry: entry}
-		resp, err := c.post(ctx, "/v1/chat/completions", fmt.Appendf(nil, request, stream), nil)
+		resp, err := c.post(ctx, c.team(l.callers), "/v1/chat/completions", fmt.Appendf(nil, request, stream), nil)
 		if err != nil {
 			return err
 		}
@@ -231,12 +236,14 @@
 	if err != nil {
 		return nil, err
 	}
-	var stats map[string]emulator.WeightsStats
+	var stats struct {
+		Sources map[string]emulator.WeightsStats `json:"sources"`
+	}
 	if err := json.Unmarshal(body, &stats); err != nil {
 		return nil, err
 	}
 	read := map[string]int64{}
-	for source, st := range stats {
+	for source, st := range stats.Sources {
 		read[source] = st.DataBytes
 	}
 	return read, nil
