--- /dev/null
+++ b/pkg/broadcaster/broadcaster_test.go
@@ -0,0 +1,312 @@
+package broadcaster_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/kit/metrics/generic"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+var errFake = errors.New("injected fault")
+
+// fakeHead is the head of the object API: a revision and the version of the
+// object. Watches follow the rules of adapter.ObjectAPI.
+type fakeHead struct {
+	adapter.ObjectAPI
+
+	mu       sync.Mutex
+	revision uint64
+	version  uint64
+	down     bool
+	gap      bool
+	replay   bool
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+func newFakeHead(revision uint64) *fakeHead {
+	return &fakeHead{revision: revision, version: 10, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (f *fakeHead) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeHead) publish(revision uint64) {
+	f.set(func() { f.revision, f.version = revision, f.version+1 })
+}
+
+func (f *fakeHead) count(operations ...string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, operation := range operations {
+		n += f.calls[operation]
+	}
+	return n
+}
+
+func (f *fakeHead) enter(operation string) error {
+	f.calls[operation]++
+	if f.down {
+		return &adapter.UnavailableError{Operation: operation, Key: broadcaster.HeadKey, Cause: errFake}
+	}
+	return nil
+}
+
+func (f *fakeHead) load(context.Context) (*parser.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("load"); err != nil {
+		return nil, err
+	}
+	return &parser.Revision{Number: f.revision, Set: parser.NewSet()}, nil
+}
+
+func (f *fakeHead) Get(context.Context, string) (adapter.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("get"); err != nil {
+		return adapter.Object{}, err
+	}
+	return adapter.Object{Key: broadcaster.HeadKey, Version: f.version}, nil
+}
+
+func (f *fakeHead) Watch(ctx context.Context, prefix string, after uint64) ([]adapter.Change, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for {
+		if err := f.enter("watch"); err != nil {
+			return nil, 0, err
+		}
+		if f.gap {
+			return nil, 0, &adapter.GapError{Prefix: prefix, After: after}
+		}
+		if f.replay {
+			// Every event since the beginning comes again.
+			var changes []adapter.Change
+			for version := uint64(1); version <= f.version; version++ {
+				changes = append(changes, adapter.Change{Object: adapter.Object{Key: prefix, Version: version}})
+			}
+			return changes, 1, nil
+		}
+		if f.version > after {
+			return []adapter.Change{{Object: adapter.Object{Key: prefix, Version: f.version}}}, f.version, nil
+		}
+		changed := f.changed
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		f.mu.Lock()
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// peers gives clients of other broadcasters by address.
+type peers map[string]*broadcaster.Broadcaster
+
+type peerClient struct {
+	messenger.EntryClient
+	peer *broadcaster.Broadcaster
+}
+
+func (p peers) client(address string) (messenger.EntryClient, error) {
+	return &peerClient{peer: p[address]}, nil
+}
+
+func (c *peerClient) Revision(ctx context.Context, req *messenger.RevisionRequest, _ ...grpc.CallOption) (*messenger.RevisionReply, error) {
+	if c.peer == nil {
+		return nil, status.Error(codes.Unavailable, "no connection")
+	}
+	return c.peer.Revision(ctx, req)
+}
+
+func encode(r *parser.Revision) ([]byte, error) {
+	return binary.BigEndian.AppendUint64(nil, r.Number), nil
+}
+
+func decode(b []byte) (*parser.Revision, error) {
+	return &parser.Revision{Number: binary.BigEndian.Uint64(b), Set: parser.NewSet()}, nil
+}
+
+type daemon struct {
+	*broadcaster.Broadcaster
+	stop  context.CancelFunc
+	done  chan struct{}
+	lower *generic.Counter
+}
+
+func (d *daemon) run(ctx context.Context) {
+	defer close(d.done)
+	_ = d.Run(ctx)
+}
+
+func start(t *testing.T, head *fakeHead, relay bool, known peers) *daemon {
+	ctx, cancel := context.WithCancel(t.Context())
+	d := &daemon{stop: cancel, done: make(chan struct{}), lower: generic.NewCounter("lower")}
+	d.Broadcaster = &broadcaster.Broadcaster{
+		API: head, Load: head.load, Encode: encode, Decode: decode, Client: known.client,
+		IsRelay:        func(time.Time) bool { return relay },
+		LowerRevisions: d.lower,
+		Peers: func(time.Time) (addresses []string) {
+			for address := range known {
+				addresses = append(addresses, address)
+			}
+			return addresses
+		},
+	}
+	go d.run(ctx)
+	return d
+}
+
+func (d *daemon) end() {
+	d.stop()
+	<-d.done
+}
+
+// Guards against a daemon that reverts to a lower head, silently.
+func TestLowerHeadIsRefusedWithAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeHead(5)
+		d := start(t, head, true, nil)
+		time.Sleep(time.Second)
+		c.Assert(d.Number(), qt.Equals, uint64(5))
+		head.publish(3)
+		time.Sleep(5 * time.Second)
+		c.Assert(d.Number(), qt.Equals, uint64(5))
+		c.Assert(d.lower.Value() >= 1, qt.IsTrue)
+		c.Assert(d.Status().Lower, qt.Equals, uint64(3))
+		head.publish(6)
+		time.Sleep(time.Second)
+		c.Assert(d.Number(), qt.Equals, uint64(6))
+		d.end()
+	})
+}
+
+// Guards against a missed revision after a gap, and against a call for each
+// old event that a watch replays.
+func TestWatchWithGapAndReplay(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *fakeHead)
+	}{
+		{"gap", func(f *fakeHead) { f.gap = true }},
+		{"replay", func(f *fakeHead) { f.replay = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				head := newFakeHead(1)
+				d := start(t, head, true, nil)
+				time.Sleep(time.Second)
+				head.set(func() { test.fault(head) })
+				before := head.count("load", "get", "watch")
+				for revision := uint64(2); revision < 12; revision++ {
+					head.publish(revision)
+					time.Sleep(4 * time.Second)
+					c.Assert(d.Number(), qt.Equals, revision)
+				}
+				c.Assert(head.count("load") < 60, qt.IsTrue, qt.Commentf("%d loads", head.count("load")))
+				c.Assert(head.count("load", "get", "watch")-before < 400, qt.IsTrue)
+				d.end()
+			})
+		})
+	}
+}
+
+// Guards against a daemon without configuration because the object API is
+// down when it starts, and against one that stays behind its peers.
+func TestStartsFromPeersAndPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeHead(7)
+		running := start(t, head, true, nil)
+		time.Sleep(time.Second)
+		down := newFakeHead(7)
+		down.set(func() { down.down = true })
+		known := peers{"dead:1": nil, "running:1": running.Broadcaster}
+		fresh := start(t, down, false, known)
+		time.Sleep(30 * time.Second)
+		c.Assert(fresh.Number(), qt.Equals, uint64(7))
+
+		head.publish(8)
+		time.Sleep(time.Second)
+		before := down.count("load", "get", "watch")
+		fresh.Hear(8, "running:1")
+		time.Sleep(time.Second)
+		c.Assert(fresh.Number(), qt.Equals, uint64(8))
+		c.Assert(down.count("load", "get", "watch"), qt.Equals, before)
+
+		// The peer that named the revision is gone; another one has it.
+		head.publish(9)
+		time.Sleep(time.Second)
+		fresh.Hear(9, "dead:1")
+		time.Sleep(time.Minute)
+		c.Assert(fresh.Number(), qt.Equals, uint64(9))
+		running.end()
+		fresh.end()
+	})
+}
+
+// Guards against relays that call in a tight loop while the object API is
+// down for an hour, and that miss what was published when it returns.
+func TestOutageOfAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeHead(1)
+		d := start(t, head, true, nil)
+		time.Sleep(time.Second)
+		head.set(func() { head.down = true })
+		before := head.count("load", "get", "watch")
+		time.Sleep(time.Hour)
+		calls := head.count("load", "get", "watch") - before
+		c.Assert(calls < 3600/4, qt.IsTrue, qt.Commentf("%d calls", calls))
+		c.Assert(d.Number(), qt.Equals, uint64(1))
+		c.Assert(d.Status().Watching, qt.IsFalse)
+		head.set(func() { head.down = false })
+		head.publish(2)
+		before = head.count("load", "get", "watch")
+		time.Sleep(20 * time.Second)
+		c.Assert(d.Number(), qt.Equals, uint64(2))
+		c.Assert(d.Status().Watching, qt.IsTrue)
+		c.Assert(head.count("load", "get", "watch")-before < 10, qt.IsTrue)
+		d.end()
+	})
+}
+
+// Guards against watches of daemons that are not relays.
+func TestOnlyRelaysWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeHead(1)
+		d := start(t, head, false, nil)
+		time.Sleep(time.Minute)
+		c.Assert(d.Number(), qt.Equals, uint64(1))
+		c.Assert(head.count("watch", "get"), qt.Equals, 0)
+		c.Assert(head.count("load"), qt.Equals, 1)
+		d.end()
+	})
+}
--- /dev/null
+++ b/pkg/reporter/reporter_test.go
@@ -0,0 +1,218 @@
+package reporter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/leaser"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/reporter"
+)
+
+type holder struct {
+	*reporter.Reporter
+	done chan struct{}
+	stop context.CancelFunc
+}
+
+func (h *holder) run(ctx context.Context) {
+	defer close(h.done)
+	_ = h.Run(ctx)
+}
+
+func start(t *testing.T, objects *fakeObjects, held func() (leaser.Lease, bool)) *holder {
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &holder{
+		Reporter: &reporter.Reporter{
+			API: objects, Regions: []string{"north"},
+			Held: func(string, time.Time) (leaser.Lease, bool) { return held() },
+		},
+		done: make(chan struct{}),
+	}
+	h.stop = cancel
+	go h.run(ctx)
+	return h
+}
+
+func always() (leaser.Lease, bool) { return leaser.Lease{Shard: "status-north", Epoch: 1}, true }
+
+func status(vm string, sequence uint64, orderError string) *messenger.DaemonStatus {
+	return &messenger.DaemonStatus{
+		Vm: vm, Role: "agent", Region: "north", Sequence: sequence, LastOrderError: orderError,
+		Replica: &messenger.Replica{Vm: vm, State: messenger.ReplicaState_REPLICA_STATE_READY},
+	}
+}
+
+type document struct {
+	Parts   int `json:"parts"`
+	Daemons []struct {
+		VM             string `json:"vm"`
+		State          string `json:"state"`
+		LastOrderError string `json:"last-order-error"`
+	} `json:"daemons"`
+}
+
+func documents(t *testing.T, objects *fakeObjects) []document {
+	found, err := objects.List(t.Context(), "status/north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []document
+	for _, o := range found {
+		var doc document
+		if err := json.Unmarshal(o.Value, &doc); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, doc)
+	}
+	return all
+}
+
+func (f *fakeObjects) writes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls["create"] + f.calls["update"]
+}
+
+// Guards against a write for each status, and against a status that is older
+// than one that was known at the write.
+func TestOneWriteASecondWithTheLatest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		objects := newFakeObjects()
+		h := start(t, objects, always)
+		for i := range 600 {
+			h.Put(status("vm-1", uint64(i), fmt.Sprint(i)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		c.Assert(objects.writes() <= 33, qt.IsTrue, qt.Commentf("%d writes", objects.writes()))
+		docs := documents(t, objects)
+		c.Assert(docs, qt.HasLen, 1)
+		c.Assert(docs[0].Daemons, qt.HasLen, 1)
+		c.Assert(docs[0].Daemons[0].LastOrderError, qt.Equals, "599")
+		c.Assert(docs[0].Daemons[0].State, qt.Equals, "ready")
+		h.stop()
+		<-h.done
+	})
+}
+
+// Guards against an object above the limit of the object API, and against
+// parts that stay after the region has shrunk.
+func TestLargeRegionIsSplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		objects := newFakeObjects()
+		h := start(t, objects, always)
+		long := strings.Repeat("x", 500)
+		for range 3 {
+			for i := range 5000 {
+				h.Put(status(fmt.Sprintf("vm-%d", i), 1, long))
+			}
+			time.Sleep(10 * time.Second)
+		}
+		docs := documents(t, objects)
+		vms := map[string]bool{}
+		for _, doc := range docs {
+			c.Assert(doc.Parts, qt.Equals, len(docs))
+			for _, d := range doc.Daemons {
+				vms[d.VM] = true
+			}
+		}
+		c.Assert(len(docs) > 2, qt.IsTrue)
+		c.Assert(vms, qt.HasLen, 5000)
+		for _, o := range objects.objects {
+			c.Assert(len(o.Value) < 901_000, qt.IsTrue, qt.Commentf("%s: %d", o.Key, len(o.Value)))
+		}
+		for range 12 {
+			h.Put(status("vm-1", 2, ""))
+			time.Sleep(10 * time.Second)
+		}
+		docs = documents(t, objects)
+		c.Assert(docs, qt.HasLen, 1)
+		c.Assert(docs[0].Daemons, qt.HasLen, 1)
+		h.stop()
+		<-h.done
+	})
+}
+
+// Guards against a former holder that overwrites its successor's object, and
+// against a successor that drops the daemons it has not heard yet.
+func TestSuccessorKeepsStatusAndFormerHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		objects := newFakeObjects()
+		epoch := make(chan uint64, 1)
+		epoch <- 1
+		current := func(mine uint64) func() (leaser.Lease, bool) {
+			return func() (leaser.Lease, bool) {
+				e := <-epoch
+				epoch <- e
+				return leaser.Lease{Epoch: e}, e == mine
+			}
+		}
+		first := start(t, objects, current(1))
+		second := start(t, objects, current(2))
+		first.Put(status("vm-1", 1, "first"))
+		first.Put(status("vm-2", 1, "first"))
+		time.Sleep(5 * time.Second)
+		<-epoch
+		epoch <- 2
+		first.Put(status("vm-1", 2, "late"))
+		second.Put(status("vm-2", 2, "second"))
+		time.Sleep(5 * time.Second)
+		docs := documents(t, objects)
+		c.Assert(docs, qt.HasLen, 1)
+		c.Assert(docs[0].Daemons, qt.HasLen, 2)
+		c.Assert(docs[0].Daemons[0].LastOrderError, qt.Equals, "first")
+		c.Assert(docs[0].Daemons[1].LastOrderError, qt.Equals, "second")
+		for _, h := range []*holder{first, second} {
+			h.stop()
+			<-h.done
+		}
+	})
+}
+
+// Guards against statuses that queue up while the object API is down for an
+// hour, a burst of calls after it, and a lost answer that stops the writes.
+func TestOutageAndLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		objects := newFakeObjects()
+		h := start(t, objects, always)
+		h.Put(status("vm-1", 1, "before"))
+		time.Sleep(2 * time.Second)
+		objects.setFault(func(string, string) fault { return down })
+		before := objects.total()
+		for i := range 3600 {
+			h.Put(status("vm-1", uint64(i+2), fmt.Sprint(i)))
+			time.Sleep(time.Second)
+		}
+		c.Assert(objects.total()-before < 3600/5, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+
+		var lost atomic.Int32
+		objects.setFault(func(operation, _ string) fault {
+			if operation == "update" && lost.Load() < 3 {
+				lost.Add(1)
+				return answerLost
+			}
+			return noFault
+		})
+		before = objects.total()
+		time.Sleep(40 * time.Second)
+		c.Assert(lost.Load(), qt.Equals, int32(3))
+		c.Assert(objects.total()-before < 40, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+		docs := documents(t, objects)
+		c.Assert(docs[0].Daemons[0].LastOrderError, qt.Equals, "3599")
+		h.stop()
+		<-h.done
+	})
+}
