--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/lentilbridge/lentilbridge/pkg/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
@@ -23,9 +25,10 @@
 const (
 	// DefaultMaxBody bounds the body of a request.
 	DefaultMaxBody = 8 << 20
-	// DefaultMaxRequests bounds the requests in progress of one daemon; with
-	// the largest bodies they stay below the memory of a small entry VM only
-	// because most bodies are a few KiB.
+	// DefaultMaxBodies bounds the bodies of all requests in progress. A daemon
+	// may use 128 MB, and the prompt is a copy of most of the body.
+	DefaultMaxBodies = 32 << 20
+	// DefaultMaxRequests bounds the requests in progress of one daemon.
 	DefaultMaxRequests = 8192
 
 	maxHeaderBytes    = 32 << 10
@@ -58,15 +61,18 @@
 	// Refused is told of requests that were refused before Serve, if set.
 	Refused func(id string, err *identifier.RequestError)
 
-	// MaxBody and MaxRequests are the defaults when 0.
+	// MaxBody, MaxBodies and MaxRequests are the defaults when 0.
 	MaxBody     int64
+	MaxBodies   int64
 	MaxRequests int64
 
 	running atomic.Int64
+	bodies  *semaphore.Weighted
 }
 
 // Handler returns the handler of all caller paths.
 func (a *Accepter) Handler() http.Handler {
+	a.bodies = semaphore.NewWeighted(orDefault(a.MaxBodies, DefaultMaxBodies))
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", a.chat)
 	mux.HandleFunc("POST /v1/completions", a.text)
@@ -132,10 +138,16 @@
 func (a *Accepter) accept(w http.ResponseWriter, r *http.Request, decode func([]byte) (identifier.Call, error)) {
 	id := newID()
 	defer a.running.Add(-1)
-	if a.running.Add(1) > a.maxRequests() {
+	if a.running.Add(1) > orDefault(a.MaxRequests, DefaultMaxRequests) {
+		a.refuse(w, id, tooManyRequests())
+		return
+	}
+	size := a.bodySize(r)
+	if !a.bodies.TryAcquire(size) {
 		a.refuse(w, id, tooManyRequests())
 		return
 	}
+	defer a.bodies.Release(size)
 	in, err := a.read(w, r, id, decode)
 	if err != nil {
 		a.refuse(w, id, asRequestError(err))
@@ -171,7 +183,7 @@
 	control := http.NewResponseController(w)
 	// Writers in tests have no deadlines; a real connection does.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.maxBody()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, orDefault(a.MaxBody, DefaultMaxBody)))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -186,18 +198,21 @@
 	return body, nil
 }
 
-func (a *Accepter) maxBody() int64 {
-	if a.MaxBody > 0 {
-		return a.MaxBody
+// bodySize is the memory to set aside for the body of a request. A body of
+// unknown length may become the largest one.
+func (a *Accepter) bodySize(r *http.Request) int64 {
+	most := orDefault(a.MaxBody, DefaultMaxBody)
+	if r.ContentLength < 0 {
+		return most
 	}
-	return DefaultMaxBody
+	return min(r.ContentLength, most)
 }
 
-func (a *Accepter) maxRequests() int64 {
-	if a.MaxRequests > 0 {
-		return a.MaxRequests
+func orDefault(n, standard int64) int64 {
+	if n > 0 {
+		return n
 	}
-	return DefaultMaxRequests
+	return standard
 }
 
 // timeout reads the caller's deadline in milliseconds.
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -9,11 +9,15 @@
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
 const (
 	// maxTeamQueue bounds the waiting requests of one team for one target.
 	maxTeamQueue = 1024
+	// maxWait bounds the queue for callers with a distant deadline. Only batch
+	// requests may wait until their deadline.
+	maxWait = 30 * time.Second
 	// minRetryAfter is the shortest time a refused caller is told to wait.
 	minRetryAfter = time.Second
 )
@@ -49,13 +53,16 @@
 	timer := time.NewTimer(req.Deadline.Sub(now))
 	defer timer.Stop()
 	select {
-	case <-w.admitted:
+	case <-w.decided:
+		if w.late {
+			return nil, refusal(http.StatusServiceUnavailable, "queue-timeout", "no backend server was free in time", minRetryAfter)
+		}
 		return &Place{admitter: a, queue: w.queue, cost: w.cost, admitted: time.Now()}, nil
 	case <-ctx.Done():
-		a.leave(w)
+		a.leave(w, time.Now())
 		return nil, refusal(http.StatusServiceUnavailable, "caller-gone", "the caller has closed the connection", 0)
 	case <-timer.C:
-		a.leave(w)
+		a.leave(w, time.Now())
 		return nil, refusal(http.StatusServiceUnavailable, "queue-timeout", "no backend server was free before the deadline", minRetryAfter)
 	}
 }
@@ -68,8 +75,8 @@
 		return nil, refusal(http.StatusServiceUnavailable, "no-replica", "no replica of "+req.Target.Name()+" is ready", minRetryAfter)
 	}
 	q := a.queue(req.Target)
-	w := &waiter{queue: q, cost: max(req.Cost, 1), team: req.Team, priority: req.Priority, admitted: make(chan struct{})}
-	if err := a.mayWait(w, capacity, req.Deadline, now); err != nil {
+	w := newWaiter(q, req, now)
+	if err := a.mayWait(w, capacity, now); err != nil {
 		return nil, err
 	}
 	// The limit is charged last, so that a refused request costs nothing.
@@ -77,18 +84,29 @@
 		return nil, err
 	}
 	q.push(w)
-	q.dispatch(capacity)
+	q.dispatch(capacity, now)
 	return w, nil
 }
 
-// mayWait refuses a request whose turn would come after its deadline.
-func (a *Admitter) mayWait(w *waiter, capacity int, deadline, now time.Time) error {
+func newWaiter(q *queue, req *identifier.Request, now time.Time) *waiter {
+	return &waiter{
+		queue: q, cost: max(req.Cost, 1), team: req.Team, priority: req.Priority,
+		entered: now, deadline: req.Deadline, decided: make(chan struct{}),
+	}
+}
+
+// mayWait refuses a request that could not be finished before its deadline.
+func (a *Admitter) mayWait(w *waiter, capacity int, now time.Time) error {
 	q := w.queue
 	if q.waiting == 0 && q.running < capacity {
 		return nil
 	}
 	wait := q.expectedWait(w, capacity)
-	if q.level(w.priority).waiting(w.team.Name) >= maxTeamQueue || wait >= deadline.Sub(now) {
+	late := wait+q.expectedRun(w) >= w.deadline.Sub(now)
+	if w.priority != messenger.Priority_PRIORITY_BATCH {
+		late = late || wait >= maxWait
+	}
+	if late || q.level(w.priority).waiting(w.team.Name) >= maxTeamQueue {
 		return refusal(http.StatusServiceUnavailable, "overloaded", "the backend servers of "+q.target.Name()+" are overloaded", max(wait, minRetryAfter))
 	}
 	return nil
@@ -115,13 +133,16 @@
 
 // leave takes a waiter out of its queue, or gives back the place that it got
 // in the meantime.
-func (a *Admitter) leave(w *waiter) {
+func (a *Admitter) leave(w *waiter, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
-	case <-w.admitted:
+	case <-w.decided:
+		if w.late {
+			return
+		}
 		w.queue.running--
-		w.queue.dispatch(a.Capacity(w.queue.target))
+		w.queue.dispatch(a.Capacity(w.queue.target), now)
 	default:
 		w.queue.remove(w)
 	}
@@ -134,7 +155,7 @@
 	defer a.mu.Unlock()
 	p.queue.finished(p.cost, now.Sub(p.admitted))
 	p.queue.running--
-	p.queue.dispatch(a.Capacity(p.queue.target))
+	p.queue.dispatch(a.Capacity(p.queue.target), now)
 	a.forget(p.queue)
 }
 
@@ -150,11 +171,11 @@
 func (p *Place) Waited(arrived time.Time) time.Duration { return p.admitted.Sub(arrived) }
 
 // Wake admits waiting requests after a change of capacity.
-func (a *Admitter) Wake() {
+func (a *Admitter) Wake(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for t, q := range a.queues {
-		q.dispatch(a.Capacity(t))
+		q.dispatch(a.Capacity(t), now)
 	}
 }
 
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -222,13 +223,58 @@
 		qt.Assert(t, err, qt.ErrorMatches, ".* are overloaded")
 		qt.Assert(t, time.Since(began), qt.Equals, time.Duration(0))
 		a.Capacity = func(identifier.Target) int { return 20 }
-		a.Wake()
+		a.Wake(time.Now())
 		for range 10 {
 			<-order
 		}
 	})
 }
 
+// TestGoodputUnderOverload guards against work for requests that then miss
+// their deadlines, at twice the capacity.
+func TestGoodputUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			places   = 8
+			cost     = 100
+			service  = 100 * time.Millisecond
+			duration = 30 * time.Second
+			seed     = 3
+		)
+		t.Logf("seed %d", seed)
+		random := rand.New(rand.NewPCG(seed, seed))
+		a := newAdmitter(places)
+		team := &parser.Team{Name: "t"}
+		var inTime atomic.Int64
+		start := time.Now()
+		for time.Since(start) < duration {
+			run := time.Duration((0.5 + random.Float64()) * float64(service))
+			go serveOne(a, request(team, cost, standard, time.Second), run, start.Add(duration), &inTime)
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(service) / places / 2))
+		}
+		time.Sleep(2 * time.Second)
+		capacity := float64(places) * duration.Seconds() / service.Seconds()
+		goodput := float64(inTime.Load()) / capacity
+		t.Logf("goodput %.3f of the capacity", goodput)
+		qt.Assert(t, goodput >= 0.95, qt.IsTrue)
+	})
+}
+
+// serveOne counts a request that ends before its deadline and the end of the
+// measurement.
+func serveOne(a *Admitter, req *identifier.Request, run time.Duration, until time.Time, inTime *atomic.Int64) {
+	place, err := a.Admit(context.Background(), req, time.Now())
+	if err != nil {
+		return
+	}
+	time.Sleep(run)
+	now := time.Now()
+	place.Release(now)
+	if !now.After(req.Deadline) && now.Before(until) {
+		inTime.Add(1)
+	}
+}
+
 // TestConcurrency guards against a limit that stays high on a slow server or
 // falls on an idle one.
 func TestConcurrency(t *testing.T) {
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -18,6 +18,9 @@
 	// paceWeight is the weight of one request in the mean time per token.
 	paceWeight = 0.05
 	priorities = 3
+	// runHeadroom is how much longer than the mean a run is expected to be, so
+	// that most runs end before the deadline.
+	runHeadroom = 1.5
 )
 
 // waiter is one request in a queue.
@@ -26,8 +29,11 @@
 	team     *parser.Team
 	priority messenger.Priority
 	cost     int
-	// admitted is closed when the request may run.
-	admitted chan struct{}
+	entered  time.Time
+	deadline time.Time
+	// decided is closed when the request may run, or is too late to run.
+	decided chan struct{}
+	late    bool
 }
 
 // queue holds the requests that wait for one target.
@@ -62,13 +68,17 @@
 	}
 }
 
-// dispatch admits waiters while there are places.
-func (q *queue) dispatch(capacity int) {
+// dispatch admits waiters while there are places. One that has waited and can
+// no longer end before its deadline is refused: its run would be wasted.
+func (q *queue) dispatch(capacity int, now time.Time) {
 	for q.waiting > 0 && q.running < capacity {
 		w := q.next()
 		q.waiting--
-		q.running++
-		close(w.admitted)
+		w.late = now.After(w.entered) && now.Add(q.expectedRun(w)).After(w.deadline)
+		if !w.late {
+			q.running++
+		}
+		close(w.decided)
 	}
 }
 
@@ -114,6 +124,11 @@
 	return time.Duration(ahead * q.pace / float64(capacity) * float64(time.Second))
 }
 
+// expectedRun estimates how long the request itself will run.
+func (q *queue) expectedRun(w *waiter) time.Duration {
+	return time.Duration(runHeadroom * float64(w.cost) * q.pace * float64(time.Second))
+}
+
 // level is deficit round robin between the teams of one priority.
 type level struct {
 	// teams are the teams with waiting requests; the first has its turn.
--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -152,6 +152,8 @@
 		if a.sink != nil {
 			return a.fault("a model request ended like a service call")
 		}
+		// A service has no first token; its answer takes that place.
+		a.choice.FirstToken(now.Sub(a.sent), now)
 		return answered{e.Answer}
 	case *messenger.AttemptEvent_Broken:
 		return broken{e.Broken}
--- a/pkg/forwarder/ending.go
+++ b/pkg/forwarder/ending.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -38,16 +40,24 @@
 func (lost) ending()      {}
 func (unwanted) ending()  {}
 
-// healthy reports whether the ending speaks for the backend server. Refusals
-// for load are counted by the concurrency limit instead.
-func healthy(e ending) bool {
+// giveBack returns the place on the server with what the ending says about
+// it. An attempt that the caller ended, or that was refused for load or for a
+// planned change, says nothing about the server's health.
+func (a *attempt) giveBack(e ending, now time.Time) {
 	switch e := e.(type) {
-	case completed, answered, unwanted:
-		return true
+	case completed, answered:
+		a.choice.Done(true, now)
+		return
+	case unwanted:
+		a.choice.Release()
+		return
 	case refused:
-		return e.GetReason() != messenger.RefuseReason_REFUSE_REASON_NOT_READY
+		if e.GetReason() != messenger.RefuseReason_REFUSE_REASON_NOT_READY {
+			a.choice.Release()
+			return
+		}
 	}
-	return false
+	a.choice.Done(false, now)
 }
 
 // planned reports whether a refusal follows from a planned change, such as a
--- a/pkg/forwarder/once.go
+++ b/pkg/forwarder/once.go
@@ -159,7 +159,7 @@
 	rctx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), o.req.Deadline, errDeadline)
 	defer cancel()
 	e := a.run(rctx, start)
-	a.choice.Done(healthy(e), time.Now())
+	a.giveBack(e, time.Now())
 	return o.after(rctx, a, e)
 }
 
--- a/pkg/forwarder/repeatable.go
+++ b/pkg/forwarder/repeatable.go
@@ -74,7 +74,9 @@
 			return err
 		}
 		if m.result.Attempts >= maxAttempts {
-			return serverError(http.StatusBadGateway, "attempts-failed", "every attempt failed")
+			err := serverError(http.StatusServiceUnavailable, "attempts-failed", "every attempt failed")
+			err.RetryAfter = time.Second
+			return err
 		}
 	}
 }
@@ -142,7 +144,7 @@
 // settle takes over what the attempt brought and gives its place back.
 func (m *repeatable) settle(a *attempt, e ending) {
 	now := time.Now()
-	a.choice.Done(healthy(e), now)
+	a.giveBack(e, now)
 	if a.offset > m.offset {
 		// Tokens of two versions must not be mixed in one answer.
 		m.version = a.version
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// DefaultTimeout is the time a caller waits that names none.
-	DefaultTimeout = 2 * time.Minute
+	// DefaultTimeout is the time a caller waits that names none: enough for
+	// 8,192 tokens at 26 ms each.
+	DefaultTimeout = 5 * time.Minute
 	// MaxTimeout is the longest deadline that a caller can ask for.
-	MaxTimeout = 10 * time.Minute
+	MaxTimeout = 30 * time.Minute
 	// MaxKeyBytes is the longest idempotency key.
 	MaxKeyBytes = 256
 
--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -60,7 +60,7 @@
 	// Random is the source of random numbers; nil is the runtime's.
 	Random func() uint64
 	// Changed is called after each Update, if set.
-	Changed func()
+	Changed func(now time.Time)
 
 	mu      sync.Mutex
 	servers map[serverKey]*Server
@@ -115,7 +115,7 @@
 	p.pools.Store(&pools)
 	p.mu.Unlock()
 	if p.Changed != nil {
-		p.Changed()
+		p.Changed(now)
 	}
 }
 
@@ -123,13 +123,14 @@
 	r := c.Replica
 	s := p.servers[serverKey{r.GetVm(), r.GetIncarnation()}]
 	if s == nil || s.Address != r.GetAddress() {
-		s = newServer(r, xxhash.Sum64String(r.GetVm()))
+		s = newServer(r, xxhash.Sum64String(r.GetVm()), p.distance(r))
 	}
+	// A server that announced its drain with its load stays out until the
+	// directory has a newer record of it.
 	old := s.replica.Swap(r)
-	if r.GetSequence() > old.GetSequence() {
+	if r.GetSequence() > old.GetSequence() || r.GetState() != old.GetState() {
 		s.draining.Store(false)
 	}
-	s.distance = p.distance(r)
 	s.suspect.Store(c.Suspect)
 	at := c.LoadTime
 	if at.IsZero() {
--- a/pkg/picker/picker_test.go
+++ b/pkg/picker/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -147,6 +148,55 @@
 	}
 }
 
+// TestHerding guards against picks that all follow the same lagging report.
+func TestHerding(t *testing.T) {
+	all := near(8)
+	for i, c := range all {
+		c.Load.Queued = uint32(min(i, 1))
+	}
+	p := newPicker(t, all)
+	for range 80 {
+		_, ok := p.Pick(&Query{Target: model}, start)
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+	for _, s := range p.Servers(model) {
+		qt.Assert(t, s.InFlight() <= 13, qt.IsTrue, qt.Commentf("%d of 80 on %s", s.InFlight(), s.VM))
+	}
+}
+
+// TestUpdateWhilePicking guards against data races between the directory and
+// picks, and against counters that are lost with an update.
+func TestUpdateWhilePicking(t *testing.T) {
+	all := near(20)
+	p := &Picker{VM: "entry", Region: "r0", FailureDomain: "d0"}
+	p.Update(all, start)
+	var done sync.WaitGroup
+	for range 4 {
+		done.Add(1)
+		go pickMany(p, &done)
+	}
+	for i := range 50 {
+		p.Update(all[i%10:], start)
+	}
+	done.Wait()
+	p.Update(all, start)
+	for _, s := range p.Servers(model) {
+		qt.Assert(t, s.InFlight(), qt.Equals, 0)
+	}
+}
+
+func pickMany(p *Picker, done *sync.WaitGroup) {
+	defer done.Done()
+	for i := range 2000 {
+		c, ok := p.Pick(&Query{Target: model, PrefixHash: uint64(i % 3)}, start)
+		if ok {
+			c.Report(&messenger.Load{Sequence: uint64(i), Rate: 1}, start)
+			c.FirstToken(time.Millisecond, start)
+			c.Done(i%4 != 0, start)
+		}
+	}
+}
+
 // TestPrefixAffinity guards against prefixes that move while their server is
 // neither loaded nor gone.
 func TestPrefixAffinity(t *testing.T) {
--- a/pkg/picker/server.go
+++ b/pkg/picker/server.go
@@ -54,12 +54,13 @@
 	ejections int
 }
 
-func newServer(r *messenger.Replica, hash uint64) *Server {
+func newServer(r *messenger.Replica, hash uint64, distance int) *Server {
 	s := &Server{
 		VM:          r.GetVm(),
 		Address:     r.GetAddress(),
 		Incarnation: r.GetIncarnation(),
 		hash:        hash,
+		distance:    distance,
 		limit:       admitter.NewConcurrency(),
 	}
 	s.success.Store(math.Float64bits(1))
