--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -35,7 +35,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// bodyTimeout bounds the time to read a body.
 	bodyTimeout = 30 * time.Second
-	idleTimeout = 2 * time.Minute
+	// writeTimeout bounds a request that is answered at once.
+	writeTimeout = time.Minute
+	idleTimeout  = 2 * time.Minute
 )
 
 // Request headers.
@@ -83,7 +85,23 @@
 	mux.HandleFunc("/v1/chat/completions", a.wrongMethod)
 	mux.HandleFunc("/v1/completions", a.wrongMethod)
 	mux.HandleFunc("/", a.notFound)
-	return mux
+	return limited{mux}
+}
+
+// limited bounds the time to write an answer. Each request sets the deadline
+// anew: it would else stay from the previous request of the connection.
+type limited struct {
+	http.Handler
+}
+
+func (l limited) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	setWriteDeadline(w, time.Now().Add(writeTimeout))
+	l.Handler.ServeHTTP(w, r)
+}
+
+// setWriteDeadline has no effect on writers in tests, which have no deadlines.
+func setWriteDeadline(w http.ResponseWriter, at time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(at)
 }
 
 // Server returns an HTTP server with the limits of the caller interface.
@@ -153,6 +171,8 @@
 		a.refuse(w, id, asRequestError(err))
 		return
 	}
+	// The relayer sets a deadline again when it begins to write.
+	setWriteDeadline(w, time.Time{})
 	a.Serve(r.Context(), w, in)
 }
 
--- /dev/null
+++ b/pkg/accepter/accepter_test.go
@@ -0,0 +1,103 @@
+package accepter
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+func newAccepter() (*Accepter, *[]identifier.Incoming) {
+	digest := sha256.Sum256([]byte("key"))
+	set := parser.NewSet()
+	set.Add(&parser.Team{Name: "t", KeyDigests: []string{hex.EncodeToString(digest[:])}})
+	config := func() *parser.Revision { return &parser.Revision{Set: set} }
+	var served []identifier.Incoming
+	return &Accepter{
+		Config: config, Identify: &identifier.Identifier{Config: config},
+		Serve: func(_ context.Context, _ http.ResponseWriter, in identifier.Incoming) { served = append(served, in) },
+	}, &served
+}
+
+// unsized hides the length of a body, as in a chunked request.
+type unsized struct {
+	io.Reader
+}
+
+// TestLimits guards against requests that take memory or time without bound,
+// and against headers that are lost on the way.
+func TestLimits(t *testing.T) {
+	body := hello + "}"
+	tests := []struct {
+		name   string
+		change func(a *Accepter, r *http.Request)
+		body   io.Reader
+		status int
+		code   string
+	}{
+		{name: "accepted", body: strings.NewReader(body), status: 200},
+		{name: "large body", body: strings.NewReader(body + strings.Repeat(" ", 200)), status: 413, code: "body-too-large"},
+		{name: "large body of unknown length", body: unsized{strings.NewReader(body + strings.Repeat(" ", 200))}, status: 413, code: "body-too-large"},
+		{name: "too many bodies", body: unsized{strings.NewReader(body)}, change: func(a *Accepter, _ *http.Request) { a.MaxBodies = 100 }, status: 503, code: "overloaded"},
+		{name: "no key", body: strings.NewReader(body), change: func(_ *Accepter, r *http.Request) { r.Header.Del("Authorization") }, status: 401, code: "invalid_api_key"},
+		{name: "wrong timeout", body: strings.NewReader(body), change: func(_ *Accepter, r *http.Request) { r.Header.Set("lentil-timeout-ms", "soon") }, status: 400, code: "invalid-timeout"},
+		{name: "huge timeout", body: strings.NewReader(body), change: func(_ *Accepter, r *http.Request) { r.Header.Set("lentil-timeout-ms", "9223372036854775807") }, status: 200},
+		{name: "many requests", body: strings.NewReader(body), change: func(a *Accepter, _ *http.Request) { a.running.Store(DefaultMaxRequests) }, status: 503, code: "overloaded"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			a, served := newAccepter()
+			a.MaxBody = 128
+			r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", tt.body)
+			r.Header.Set("Authorization", "Bearer key")
+			if tt.change != nil {
+				tt.change(a, r)
+			}
+			w := httptest.NewRecorder()
+			a.Handler().ServeHTTP(w, r)
+			c.Check(w.Code, qt.Equals, tt.status)
+			c.Check(w.Body.String(), qt.Contains, tt.code)
+			c.Check(len(*served) == 1, qt.Equals, tt.status == 200)
+			if tt.status != 200 {
+				c.Check(w.Header().Get("lentil-outcome"), qt.Equals, "not-run")
+				c.Check(w.Header().Get("lentil-request-id"), qt.HasLen, 32)
+				return
+			}
+			c.Check((*served)[0].Timeout <= identifier.MaxTimeout, qt.IsTrue)
+		})
+	}
+}
+
+// TestWriteDeadline guards against a deadline that stays on a connection and
+// breaks its next request.
+func TestWriteDeadline(t *testing.T) {
+	a, _ := newAccepter()
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(hello+"}"))
+	r.Header.Set("Authorization", "Bearer key")
+	a.Handler().ServeHTTP(w, r)
+	qt.Assert(t, w.set, qt.HasLen, 2)
+	qt.Assert(t, w.set[0].After(time.Now()), qt.IsTrue)
+	qt.Assert(t, w.set[1].IsZero(), qt.IsTrue)
+}
+
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	set []time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	w.set = append(w.set, at)
+	return nil
+}
--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -34,6 +34,7 @@
 	// the first attempt is accepted.
 	version     string
 	versionName string
+	isAccepted  bool
 	// firstToken is when this attempt's first token arrived.
 	firstToken time.Time
 	sent       time.Time
@@ -132,8 +133,7 @@
 		dog.timer.Reset(a.firstTokenTimeout())
 		return a.accepted(e.Accepted, now)
 	case *messenger.AttemptEvent_Refused:
-		a.choice.Report(e.Refused.GetLoad(), now)
-		return refused{e.Refused}
+		return a.refused(e.Refused, now)
 	case *messenger.AttemptEvent_Tokens:
 		// The watchdog watches the agent; the wait for a slow caller is the
 		// sink's to bound.
@@ -161,11 +161,22 @@
 	return nil
 }
 
+// refused takes a refusal. A duplicate proves the opposite of one: the agent
+// has seen this attempt before and may have started it.
+func (a *attempt) refused(e *messenger.AttemptRefused, now time.Time) ending {
+	a.choice.Report(e.GetLoad(), now)
+	if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_DUPLICATE {
+		return a.fault("the agent has seen the attempt before")
+	}
+	return refused{e}
+}
+
 func (a *attempt) accepted(e *messenger.AttemptAccepted, now time.Time) ending {
 	a.choice.Report(e.GetLoad(), now)
 	if a.version != "" && e.GetVersion() != a.version {
 		return a.fault("the agent runs another version than the one asked for")
 	}
+	a.isAccepted = true
 	a.version, a.versionName = e.GetVersion(), e.GetVersionName()
 	if a.sink != nil {
 		a.sink.Version(a.version, a.versionName)
@@ -174,6 +185,9 @@
 }
 
 func (a *attempt) tokens(ctx context.Context, e *messenger.AttemptTokens, now time.Time) ending {
+	if !a.isAccepted {
+		return a.fault("tokens of an attempt that was not accepted")
+	}
 	if int(e.GetOffset()) != a.offset {
 		return a.fault("tokens are missing or repeated")
 	}
@@ -195,7 +209,7 @@
 }
 
 func (a *attempt) end(e *messenger.AttemptEnd) ending {
-	if int(e.GetTokenCount()) != a.offset {
+	if !a.isAccepted || int(e.GetTokenCount()) != a.offset {
 		return a.fault("the answer ended with another number of tokens than arrived")
 	}
 	if e.GetVersion() != a.version {
--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	finished     = messenger.AttemptState_ATTEMPT_STATE_FINISHED
 	forgotten    = messenger.AttemptState_ATTEMPT_STATE_FORGOTTEN
 	overloaded   = messenger.RefuseReason_REFUSE_REASON_OVERLOADED
+	duplicate    = messenger.RefuseReason_REFUSE_REASON_DUPLICATE
 	draining     = messenger.RefuseReason_REFUSE_REASON_DRAINING
 )
 
@@ -58,6 +59,8 @@
 		{name: "end with too few tokens", outcome: "served", text: "abcd", counter: "attempt-faults", agents: []*fakeAgent{{script: play(acceptedV1, firstTwo, func() *messenger.AttemptEvent { return end(4, "v1") })}, {script: serve}}},
 		{name: "end with another version", outcome: "unknown", code: "stream-broken", text: "ab", agents: []*fakeAgent{{script: play(acceptedV1, firstTwo, func() *messenger.AttemptEvent { return end(2, "v2") })}}},
 		{name: "resumed by an agent that has switched versions", outcome: "unknown", code: "stream-broken", text: "ab", agents: []*fakeAgent{{script: cut}, {script: play(event(accepted, "v2"), func() *messenger.AttemptEvent { return tokens(2, "x", "y") })}}},
+		{name: "tokens before the attempt is accepted", outcome: "served", text: "abcd", counter: "attempt-faults", agents: []*fakeAgent{{script: play(firstTwo)}, {script: serve}}},
+		{name: "duplicate of an attempt that may run", outcome: "unknown", code: "no-replica", agents: []*fakeAgent{{script: play(func() *messenger.AttemptEvent { return refusal(duplicate) }), cancelled: running}}},
 		{name: "refused for load once", agents: []*fakeAgent{{script: play(refuseLoad)}, {script: serve}}, outcome: "served", text: "abcd"},
 		{name: "refused for load twice", agents: []*fakeAgent{{script: play(refuseLoad)}, {script: play(refuseLoad)}, {script: serve}}, outcome: "not-run", code: "overloaded"},
 		{name: "three draining servers", agents: []*fakeAgent{{script: play(func() *messenger.AttemptEvent { return refusal(draining) })}, {script: play(func() *messenger.AttemptEvent { return refusal(draining) })}, {script: serve}}, outcome: "served", text: "abcd"},
@@ -209,6 +212,7 @@
 		{name: "frozen and silent", key: "k", first: &fakeAgent{script: freeze}, outcome: "unknown", code: "outcome-unknown", starts: 1},
 		{name: "cut but finished", key: "k", first: &fakeAgent{script: play(acceptedV1), state: state(finished, "late")}, outcome: "served", body: "late", starts: 1, told: "served"},
 		{name: "cut without a key", first: &fakeAgent{script: play(acceptedV1), state: state(forgotten, ""), cancelled: forgotten}, outcome: "unknown", code: "outcome-unknown", starts: 1},
+		{name: "duplicate start that had finished", first: &fakeAgent{script: play(func() *messenger.AttemptEvent { return refusal(duplicate) }), state: state(finished, "late")}, outcome: "served", body: "late", starts: 1},
 		{name: "no reservation on the first server", first: &fakeAgent{refusal: &messenger.AttemptRefused{Reason: overloaded}}, outcome: "served", body: "stored", starts: 1},
 		{name: "draining between reservation and start", key: "k", first: &fakeAgent{script: play(func() *messenger.AttemptEvent { return refusal(draining) })}, outcome: "served", body: "stored", starts: 2, told: "not-run served"},
 	}
--- a/pkg/forwarder/repeatable.go
+++ b/pkg/forwarder/repeatable.go
@@ -210,6 +210,9 @@
 
 // retry returns nil when the budget allows another attempt.
 func (m *repeatable) retry(a *attempt, code, message string) *identifier.RequestError {
+	if m.offset > 0 && m.version == "" {
+		return serverError(http.StatusBadGateway, "stream-broken", "the stream broke and the version that began it is not known")
+	}
 	if !m.Budget.Take() {
 		m.Counters.add(m.Counters.retriesDenied)
 		return serverError(http.StatusBadGateway, code, message+" and the retry budget is used up")
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -27,6 +27,9 @@
 	// DefaultSlowTimeout is how long a caller with a full buffer, or one
 	// write, may block.
 	DefaultSlowTimeout = 5 * time.Second
+
+	// wholeTimeout bounds the write of an answer that is not a stream.
+	wholeTimeout = 30 * time.Second
 )
 
 // Relayer opens answers. The zero value is ready for use.
@@ -75,10 +78,17 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	limitWrite(w)
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
+// limitWrite bounds the time in which the caller has to read a whole answer.
+// Recorders in tests have no deadlines; a real connection does.
+func limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(wholeTimeout))
+}
+
 // format makes the bodies of one answer.
 type format struct {
 	id      string
@@ -143,6 +153,7 @@
 	}
 	h.Set(HeaderRequestID, s.id)
 	h.Set(HeaderOutcome, string(res.Outcome))
+	limitWrite(s.w)
 	s.w.WriteHeader(statusOf(res))
 	_, _ = s.w.Write(res.Answer.GetBody())
 }
--- a/pkg/relayer/stream.go
+++ b/pkg/relayer/stream.go
@@ -193,7 +193,6 @@
 	}
 	s.w.Header().Set(HeaderOutcome, string(res.Outcome))
 	s.flush()
-	_ = s.control.SetWriteDeadline(time.Time{})
 }
 
 func (s *stream) refuse(err *identifier.RequestError) {
--- a/pkg/router/requests.go
+++ b/pkg/router/requests.go
@@ -30,9 +30,10 @@
 	Dial      forwarder.Dialer
 	Claims    forwarder.Claims
 	Isolation forwarder.Isolation
-	Metrics   *recorder.Metrics
-	Counters  *forwarder.Counters
-	Log       *logger.Logger
+	// Metrics and Counters are those of expvar when nil.
+	Metrics  *recorder.Metrics
+	Counters *forwarder.Counters
+	Log      *logger.Logger
 
 	identifier *identifier.Identifier
 	admitter   *admitter.Admitter
@@ -43,6 +44,12 @@
 
 // Handler assembles the stages.
 func (r *Requests) Handler() http.Handler {
+	if r.Metrics == nil {
+		r.Metrics = recorder.ExpvarMetrics()
+	}
+	if r.Counters == nil {
+		r.Counters = recorder.ExpvarCounters()
+	}
 	r.identifier = &identifier.Identifier{Config: r.Config, Ready: r.Picker.Ready}
 	r.admitter = &admitter.Admitter{Capacity: r.Picker.Capacity, Entries: r.liveEntries}
 	r.Picker.Changed = r.admitter.Wake
--- a/pkg/router/requests_test.go
+++ b/pkg/router/requests_test.go
@@ -15,8 +15,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-kit/kit/metrics"
-	"github.com/go-kit/kit/metrics/generic"
 	"google.golang.org/grpc"
 
 	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
@@ -99,7 +97,6 @@
 			}
 		},
 		Picker: p, Dial: connections.Dial,
-		Counters: forwarder.NewCounters(func(name string) metrics.Counter { return generic.NewCounter(name) }),
 	}
 	handler := r.Handler()
 	p.Update([]picker.Candidate{
