--- a/pkg/picker/picker.go
+++ b/pkg/picker/picker.go
@@ -62,10 +62,11 @@
 	// Changed is called after each Update, if set.
 	Changed func(now time.Time)
 
-	mu      sync.Mutex
-	servers map[serverKey]*Server
-	pools   atomic.Pointer[map[identifier.Target]*pool]
-	turn    atomic.Uint64
+	mu       sync.Mutex
+	servers  map[serverKey]*Server
+	pools    atomic.Pointer[map[identifier.Target]*pool]
+	prefixes prefixes
+	turn     atomic.Uint64
 }
 
 type serverKey struct {
--- a/pkg/picker/picker_test.go
+++ b/pkg/picker/picker_test.go
@@ -223,6 +223,40 @@
 	}
 }
 
+// TestCacheEvents guards against prefixes that move to a new server while an
+// old one has them cached, and that stay after an eviction.
+func TestCacheEvents(t *testing.T) {
+	all := near(16)
+	p := newPicker(t, all[:8])
+	event := func(vm string, hash uint64, removed bool) {
+		p.CacheEvents(vm, "i", []*messenger.CacheEvent{{PrefixHash: hash, Removed: removed}})
+	}
+	homes := func() (homes []string) {
+		for prefix := uint64(1); prefix <= 100; prefix++ {
+			c, _ := p.Pick(&Query{Target: model, PrefixHash: prefix}, start)
+			c.Release()
+			homes = append(homes, c.VM)
+		}
+		return homes
+	}
+	before := homes()
+	for i, vm := range before {
+		event(vm, uint64(i+1), false)
+	}
+	p.Update(all, start)
+	qt.Assert(t, homes(), qt.DeepEquals, before)
+	for i, vm := range before {
+		event(vm, uint64(i+1), true)
+	}
+	hashed := newPicker(t, all)
+	for i, vm := range homes() {
+		c, _ := hashed.Pick(&Query{Target: model, PrefixHash: uint64(i + 1)}, start)
+		c.Release()
+		qt.Assert(t, vm, qt.Equals, c.VM)
+	}
+	qt.Assert(t, homes(), qt.Not(qt.DeepEquals), before)
+}
+
 // TestEjection guards against requests for a server that fails fast, and
 // against ejecting more than a third of a model's replicas.
 func TestEjection(t *testing.T) {
--- a/pkg/picker/policy.go
+++ b/pkg/picker/policy.go
@@ -92,7 +92,7 @@
 
 func (p *Picker) twoChoices(l *pool, q *Query, now int64) (s, other *Server, reason string) {
 	if q.PrefixHash != 0 && len(l.servers) <= searched {
-		if s = l.affine(q, now); s != nil {
+		if s = l.affine(q, p.prefixes.holder(q.PrefixHash), now); s != nil {
 			if far := p.clearlyCheaper(l, q, now, s); far != nil {
 				return far, s, reasonFar
 			}
@@ -181,12 +181,13 @@
 	return nil, nil
 }
 
-// affine returns the server of the prefix by rendezvous hashing among the
-// nearest servers whose load is within the bound.
-func (l *pool) affine(q *Query, now int64) *Server {
+// affine returns the server of the prefix among the nearest servers whose load
+// is within the bound: the holder if it is one of them, else by rendezvous
+// hashing.
+func (l *pool) affine(q *Query, holder *Server, now int64) *Server {
 	start := 0
 	for _, end := range l.ends {
-		if s := affineAmong(l.servers[start:end], q, now); s != nil {
+		if s := affineAmong(l.servers[start:end], q, holder, now); s != nil {
 			return s
 		}
 		start = end
@@ -194,7 +195,7 @@
 	return nil
 }
 
-func affineAmong(servers []*Server, q *Query, now int64) *Server {
+func affineAmong(servers []*Server, q *Query, holder *Server, now int64) *Server {
 	total, cost, n := int64(1), 0.0, 0
 	for _, s := range servers {
 		if s.usable(q, now, passFree) {
@@ -212,6 +213,9 @@
 	var bestScore uint64
 	for _, s := range servers {
 		score := mix(q.PrefixHash, s.hash)
+		if s == holder {
+			score = math.MaxUint64
+		}
 		if best != nil && score <= bestScore {
 			continue
 		}
