--- a/pkg/admitter/limits.go
+++ b/pkg/admitter/limits.go
@@ -45,31 +45,29 @@
 	}
 	t := l.teams[team.Name]
 	if t == nil {
-		t = &teamLimit{requests: rate.NewLimiter(rate.Inf, 0), tokens: rate.NewLimiter(rate.Inf, 0)}
+		t = &teamLimit{}
 		l.teams[team.Name] = t
 	}
-	set(t.requests, team.RequestsPerSecond/float64(entries), now)
-	set(t.tokens, team.TokensPerSecond/float64(entries), now)
+	t.requests = adjust(t.requests, team.RequestsPerSecond/float64(entries), now)
+	t.tokens = adjust(t.tokens, team.TokensPerSecond/float64(entries), now)
 	return t
 }
 
-// set applies the present share; 0 is no limit.
-func set(l *rate.Limiter, share float64, now time.Time) {
+// adjust applies the present share; 0 is no limit. A new limiter begins with
+// its whole burst, a changed one keeps what is used.
+func adjust(l *rate.Limiter, share float64, now time.Time) *rate.Limiter {
+	limit, burst := rate.Limit(share), max(int(share*burstSeconds), 1)
 	if share <= 0 {
-		l.SetLimitAt(now, rate.Inf)
-		return
+		limit, burst = rate.Inf, 0
 	}
-	burst := max(int(share*burstSeconds), 1)
-	if l.Limit() == rate.Limit(share) && l.Burst() == burst {
-		return
+	if l == nil || (l.Limit() == rate.Inf) != (limit == rate.Inf) {
+		return rate.NewLimiter(limit, burst)
 	}
-	if l.Burst() == 0 {
-		// A new limiter begins with its whole burst.
-		*l = *rate.NewLimiter(rate.Limit(share), burst)
-		return
+	if l.Limit() != limit {
+		l.SetLimitAt(now, limit)
+		l.SetBurstAt(now, burst)
 	}
-	l.SetLimitAt(now, rate.Limit(share))
-	l.SetBurstAt(now, burst)
+	return l
 }
 
 // reserve takes n from the limiter, or returns the time until n are there. A
--- a/pkg/forwarder/dialer.go
+++ b/pkg/forwarder/dialer.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -18,7 +19,9 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 20 * time.Second
 	connectTimeout   = time.Second
-	maxConnectDelay  = 2 * time.Second
+	// idleTimeout closes connections to agents that this daemon does not use.
+	idleTimeout     = 5 * time.Minute
+	maxConnectDelay = 2 * time.Second
 	// maxMessageBytes bounds one event; service answers are the largest.
 	maxMessageBytes = 32 << 20
 )
@@ -62,21 +65,42 @@
 		// grpc-go may send a stream again by itself; attempts are retried by
 		// the forwarder only.
 		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableServiceConfig(),
 	}
 }
 
-// Keep closes the connections to agents that are no longer in the directory.
+// Keep closes the connections to agents that are no longer in the directory,
+// once they carry no attempt: an agent that cannot report may still be
+// answering.
 func (c *Connections) Keep(addresses map[string]struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, conn := range c.conns {
-		if _, used := addresses[address]; !used {
-			conn.Close()
-			delete(c.conns, address)
+		if _, used := addresses[address]; used || busy(conn) {
+			continue
 		}
+		conn.Close()
+		delete(c.conns, address)
 	}
 }
 
+// busy reports whether the connection may carry attempts. grpc-go makes a
+// connection without any idle after idleTimeout.
+func busy(conn *grpc.ClientConn) bool {
+	switch conn.GetState() {
+	case connectivity.Idle, connectivity.TransientFailure, connectivity.Shutdown:
+		return false
+	}
+	return true
+}
+
 // Close closes all connections.
-func (c *Connections) Close() { c.Keep(nil) }
+func (c *Connections) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.conns = nil
+}
--- a/pkg/router/requests_test.go
+++ b/pkg/router/requests_test.go
@@ -24,11 +24,15 @@
 )
 
 // agent is an agent over gRPC. It breaks off streams for prompts with "cut".
+// For prompts with "hang" it waits for more, sends one more token and then
+// waits for the cancel.
 type agent struct {
 	messenger.UnimplementedAgentServer
+	more      chan struct{}
+	cancelled chan struct{}
 }
 
-func (agent) Attempt(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent]) error {
+func (a agent) Attempt(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent]) error {
 	frame, err := stream.Recv()
 	if err != nil {
 		return err
@@ -44,7 +48,7 @@
 		}}})
 	} else {
 		events = append(events, &messenger.AttemptEvent{Event: &messenger.AttemptEvent_Tokens{Tokens: &messenger.AttemptTokens{Tokens: []string{"Hello", " there"}}}})
-		if !strings.Contains(start.GetModel().GetPrompt(), "cut") {
+		if strings.Contains(start.GetModel().GetPrompt(), "hi") {
 			events = append(events, &messenger.AttemptEvent{Event: &messenger.AttemptEvent_End{End: &messenger.AttemptEnd{
 				TokenCount: 2, Version: "d1", FinishReason: "stop", PromptTokens: 3,
 			}}})
@@ -56,25 +60,38 @@
 			return err
 		}
 	}
+	if strings.Contains(start.GetModel().GetPrompt(), "hang") {
+		return a.hang(stream, start.GetId())
+	}
 	return nil
 }
 
+func (a agent) hang(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent], id *messenger.AttemptId) error {
+	<-a.more
+	err := stream.Send(&messenger.AttemptEvent{Id: id, Event: &messenger.AttemptEvent_Tokens{
+		Tokens: &messenger.AttemptTokens{Offset: 2, Tokens: []string{" again"}},
+	}})
+	<-stream.Context().Done()
+	close(a.cancelled)
+	return err
+}
+
 func (agent) Reserve(context.Context, *messenger.ReserveRequest) (*messenger.ReserveReply, error) {
 	return &messenger.ReserveReply{Reservation: "r"}, nil
 }
 
-func startAgent(t *testing.T) string {
+func startAgent(t *testing.T, a agent) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s := grpc.NewServer()
-	messenger.RegisterAgentServer(s, agent{})
+	messenger.RegisterAgentServer(s, a)
 	go s.Serve(l) //nolint:errcheck // Serve ends with an error at Stop.
 	t.Cleanup(s.Stop)
 	return l.Addr().String()
 }
 
-func startEntry(t *testing.T) string {
+func startEntry(t *testing.T, a agent) (string, *forwarder.Connections) {
 	t.Helper()
 	digest := sha256.Sum256([]byte("key-1"))
 	set := parser.NewSet()
@@ -82,7 +99,7 @@
 	set.Add(&parser.Model{Name: "mould"})
 	set.Add(&parser.Route{Name: "assistant", Model: "mould"})
 	set.Add(&parser.Service{Name: "ledger", IdempotentMethods: []string{"GET"}, RequireKey: false})
-	address := startAgent(t)
+	address := startAgent(t, a)
 	p := &picker.Picker{VM: "entry-1", Region: "north", FailureDomain: "n1"}
 	connections := &forwarder.Connections{}
 	t.Cleanup(connections.Close)
@@ -105,7 +122,7 @@
 	}, time.Now())
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
-	return s.URL
+	return s.URL, connections
 }
 
 type reply struct {
@@ -131,9 +148,9 @@
 // TestAnswers guards against responses that an off-the-shelf client cannot
 // read. The wanted texts are parts of the body.
 func TestAnswers(t *testing.T) {
-	url := startEntry(t)
+	url, _ := startEntry(t, agent{})
 	chat := func(more string) string {
-		return `{"model":"assistant","messages":[{"role":"user","content":"hi ` + more + `}`
+		return `{"model":"assistant","messages":[{"role":"user","content":"` + more + `}`
 	}
 	tests := []struct {
 		name    string
@@ -145,7 +162,7 @@
 		want    []string
 	}{
 		{
-			name: "chat", method: "POST", path: "/v1/chat/completions", body: chat(`"}]`), status: 200, outcome: "served",
+			name: "chat", method: "POST", path: "/v1/chat/completions", body: chat(`hi"}]`), status: 200, outcome: "served",
 			want: []string{`"id":"chatcmpl-`, `"object":"chat.completion"`, `"message":{"role":"assistant","content":"Hello there","refusal":null}`, `"finish_reason":"stop"`, `"usage":{"prompt_tokens":3,"completion_tokens":2,"total_tokens":5}`},
 		},
 		{
@@ -184,7 +201,7 @@
 // TestStreams guards against streams whose end or outcome a client cannot
 // tell: only a complete one ends with [DONE].
 func TestStreams(t *testing.T) {
-	url := startEntry(t)
+	url, _ := startEntry(t, agent{})
 	tests := []struct {
 		name    string
 		prompt  string
@@ -219,6 +236,39 @@
 	}
 }
 
+// TestDisconnect guards against attempts that go on for a caller that has
+// gone, and against a change of the directory that breaks running attempts.
+func TestDisconnect(t *testing.T) {
+	a := agent{more: make(chan struct{}), cancelled: make(chan struct{})}
+	url, connections := startEntry(t, a)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	body := `{"model":"assistant","stream":true,"prompt":"hang"}`
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer key-1")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	readUntil(t, lines, "Hello there")
+	connections.Keep(nil)
+	close(a.more)
+	readUntil(t, lines, " again")
+	cancel()
+	<-a.cancelled
+}
+
+func readUntil(t *testing.T, lines *bufio.Scanner, text string) {
+	t.Helper()
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), text) {
+			return
+		}
+	}
+	t.Fatalf("the stream ended before %q", text)
+}
+
 func content(data string) string {
 	var chunk struct {
 		Choices []struct {
