--- a/pkg/forwarder/errors.go
+++ b/pkg/forwarder/errors.go
@@ -14,7 +14,11 @@
 // gone; nobody receives it.
 const statusClientClosed = 499
 
-const codeOverloaded = "overloaded"
+// Codes that decide what follows a refused reservation.
+const (
+	codeOverloaded = "overloaded"
+	codePlanned    = "server-leaving"
+)
 
 // SlowCallerError reports a caller that does not read its stream.
 type SlowCallerError struct {
--- a/pkg/forwarder/once.go
+++ b/pkg/forwarder/once.go
@@ -21,11 +21,12 @@
 // and then started; only the start can leave its outcome unknown.
 type once struct {
 	*Forwarder
-	req    *identifier.Request
-	call   *identifier.ServiceCall
-	result Result
-	tried  []*picker.Server
-	trial  *trial
+	req          *identifier.Request
+	call         *identifier.ServiceCall
+	result       Result
+	tried        []*picker.Server
+	trial        *trial
+	loadRefusals int
 	// claimed is set while the claim names the current attempt.
 	claimed bool
 }
@@ -69,6 +70,9 @@
 		if err != nil {
 			a.unreserved(err)
 			last = err
+			if !o.mayRetry(err) {
+				return err
+			}
 			continue
 		}
 		if o.req.ClaimKey != "" {
@@ -87,15 +91,33 @@
 	return last
 }
 
+// mayRetry reports whether another server may be asked after a failed
+// reservation. A planned change costs no retry budget.
+func (o *once) mayRetry(err *identifier.RequestError) bool {
+	switch err.Code {
+	case codePlanned:
+		return true
+	case codeOverloaded:
+		o.loadRefusals++
+		if o.loadRefusals > maxLoadRetries {
+			return false
+		}
+	}
+	return o.Budget.Take()
+}
+
 // unreserved gives the place back on a server that gave no reservation.
 func (a *attempt) unreserved(err *identifier.RequestError) {
 	now := time.Now()
-	if err.Code == codeOverloaded {
+	switch err.Code {
+	case codeOverloaded:
 		a.choice.Overloaded(now)
 		a.choice.Release()
-		return
+	case codePlanned:
+		a.choice.Release()
+	default:
+		a.choice.Done(false, now)
 	}
-	a.choice.Done(false, now)
 }
 
 func firstError(a, b *identifier.RequestError) *identifier.RequestError {
@@ -143,6 +165,9 @@
 		a.choice.Report(r.GetLoad(), time.Now())
 		e := overloadError(time.Duration(r.GetRetryAfterMs()) * time.Millisecond)
 		e.Message = "the backend server refused a reservation"
+		if planned(r.GetReason()) {
+			e.Code = codePlanned
+		}
 		return "", e
 	}
 	return reply.GetReservation(), nil
--- a/pkg/forwarder/repeatable.go
+++ b/pkg/forwarder/repeatable.go
@@ -239,7 +239,11 @@
 		return serverError(http.StatusBadGateway, "stream-broken",
 			"the stream broke and no other replica of the same version can continue it")
 	}
-	err := serverError(http.StatusServiceUnavailable, "no-replica", "no replica of "+m.req.Target.Name()+" can run the request")
+	message := "no replica of " + m.req.Target.Name() + " is ready"
+	if m.result.Attempts > 0 {
+		message = "the backend server failed and no other replica of " + m.req.Target.Name() + " is ready"
+	}
+	err := serverError(http.StatusServiceUnavailable, "no-replica", message)
 	err.RetryAfter = time.Second
 	return err
 }
