--- a/pkg/picker/policy.go
+++ b/pkg/picker/policy.go
@@ -196,7 +196,7 @@
 }
 
 func affineAmong(servers []*Server, q *Query, holder *Server, now int64) *Server {
-	total, cost, n := int64(1), 0.0, 0
+	total, cost, n := int64(1), 0.0, int64(0)
 	for _, s := range servers {
 		if s.usable(q, now, passFree) {
 			total += s.inFlight.Load()
@@ -207,7 +207,9 @@
 	if n == 0 {
 		return nil
 	}
-	most := int64(math.Ceil(affinityBound * float64(total) / float64(n)))
+	// Rounding the bound up would allow much more than it at a few requests
+	// per server. One above the mean always leaves a server within the bound.
+	most := max(int64(affinityBound*float64(total)/float64(n)), total/n+1)
 	mostCost := affinityCost * cost / float64(n)
 	var best *Server
 	var bestScore uint64
