--- a/pkg/relayer/stream.go
+++ b/pkg/relayer/stream.go
@@ -1,9 +1,11 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +23,12 @@
 	format  format
 	slow    time.Duration
 
+	// before and after surround the text of a chunk; only the text differs
+	// between the chunks of one stream.
+	before []byte
+	after  []byte
+	line   []byte
+
 	begun  bool
 	pieces chan string
 	done   chan struct{}
@@ -93,7 +101,7 @@
 		if s.failure() != nil {
 			continue
 		}
-		s.chunk(s.piece(piece))
+		s.text(piece)
 		if len(s.pieces) == 0 {
 			s.flush()
 		}
@@ -123,6 +131,39 @@
 	return textChoice{Text: text}
 }
 
+// textMark stands for the text when a chunk is encoded once for all.
+const textMark = "\x00"
+
+// text writes the chunk of one piece.
+func (s *stream) text(piece string) {
+	if s.before == nil {
+		s.encodeOnce()
+	}
+	text, err := json.Marshal(piece)
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	s.line = append(s.line[:0], s.before...)
+	s.line = append(s.line, text...)
+	s.line = append(s.line, s.after...)
+	s.write(s.line)
+}
+
+func (s *stream) encodeOnce() {
+	body := s.format.body(true)
+	body.Choices = []choice{s.piece(textMark)}
+	data, err := json.Marshal(body)
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	mark, _ := json.Marshal(textMark)
+	before, after, _ := bytes.Cut(data, mark)
+	s.before = slices.Concat([]byte("data: "), before)
+	s.after = slices.Concat(after, []byte("\n\n"))
+}
+
 func (s *stream) last(reason string) choice {
 	if s.format.call.Chat {
 		return chatDelta{FinishReason: &reason}
