--- a/pkg/router/requests_test.go
+++ b/pkg/router/requests_test.go
@@ -116,6 +116,8 @@
 		Picker: p, Dial: connections.Dial,
 	}
 	handler := r.Handler()
+	// Silence of the agent must not end an attempt that a disconnect should.
+	r.forwarder.TokenTimeout = time.Hour
 	p.Update([]picker.Candidate{
 		{Replica: &messenger.Replica{Vm: "vm1", Address: address, Model: "mould", Version: "d1", State: messenger.ReplicaState_REPLICA_STATE_READY}},
 		{Replica: &messenger.Replica{Vm: "vm2", Address: address, Service: "ledger", State: messenger.ReplicaState_REPLICA_STATE_READY}},
