--- a/pkg/forwarder/repeatable.go
+++ b/pkg/forwarder/repeatable.go
@@ -74,7 +74,9 @@
 			return err
 		}
 		if m.result.Attempts >= maxAttempts {
-			return serverError(http.StatusBadGateway, "attempts-failed", "every attempt failed")
+			err := serverError(http.StatusServiceUnavailable, "attempts-failed", "every attempt failed")
+			err.RetryAfter = time.Second
+			return err
 		}
 	}
 }
@@ -142,7 +144,7 @@
 // settle takes over what the attempt brought and gives its place back.
 func (m *repeatable) settle(a *attempt, e ending) {
 	now := time.Now()
-	a.choice.Done(healthy(e), now)
+	a.giveBack(e, now)
 	if a.offset > m.offset {
 		// Tokens of two versions must not be mixed in one answer.
 		m.version = a.version
@@ -208,6 +210,9 @@
 
 // retry returns nil when the budget allows another attempt.
 func (m *repeatable) retry(a *attempt, code, message string) *identifier.RequestError {
+	if m.offset > 0 && m.version == "" {
+		return serverError(http.StatusBadGateway, "stream-broken", "the stream broke and the version that began it is not known")
+	}
 	if !m.Budget.Take() {
 		m.Counters.add(m.Counters.retriesDenied)
 		return serverError(http.StatusBadGateway, code, message+" and the retry budget is used up")
@@ -234,7 +239,11 @@
 		return serverError(http.StatusBadGateway, "stream-broken",
 			"the stream broke and no other replica of the same version can continue it")
 	}
-	err := serverError(http.StatusServiceUnavailable, "no-replica", "no replica of "+m.req.Target.Name()+" can run the request")
+	message := "no replica of " + m.req.Target.Name() + " is ready"
+	if m.result.Attempts > 0 {
+		message = "the backend server failed and no other replica of " + m.req.Target.Name() + " is ready"
+	}
+	err := serverError(http.StatusServiceUnavailable, "no-replica", message)
 	err.RetryAfter = time.Second
 	return err
 }
