--- a/tools/bench/links.go
+++ b/tools/bench/links.go
@@ -24,8 +24,9 @@
 	region map[string]string
 	// regions holds the links from one region to another.
 	regions map[[2]string]*rate.Limiter
-	// dialers maps the local address of a connection to the VM that dialled.
-	dialers map[string]string
+	// dialers maps both addresses of a connection to the VM that dialled. One
+	// local port may serve several connections to different addresses.
+	dialers map[[2]string]string
 	across  map[string]int64
 }
 
@@ -36,7 +37,7 @@
 		down:                 map[string]*rate.Limiter{},
 		region:               map[string]string{},
 		regions:              map[[2]string]*rate.Limiter{},
-		dialers:              map[string]string{},
+		dialers:              map[[2]string]string{},
 		across:               map[string]int64{},
 	}
 }
@@ -89,10 +90,10 @@
 	}
 }
 
-func (l *links) dialer(address string) string {
+func (l *links) dialer(accepted net.Conn) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.dialers[address]
+	return l.dialers[[2]string{accepted.RemoteAddr().String(), accepted.LocalAddr().String()}]
 }
 
 // dial returns a dial function for connections from one VM to another.
@@ -104,7 +105,7 @@
 			return nil, err
 		}
 		l.mu.Lock()
-		l.dialers[conn.LocalAddr().String()] = from
+		l.dialers[[2]string{conn.LocalAddr().String(), conn.RemoteAddr().String()}] = from
 		l.mu.Unlock()
 		return &linkConn{Conn: conn, links: l, from: from, to: vmOf(address)}, nil
 	}
@@ -156,7 +157,7 @@
 			return c.Conn.Write(p)
 		}
 		if c.to == "" {
-			c.to = c.links.dialer(c.RemoteAddr().String())
+			c.to = c.links.dialer(c.Conn)
 		}
 		c.path = c.links.path(c.from, c.to)
 	}
