--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -104,7 +104,7 @@
 	a.backend = &backend{Engine: a.Engine, Service: a.Service, Weights: a.Weights, Executor: a.executor, Orders: a.orders, Log: a.Log}
 	a.reports = &reports{
 		Settings: a.Settings, Address: advertised, Started: now,
-		Executor: a.executor, Backend: a.backend, Orders: a.orders, Guard: a.guard, Weights: a.Weights,
+		Executor: a.executor, Backend: a.backend, Orders: a.orders, Guard: a.guard, Weights: a.Weights, Gauges: reportGauges(),
 	}
 	a.sessions = &sessions{
 		VM: a.Settings.VM, Region: a.Settings.Region, FailureDomain: a.Settings.FailureDomain,
--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -215,12 +215,13 @@
 	c.Assert([]string{version, digest}, qt.DeepEquals, []string{ref.GetDigest(), hex.EncodeToString(sum[:])})
 	checkAnswer(c, client, report, "r2")
 
-	running := startAnswer(c, client, report, "r3", 300)
+	running := startAnswer(c, client, report, "r3", 500)
 	stop()
 	entry.waitFor(c, "state gone", inState(messenger.ReplicaState_REPLICA_STATE_GONE))
+	c.Assert(p.agent.executor.InProgress(), qt.Equals, 0)
 	tokens, end := readAnswer(c, running)
-	c.Assert(tokens, qt.DeepEquals, emulator.Answer(ref.GetDigest(), "r3", 300, 0))
-	c.Assert(end.GetTokenCount(), qt.Equals, uint32(300))
+	c.Assert(tokens, qt.DeepEquals, emulator.Answer(ref.GetDigest(), "r3", 500, 0))
+	c.Assert(end.GetTokenCount(), qt.Equals, uint32(500))
 	c.Assert(<-p.ended, qt.IsNil)
 }
 
--- a/pkg/agent/debug.go
+++ b/pkg/agent/debug.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/kit/metrics"
 	kitexpvar "github.com/go-kit/kit/metrics/expvar"
 	"golang.org/x/net/netutil"
 
@@ -40,6 +41,36 @@
 	}
 })
 
+// gauges show the newest report.
+type gauges struct {
+	running  metrics.Gauge
+	queued   metrics.Gauge
+	rate     metrics.Gauge
+	revision metrics.Gauge
+	sessions metrics.Gauge
+	state    metrics.Gauge
+}
+
+var reportGauges = sync.OnceValue(func() gauges {
+	return gauges{
+		running:  kitexpvar.NewGauge("attempts-running"),
+		queued:   kitexpvar.NewGauge("attempts-queued"),
+		rate:     kitexpvar.NewGauge("units-per-second"),
+		revision: kitexpvar.NewGauge("revision"),
+		sessions: kitexpvar.NewGauge("sessions-open"),
+		state:    kitexpvar.NewGauge("replica-state"),
+	}
+})
+
+func (g gauges) set(report *messenger.AgentReport, sessions int) {
+	g.running.Set(float64(report.GetLoad().GetRunning()))
+	g.queued.Set(float64(report.GetLoad().GetQueued()))
+	g.rate.Set(report.GetLoad().GetRate())
+	g.revision.Set(float64(report.GetRevision()))
+	g.sessions.Set(float64(sessions))
+	g.state.Set(float64(report.GetReplica().GetState()))
+}
+
 // debugServer serves metrics, health and readiness.
 type debugServer struct {
 	Listener net.Listener
--- a/pkg/agent/orders.go
+++ b/pkg/agent/orders.go
@@ -209,13 +209,9 @@
 
 func (o *orders) apply(ctx context.Context, p *pendingOrder) error {
 	if p.request == nil {
-		return o.withGate(ctx, func(ctx context.Context) error { return o.Weights.Restore(ctx, o.Guard.Restore) })
+		return o.withGate(ctx, nil, func(ctx context.Context) error { return o.Weights.Restore(ctx, o.Guard.Restore) })
 	}
 	fence := p.request.GetFence()
-	// The order may have waited long enough for its sender to lose the lease.
-	if err := o.Guard.Check(fence); err != nil {
-		return err
-	}
 	apply := func(ctx context.Context, order adapter.EngineOrder) error { return o.Guard.Apply(ctx, fence, order) }
 	switch order := p.request.GetOrder().(type) {
 	case *messenger.OrderRequest_Activate:
@@ -223,9 +219,9 @@
 		if o.Weights.Ready(order.Activate.GetVersion().GetDigest()) {
 			return activate(ctx)
 		}
-		return o.withGate(ctx, activate)
+		return o.withGate(ctx, fence, activate)
 	case *messenger.OrderRequest_Unload:
-		return o.withGate(ctx, func(ctx context.Context) error { return o.Weights.Unload(ctx, order.Unload, apply) })
+		return o.withGate(ctx, fence, func(ctx context.Context) error { return o.Weights.Unload(ctx, order.Unload, apply) })
 	case *messenger.OrderRequest_LoadAdapter:
 		return o.Weights.LoadAdapter(ctx, order.LoadAdapter, apply)
 	case *messenger.OrderRequest_UnloadAdapter:
@@ -236,14 +232,20 @@
 	return errNoOrder
 }
 
-// withGate runs a switch of the engine while no attempt runs.
-func (o *orders) withGate(ctx context.Context, change func(ctx context.Context) error) error {
+// withGate runs a switch of the engine while no attempt runs. The sender of
+// the order may have lost its lease until then. A restore has no fence.
+func (o *orders) withGate(ctx context.Context, fence *messenger.Fence, change func(ctx context.Context) error) error {
 	holding, cancel := context.WithTimeout(ctx, o.DrainTimeout)
 	defer cancel()
 	defer o.Gate.Release()
 	if err := o.Gate.Hold(holding); err != nil {
 		return err
 	}
+	if fence != nil {
+		if err := o.Guard.Check(fence); err != nil {
+			return err
+		}
+	}
 	return change(ctx)
 }
 
--- a/pkg/agent/parts_test.go
+++ b/pkg/agent/parts_test.go
@@ -210,6 +210,7 @@
 	}{
 		{"newer order", func(o *orders) { _ = o.take(activateRequest(5, "v2")) }, []string{"v2"}},
 		{"newer holder", func(o *orders) { _ = o.take(activateRequest(6, "v3")) }, []string{"v3"}},
+		{"newer holder known", func(o *orders) { o.Guard.Learn(map[string]uint64{testShard: 6}) }, nil},
 		{"same version again", func(o *orders) { _ = o.take(activateRequest(5, "v1")) }, []string{"v1", "v1"}},
 	}
 	for _, test := range tests {
--- a/pkg/agent/reports.go
+++ b/pkg/agent/reports.go
@@ -34,6 +34,7 @@
 	Guard    *guard.Guard
 	Weights  Weights
 	Sessions *sessions
+	Gauges   gauges
 
 	mu       sync.Mutex
 	leaving  messenger.ReplicaState
@@ -52,6 +53,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			report := r.build(now, math.MaxUint64)
+			r.Gauges.set(report, r.Sessions.openCount())
 			if r.last == nil || isSignificant(r.last, report) {
 				r.last = report
 				r.Sessions.notify()
@@ -97,10 +99,13 @@
 	}
 	if r.Weights != nil {
 		active := r.Weights.ActiveVersion()
-		replica.Version, replica.VersionName, replica.Adapters = active.Digest, active.Name, active.Adapters
 		if active.Model != "" {
 			replica.Model = active.Model
 		}
+		// A version that the engine has lost must not look active.
+		if r.Weights.Ready("") {
+			replica.Version, replica.VersionName, replica.Adapters = active.Digest, active.Name, active.Adapters
+		}
 	}
 	replica.State = r.state()
 	r.mu.Lock()
--- a/pkg/agent/sessions.go
+++ b/pkg/agent/sessions.go
@@ -204,6 +204,8 @@
 func (s *sessions) sent(l *link, state messenger.ReplicaState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A confirmation is worth nothing once another state has been reported.
+	l.confirmed = l.confirmed && state == messenger.ReplicaState_REPLICA_STATE_DRAINING
 	if l.told != state {
 		l.told = state
 		s.announceChange()
@@ -275,6 +277,19 @@
 	return s.highest
 }
 
+// openCount returns the number of sessions that are open.
+func (s *sessions) openCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, l := range s.links {
+		if l.connected {
+			n++
+		}
+	}
+	return n
+}
+
 // isDrainHinted reports whether an entry daemon says that the VM leaves.
 func (s *sessions) isDrainHinted() bool {
 	s.mu.Lock()
--- a/pkg/executor/attempt.go
+++ b/pkg/executor/attempt.go
@@ -286,7 +286,8 @@
 	attempt *attempt
 }
 
-// run ends when the stream does, at the latest when the handler returns.
+// run ends with the first cancel or with the stream, at the latest when the
+// handler returns.
 func (r *frameReader) run() {
 	for {
 		frame, err := r.attempt.stream.Recv()
@@ -297,6 +298,7 @@
 			_, _ = r.attempt.executor.Cancel(context.Background(), &messenger.CancelRequest{
 				Id: r.attempt.start.GetId(), Incarnation: r.attempt.executor.Incarnation,
 			})
+			return
 		}
 	}
 }
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -165,9 +165,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loads++
+	// What waits in the engine's own queue counts as queued, not as running.
+	running := max(0, e.table.running-e.state.Queued)
 	return &messenger.Load{
-		Queued:   uint32(e.table.waitingCount() + e.state.Queued),
-		Running:  uint32(e.table.running),
+		Queued:   uint32(e.table.waitingCount() + e.table.running - running),
+		Running:  uint32(running),
 		Version:  version.Digest,
 		Draining: e.table.draining,
 		Rate:     e.rate.perSecond(now),
@@ -235,8 +237,9 @@
 	}
 }
 
+// activeVersion returns the version that attempts get, if any.
 func (e *Executor) activeVersion() ActiveVersion {
-	if e.Versions == nil {
+	if e.Versions == nil || !e.Versions.Ready("") {
 		return ActiveVersion{}
 	}
 	return e.Versions.ActiveVersion()
