--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -34,6 +34,8 @@
 	messenger.UnimplementedEntryServer
 	notice  *messenger.EntryNotice
 	reports chan *messenger.AgentReport
+	// left gets a value when a session ends.
+	left chan struct{}
 }
 
 func (f *fakeEntry) Session(stream messenger.Entry_SessionServer) error {
@@ -43,6 +45,10 @@
 	for {
 		report, err := stream.Recv()
 		if err != nil {
+			select {
+			case f.left <- struct{}{}:
+			default:
+			}
 			return nil //nolint:nilerr // The agent has gone.
 		}
 		select {
@@ -74,6 +80,17 @@
 	}
 }
 
+// forget drops the reports that have arrived so far.
+func (f *fakeEntry) forget() {
+	for {
+		select {
+		case <-f.reports:
+		default:
+			return
+		}
+	}
+}
+
 func inState(state messenger.ReplicaState) func(*messenger.AgentReport) bool {
 	return func(r *messenger.AgentReport) bool { return r.GetReplica().GetState() == state }
 }
@@ -116,9 +133,16 @@
 }
 
 func startEntry(c *qt.C) (*fakeEntry, string) {
+	entry, server, address := newEntry(c)
+	c.Cleanup(server.Stop)
+	return entry, address
+}
+
+func newEntry(c *qt.C) (*fakeEntry, *grpc.Server, string) {
 	entry := &fakeEntry{
 		notice:  &messenger.EntryNotice{Revision: 3, Epochs: map[string]uint64{testShard: 5}},
 		reports: make(chan *messenger.AgentReport, 256),
+		left:    make(chan struct{}, 1),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -126,8 +150,7 @@
 	messenger.RegisterEntryServer(server, entry)
 	s := &entryServer{server, listener}
 	go s.run()
-	c.Cleanup(server.Stop)
-	return entry, listener.Addr().String()
+	return entry, server, listener.Addr().String()
 }
 
 type entryServer struct {
@@ -225,6 +248,40 @@
 	c.Assert(<-p.ended, qt.IsNil)
 }
 
+// Guards against an agent that stays without its second session when an entry
+// daemon dies, and against reports that only one entry daemon gets.
+func TestSessionMovesWhenAnEntryDaemonDies(t *testing.T) {
+	c := qt.New(t)
+	stub := httptest.NewServer(&emulator.Service{})
+	defer stub.Close()
+	notice := &messenger.EntryNotice{Revision: 3}
+	entries := map[string]*fakeEntry{}
+	servers := map[string]*grpc.Server{}
+	for _, vm := range []string{"entry-1", "entry-2", "entry-3"} {
+		entry, server, address := newEntry(c)
+		defer server.Stop()
+		entry.notice = notice
+		entries[address], servers[address] = entry, server
+		notice.Entries = append(notice.Entries, &messenger.EntryVM{Vm: vm, RpcAddress: address, Region: "central", FailureDomain: "central-a"})
+	}
+	order := preferredEntries("model-1", "central", "central-a", notice.Entries, nil)
+	settings := testSettings(order[2])
+	service := adapter.NewHTTPService(strings.TrimPrefix(stub.URL, "http://"))
+	_, stop, p := startAgent(c, &Agent{Settings: settings, Service: service})
+	ready := inState(messenger.ReplicaState_REPLICA_STATE_READY)
+	entries[order[0]].waitFor(c, "state ready", ready)
+	entries[order[1]].waitFor(c, "state ready", ready)
+	<-entries[order[2]].left
+	entries[order[2]].forget()
+	servers[order[0]].Stop()
+	entries[order[2]].waitFor(c, "state ready after another entry daemon died", ready)
+	stop()
+	gone := inState(messenger.ReplicaState_REPLICA_STATE_GONE)
+	entries[order[1]].waitFor(c, "state gone", gone)
+	entries[order[2]].waitFor(c, "state gone", gone)
+	c.Assert(<-p.ended, qt.IsNil)
+}
+
 func startAnswer(c *qt.C, client messenger.AgentClient, report *messenger.AgentReport, request string, tokens uint32) messenger.Agent_AttemptClient {
 	stream, err := client.Attempt(context.Background())
 	c.Assert(err, qt.IsNil)
--- a/pkg/executor/attempt.go
+++ b/pkg/executor/attempt.go
@@ -45,8 +45,6 @@
 	if r := a.begin(cancel, now); r != nil {
 		return a.sendRefused(*r)
 	}
-	reader := &frameReader{attempt: a}
-	go reader.run()
 	if r := a.waitForPlace(now); r != nil {
 		return a.sendRefused(*r)
 	}
@@ -192,7 +190,6 @@
 		e.table.refuse(a.record, deadlineRefusal, time.Now())
 		return
 	}
-	a.record.canceled = true
 	e.table.refuse(a.record, canceledRefusal, time.Now())
 }
 
@@ -280,25 +277,3 @@
 	}
 	return errCanceled.Error()
 }
-
-// frameReader takes the frames after the first one.
-type frameReader struct {
-	attempt *attempt
-}
-
-// run ends with the first cancel or with the stream, at the latest when the
-// handler returns.
-func (r *frameReader) run() {
-	for {
-		frame, err := r.attempt.stream.Recv()
-		if err != nil {
-			return
-		}
-		if frame.GetCancel() != nil {
-			_, _ = r.attempt.executor.Cancel(context.Background(), &messenger.CancelRequest{
-				Id: r.attempt.start.GetId(), Incarnation: r.attempt.executor.Incarnation,
-			})
-			return
-		}
-	}
-}
--- a/pkg/executor/executor_test.go
+++ b/pkg/executor/executor_test.go
@@ -29,6 +29,31 @@
 	})
 }
 
+// Guards against open streams without a start that hold resources for ever.
+func TestStreamWithoutStartEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e, _ := newModelExecutor(1)
+		begin := time.Now()
+		s := openAttempt(t, e, nil)
+		<-s.ended
+		c.Assert(time.Since(begin), qt.Equals, 5*time.Second)
+	})
+}
+
+// Guards against a cancel frame that reaches only the agent's memory and not
+// the engine.
+func TestCancelFrameStopsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e, engine := newModelExecutor(1)
+		s := openAttempt(t, e, modelStart("r1"))
+		s.frames <- &messenger.AttemptFrame{Frame: &messenger.AttemptFrame_Cancel{Cancel: &messenger.AttemptCancel{}}}
+		c.Assert(s.last().GetBroken(), qt.IsNotNil)
+		c.Assert(engine.canceled, qt.Contains, "r1.1")
+	})
+}
+
 // Guards against a waiting attempt that starts after its cancel was confirmed.
 func TestCancelOfWaitingAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/executor/fakes_test.go
+++ b/pkg/executor/fakes_test.go
@@ -34,7 +34,9 @@
 	s := &fakeStream{executor: e, frames: make(chan *messenger.AttemptFrame, 4), ended: make(chan struct{})}
 	s.ctx, s.leave = context.WithCancel(context.Background())
 	t.Cleanup(s.leave)
-	s.frames <- &messenger.AttemptFrame{Frame: &messenger.AttemptFrame_Start{Start: start}}
+	if start != nil {
+		s.frames <- &messenger.AttemptFrame{Frame: &messenger.AttemptFrame_Start{Start: start}}
+	}
 	go s.run()
 	synctest.Wait()
 	return s
--- a/pkg/executor/rpc.go
+++ b/pkg/executor/rpc.go
@@ -19,17 +19,12 @@
 // Attempt implements messenger.AgentServer.
 func (e *Executor) Attempt(stream grpc.BidiStreamingServer[messenger.AttemptFrame, messenger.AttemptEvent]) error {
 	e.start.Do(e.setUp)
-	frame, err := stream.Recv()
+	reader := &frameReader{executor: e, stream: stream, first: make(chan firstFrame, 1)}
+	go reader.run()
+	start, err := reader.waitForStart()
 	if err != nil {
 		return err
 	}
-	start := frame.GetStart()
-	if start == nil {
-		return status.Error(codes.InvalidArgument, "the first frame of an attempt must be a start frame")
-	}
-	if err := checkIdentifier(start.GetId()); err != nil {
-		return err
-	}
 	a := &attempt{executor: e, stream: stream, start: start}
 	return a.serve(time.Now())
 }
