--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -70,7 +70,7 @@
 	// OnSuspicions takes suspicions that are new to this daemon.
 	OnSuspicions func([]*messenger.Suspicion)
 	// OnCacheEvents takes the cache events of agents with a session here.
-	OnCacheEvents func(vm string, events []*messenger.CacheEvent)
+	OnCacheEvents func(vm, incarnation string, events []*messenger.CacheEvent)
 	// OnStatus takes statuses of daemons that are meant for this one.
 	OnStatus func(*messenger.DaemonStatus)
 	// StatusShards returns the shards whose holders want the status;
--- a/pkg/monitor/session.go
+++ b/pkg/monitor/session.go
@@ -123,7 +123,7 @@
 		m.SendStatus(daemonStatus)
 	}
 	if events := report.GetCacheEvents(); len(events) > 0 && m.OnCacheEvents != nil {
-		m.OnCacheEvents(s.vm, events)
+		m.OnCacheEvents(s.vm, s.incarnation, events)
 	}
 	m.notify.Notify()
 }
--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -31,7 +31,6 @@
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 	"github.com/lentilbridge/lentilbridge/pkg/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/publisher"
-	"github.com/lentilbridge/lentilbridge/pkg/recorder"
 	"github.com/lentilbridge/lentilbridge/pkg/reporter"
 )
 
@@ -164,10 +163,11 @@
 
 func (d *daemon) connectRequests() {
 	d.picker = &picker.Picker{VM: d.cfg.VM, Region: d.cfg.Region, FailureDomain: d.cfg.FailureDomain, Log: d.log}
+	d.membership.OnCacheEvents = d.picker.CacheEvents
 	d.requests = &Requests{
 		Region: d.cfg.Region, Config: d.configuration.Current, Entries: d.membership.Entries, Picker: d.picker,
 		Dial: d.agents.Dial, Claims: d.claims, Isolation: d.isolation,
-		Metrics: recorder.ExpvarMetrics(), Counters: forwarder.NewCounters(recorder.Counter), Log: d.log,
+		Log:          d.log,
 		EntriesValid: d.cfg.EntriesValid, MaxBody: d.cfg.MaxBodyBytes,
 	}
 }
