Test whole systems as separate processes; return unused trial permits

The test binary runs as entry daemon, agent and stand-ins on loopback addresses of its own, so that kills and freezes hit real processes.

--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -163,3 +163,25 @@
 		c.Assert(blocked, qt.IsFalse)
 	})
 }
+
+// Guards against a permit that is lost when its trial could not be run, which
+// would refuse the request until the permit lapses.
+func TestUnusedPermitIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := t.Context()
+		net := newNetwork(2)
+		net.send(c, 0, "mill/slow", "vm-0", true, "mill/other")
+		first, err := net.nodes[1].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/slow", AskTrial: true})
+		c.Assert(err, qt.IsNil)
+		c.Assert(first.GetTrialGranted(), qt.IsTrue)
+		second, err := net.nodes[0].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/slow", AskTrial: true})
+		c.Assert(err, qt.IsNil)
+		c.Assert(second.GetTrialGranted(), qt.IsFalse)
+		_, err = net.nodes[1].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/slow", Trial: first.GetTrial()})
+		c.Assert(err, qt.IsNil)
+		second, err = net.nodes[0].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/slow", AskTrial: true})
+		c.Assert(err, qt.IsNil)
+		c.Assert(second.GetTrialGranted(), qt.IsTrue)
+	})
+}
--- a/pkg/isolator/shard.go
+++ b/pkg/isolator/shard.go
@@ -47,6 +47,10 @@
 	case req.GetAskTrial():
 		return s.permitTrial(known, now), false
 	}
+	// A trial that neither crashed nor succeeded gives its permit back.
+	if known != nil && req.GetTrial() != "" && req.GetTrial() == known.trial {
+		known.trial = ""
+	}
 	return known.reply(now), false
 }
 
--- /dev/null
+++ b/test/system_test.go
@@ -0,0 +1,522 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/agent"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/publisher"
+	"github.com/lentilbridge/lentilbridge/pkg/router"
+	"github.com/lentilbridge/lentilbridge/pkg/verifier"
+)
+
+// programEnv makes the test binary run as one of the programs, so that tests
+// of whole systems need no build step.
+const programEnv = "LENTIL_TEST_PROGRAM"
+
+const (
+	// waitLimit ends a test whose condition never holds. It is no bound on how
+	// fast the system is.
+	waitLimit = 90 * time.Second
+	pollEvery = 50 * time.Millisecond
+	apiKey    = "test-key"
+)
+
+func init() {
+	switch os.Getenv(programEnv) {
+	case "lentil-entry":
+		os.Exit(router.Main(os.Args[1:]))
+	case "lentil-agent":
+		os.Exit(agent.Main(os.Args[1:]))
+	case "lentil-standin":
+		os.Exit(emulator.Main(os.Args[1:]))
+	}
+}
+
+// networks numbers the loopback networks of the systems of one test binary.
+var networks atomic.Int64
+
+// system is a deployment as separate processes on loopback addresses of its
+// own. Its fields are set before start.
+type system struct {
+	// Entries, Engines and Services are numbers of VMs. VM k is in region
+	// "r1" or "r2" by turns when TwoRegions is set, else in "r1".
+	Entries, Engines, Services int
+	TwoRegions                 bool
+	// WeightBytes and ChunkBytes describe the versions v1, v2 and v3.
+	WeightBytes, ChunkBytes int64
+	// OriginRate and LinkRate are bytes per second; 0 does not limit.
+	OriginRate, LinkRate float64
+	EngineArgs           []string
+	ServiceArgs          []string
+	EntryArgs            []string
+	AgentArgs            []string
+	VMListLag            time.Duration
+
+	t       *testing.T
+	c       *qt.C
+	network string
+	dir     string
+	api     *adapter.HTTPObjectAPI
+	set     *parser.Set
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+// start starts everything, publishes the objects and waits until each replica
+// serves v1 through each entry daemon.
+func (s *system) start(t *testing.T) {
+	s.t = t
+	s.c = qt.New(t)
+	s.network = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, networks.Add(1))
+	s.dir = t.TempDir()
+	s.processes = map[string]*process{}
+	s.api = &adapter.HTTPObjectAPI{BaseURL: "http://" + s.platform(7000)}
+	if s.WeightBytes == 0 {
+		s.WeightBytes, s.ChunkBytes = 1<<20, 64<<10
+	}
+	t.Cleanup(s.stop)
+	s.startPlatform()
+	for k := range s.Entries {
+		s.startEntry(k)
+	}
+	for k := range s.Engines {
+		s.startEngine(k)
+		s.startAgent(k)
+	}
+	for k := range s.Services {
+		s.startService(k)
+		s.startServiceAgent(k)
+	}
+	s.set = s.objects()
+	s.publish()
+	s.waitServing("v1")
+}
+
+func (s *system) startPlatform() {
+	s.run("object-api", "lentil-standin", "object-api", "--address", s.platform(7000))
+	var versions []string
+	for k, name := range []string{"v1", "v2", "v3"} {
+		versions = append(versions, fmt.Sprintf("draft/%s=%d:%d:%d", name, s.WeightBytes, s.ChunkBytes, k+1))
+	}
+	s.run("weights", "lentil-standin", "weights", "--address", s.platform(7001),
+		"--bytes-per-second", fmt.Sprintf("%.0f", s.OriginRate), "--versions", strings.Join(versions, ","))
+	s.run("vm-list", "lentil-standin", "vm-list", "--address", s.platform(7002), "--lag", s.VMListLag.String())
+	s.waitHTTP("http://" + s.platform(7000) + "/stats")
+	s.waitHTTP("http://" + s.platform(7001) + "/stats")
+}
+
+func entryName(k int) string        { return fmt.Sprintf("entry-%d", k) }
+func engineName(k int) string       { return fmt.Sprintf("engine-%d", k) }
+func agentName(k int) string        { return fmt.Sprintf("agent-%d", k) }
+func serviceName(k int) string      { return fmt.Sprintf("service-%d", k) }
+func serviceAgentName(k int) string { return fmt.Sprintf("service-agent-%d", k) }
+
+func (s *system) startEntry(k int) {
+	region, domain := s.place(k)
+	args := []string{
+		"--vm", entryName(k), "--region", region, "--failure-domain", domain,
+		"--public-address", s.entryIP(k) + ":8080", "--rpc-address", s.entryIP(k) + ":9090", "--debug-address", s.entryIP(k) + ":6060",
+		"--object-api", "http://" + s.platform(7000), "--vm-list", "http://" + s.platform(7002),
+		"--seeds", s.seeds(), "--origin-region", "r1", "--entries-valid", "2s",
+	}
+	s.run(entryName(k), "lentil-entry", append(args, s.EntryArgs...)...)
+	s.waitHTTP("http://" + s.entryIP(k) + ":6060/healthz")
+}
+
+func (s *system) startEngine(k int) {
+	args := []string{"engine", "--address", s.engineIP(k) + ":8000", "--load-time", "50ms"}
+	s.run(engineName(k), "lentil-standin", append(args, s.EngineArgs...)...)
+}
+
+func (s *system) startAgent(k int) {
+	region, domain := s.place(k)
+	rate := fmt.Sprintf("%.0f", s.LinkRate)
+	args := []string{
+		"--vm", agentName(k), "--region", region, "--failure-domain", domain, "--fleet", "drafting", "--model", "draft",
+		"--rpc-address", s.engineIP(k) + ":9090", "--debug-address", s.engineIP(k) + ":6060", "--entries", s.seeds(),
+		"--engine-address", s.engineIP(k) + ":8000", "--weights-address", s.platform(7001),
+		"--download-rate", rate, "--upload-rate", rate,
+	}
+	s.run(agentName(k), "lentil-agent", append(args, s.AgentArgs...)...)
+}
+
+func (s *system) startService(k int) {
+	args := []string{"service", "--address", s.serviceIP(k) + ":8000"}
+	s.run(serviceName(k), "lentil-standin", append(args, s.ServiceArgs...)...)
+}
+
+func (s *system) startServiceAgent(k int) {
+	region, domain := s.place(k)
+	args := []string{
+		"--vm", serviceAgentName(k), "--region", region, "--failure-domain", domain, "--fleet", "records", "--service", "records",
+		"--rpc-address", s.serviceIP(k) + ":9090", "--debug-address", s.serviceIP(k) + ":6060", "--entries", s.seeds(),
+		"--service-address", s.serviceIP(k) + ":8000",
+	}
+	s.run(serviceAgentName(k), "lentil-agent", append(args, s.AgentArgs...)...)
+}
+
+// objects is the configuration of the tests: one model with three versions,
+// one service that records, and one team without tight limits.
+func (s *system) objects() *parser.Set {
+	set := parser.NewSet()
+	regions := []string{"r1"}
+	if s.TwoRegions {
+		regions = append(regions, "r2")
+	}
+	set.Add(&parser.Model{Kind: parser.KindModel, Name: "draft", MaxContextTokens: 8192, DefaultMaxTokens: 64})
+	for _, name := range []string{"v1", "v2", "v3"} {
+		manifest := s.get("http://" + s.platform(7001) + "/draft/" + name + "/manifest")
+		set.Add(&parser.ModelVersion{
+			Kind: parser.KindModelVersion, Name: name, Model: "draft",
+			Digest: verifier.Sum(manifest), Source: "draft/" + name, SizeBytes: s.WeightBytes,
+		})
+	}
+	set.Add(&parser.Fleet{Kind: parser.KindFleet, Name: "drafting", Model: "draft", Version: "v1", Regions: regions, Replicas: s.Engines, MaxUnavailable: 1})
+	set.Add(&parser.Route{Kind: parser.KindRoute, Name: "draft", Model: "draft"})
+	if s.Services > 0 {
+		set.Add(&parser.Service{Kind: parser.KindService, Name: "records", IdempotentMethods: []string{"GET", "HEAD"}})
+		set.Add(&parser.Fleet{Kind: parser.KindFleet, Name: "records", Service: "records", Regions: regions, Replicas: s.Services})
+	}
+	set.Add(&parser.Team{
+		Kind: parser.KindTeam, Name: "mill", KeyDigests: []string{digestOfKey(apiKey)}, Weight: 1,
+		RequestsPerSecond: 100_000, TokensPerSecond: 10_000_000, Priority: "interactive",
+	})
+	return set
+}
+
+// publish brings the set into force as the next revision.
+func (s *system) publish() publisher.Result {
+	p := &publisher.Publisher{Objects: s.api, Author: "test"}
+	current, _, err := p.Load(context.Background())
+	s.c.Assert(err, qt.IsNil)
+	request := publisher.Request{BaseRevision: current.Number}
+	for _, o := range s.set.All() {
+		request.Edits = append(request.Edits, publisher.Edit{Ref: o.Ref(), After: o})
+	}
+	result, err := p.Publish(context.Background(), time.Now(), request)
+	s.c.Assert(err, qt.IsNil)
+	return result
+}
+
+// rollOut publishes a rollout of the fleet to a version.
+func (s *system) rollOut(version string) {
+	s.set.Rollouts = map[string]*parser.Rollout{}
+	s.set.Add(&parser.Rollout{Kind: parser.KindRollout, Name: "next", Fleet: "drafting", Version: version, Policy: parser.PolicyTime, State: parser.RolloutRunning})
+	s.publish()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	version string
+	header  http.Header
+	body    string
+	err     error
+}
+
+// post sends a request of the test's team through an entry daemon and reads
+// the whole answer.
+func (s *system) post(entry int, path, body string, header map[string]string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entryIP(entry)+":8080"+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	outcome := resp.Trailer.Get("lentil-outcome")
+	if outcome == "" {
+		outcome = resp.Header.Get("lentil-outcome")
+	}
+	return answer{
+		status: resp.StatusCode, outcome: outcome, version: resp.Header.Get("lentil-model-version"),
+		header: resp.Header, body: string(text), err: err,
+	}
+}
+
+// complete asks for a completion of n tokens.
+func (s *system) complete(entry int, prompt string, n int, stream bool, seed int) answer {
+	body, err := json.Marshal(map[string]any{"model": "draft", "prompt": prompt, "max_tokens": n, "stream": stream, "seed": seed})
+	s.c.Assert(err, qt.IsNil)
+	return s.post(entry, "/v1/completions", string(body), nil)
+}
+
+// record files a record under an idempotency key; empty sends none.
+func (s *system) record(entry int, key, body string) answer {
+	header := map[string]string{}
+	if key != "" {
+		header["idempotency-key"] = key
+	}
+	return s.post(entry, "/services/records/records", body, header)
+}
+
+// expectedText is the whole answer to a prompt from one version.
+func (s *system) expectedText(version, prompt string, n, seed int) string {
+	return strings.Join(emulator.Answer(s.set.ModelVersions[version].Digest, prompt, n, int64(seed)), "")
+}
+
+// textOf extracts the text of a completion or of the events of a stream.
+// complete is false for a stream without its end marker.
+func textOf(a answer) (text string, complete bool) {
+	var out strings.Builder
+	payloads := []string{a.body}
+	if strings.HasPrefix(a.header.Get("Content-Type"), "text/event-stream") {
+		payloads = nil
+		for line := range strings.SplitSeq(a.body, "\n") {
+			if data, isEvent := strings.CutPrefix(line, "data: "); isEvent {
+				payloads = append(payloads, data)
+			}
+		}
+	} else {
+		complete = true
+	}
+	for _, payload := range payloads {
+		if payload == "[DONE]" {
+			return out.String(), true
+		}
+		var parsed struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(payload), &parsed) == nil && len(parsed.Choices) > 0 {
+			out.WriteString(parsed.Choices[0].Text)
+		}
+	}
+	return out.String(), complete
+}
+
+// statuses returns the status of each daemon.
+func (s *system) statuses() []parser.DaemonStatus {
+	objects, err := s.api.List(context.Background(), parser.StatusPrefix)
+	if err != nil {
+		return nil
+	}
+	var all []parser.DaemonStatus
+	for _, o := range objects {
+		if status, err := parser.DecodeStatus[parser.RegionStatus](o.Value); err == nil {
+			all = append(all, status.Daemons...)
+		}
+	}
+	return all
+}
+
+// waitServing waits until each replica serves the version and a request
+// through each entry daemon is answered by it.
+func (s *system) waitServing(version string) {
+	digest := s.set.ModelVersions[version].Digest
+	s.waitUntil("every replica serves "+version, func() bool {
+		serving := 0
+		for _, d := range s.statuses() {
+			if d.Fleet == "drafting" && d.Version == digest && d.State == "ready" {
+				serving++
+			}
+		}
+		return serving >= s.Engines
+	})
+	for k := range s.Entries {
+		s.waitUntil(entryName(k)+" routes to "+version, func() bool {
+			a := s.complete(k, "warm-up", 1, false, 1)
+			text, _ := textOf(a)
+			return a.status == http.StatusOK && text == s.expectedText(version, "warm-up", 1, 1)
+		})
+		if s.Services > 0 {
+			s.waitUntil(entryName(k)+" routes to the service", func() bool {
+				req, err := http.NewRequest(http.MethodGet, "http://"+s.entryIP(k)+":8080/services/records/records/count", nil)
+				s.c.Assert(err, qt.IsNil)
+				req.Header.Set("Authorization", "Bearer "+apiKey)
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					return false
+				}
+				_ = resp.Body.Close()
+				return resp.StatusCode == http.StatusOK
+			})
+		}
+	}
+}
+
+// storedRecords counts the records with a body on all replicas of the service.
+func (s *system) storedRecords(body string) int {
+	count := 0
+	for k := range s.Services {
+		var records []struct {
+			Body string `json:"body"`
+		}
+		s.c.Assert(json.Unmarshal(s.get("http://"+s.serviceIP(k)+":8000/records"), &records), qt.IsNil)
+		for _, r := range records {
+			if r.Body == body {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// fault sets faults of a stand-in: fault(7000, `{"down":true}`) for the object
+// API, 7001 for the weight source.
+func (s *system) fault(port int, body string) {
+	resp, err := http.Post("http://"+s.platform(port)+"/faults", "application/json", strings.NewReader(body))
+	s.c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	s.c.Assert(resp.StatusCode/100, qt.Equals, 2)
+}
+
+func (s *system) get(url string) []byte {
+	resp, err := http.Get(url)
+	s.c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s: %s", url, body))
+	return body
+}
+
+func (s *system) waitUntil(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.dumpLogs()
+			s.t.Fatalf("%s: not within %s", what, waitLimit)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func (s *system) waitHTTP(url string) {
+	s.t.Helper()
+	s.waitUntil(url+" answers", func() bool {
+		resp, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode < http.StatusInternalServerError
+	})
+}
+
+func (s *system) place(k int) (region, domain string) {
+	if s.TwoRegions && k%2 == 1 {
+		return "r2", "r2-a"
+	}
+	return "r1", "r1-a"
+}
+
+func (s *system) platform(port int) string { return fmt.Sprintf("%s.1:%d", s.network, port) }
+func (s *system) entryIP(k int) string     { return fmt.Sprintf("%s.%d", s.network, 10+k) }
+func (s *system) engineIP(k int) string    { return fmt.Sprintf("%s.%d", s.network, 100+k) }
+func (s *system) serviceIP(k int) string   { return fmt.Sprintf("%s.%d", s.network, 200+k) }
+
+func (s *system) seeds() string {
+	addresses := make([]string, 0, s.Entries)
+	for k := range s.Entries {
+		addresses = append(addresses, s.entryIP(k)+":9090")
+	}
+	return strings.Join(addresses, ",")
+}
+
+// process is one started program.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	log    string
+	exited chan struct{}
+}
+
+// run starts a program under a name. Its output goes to a file in the test's
+// folder.
+func (s *system) run(name, program string, args ...string) {
+	p := &process{name: name, log: filepath.Join(s.dir, name+".log"), exited: make(chan struct{})}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	s.c.Assert(err, qt.IsNil)
+	defer func() { _ = out.Close() }()
+	p.cmd = exec.Command(os.Args[0], args...)
+	p.cmd.Env = append(os.Environ(), programEnv+"="+program)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	s.c.Assert(p.cmd.Start(), qt.IsNil)
+	go p.run()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name] = p
+}
+
+func (p *process) run() {
+	_ = p.cmd.Wait()
+	close(p.exited)
+}
+
+// process returns the newest process of a name.
+func (s *system) process(name string) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.processes[name]
+	s.c.Assert(p, qt.IsNotNil, qt.Commentf("no process %s", name))
+	return p
+}
+
+// signal sends a signal, for example SIGSTOP to freeze a process.
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (s *system) stop() {
+	if s.t.Failed() {
+		s.dumpLogs()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+}
+
+// dumpLogs shows the last lines of each process.
+func (s *system) dumpLogs() {
+	const tail = 1500
+	files, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		text = text[max(0, len(text)-tail):]
+		s.t.Logf("%s:\n%s", filepath.Base(file), bytes.TrimSpace(text))
+	}
+}
