--- a/pkg/agent/sessions.go
+++ b/pkg/agent/sessions.go
@@ -57,6 +57,8 @@
 
 func (s *sessions) init() {
 	s.setUp.Do(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.wakeUp = make(chan struct{}, 1)
 		s.links = map[string]*link{}
 		s.failing = map[string]*failure{}
--- a/pkg/agent/weights.go
+++ b/pkg/agent/weights.go
@@ -79,6 +79,8 @@
 func (w *sourceWeights) setUp() {
 	w.once.Do(func() {
 		w.pending = make(chan *messenger.PrepareOrder, maxPendingPrepare)
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.copies = map[string]*sourceCopy{}
 	})
 }
