--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/guard"
+	"github.com/lentilbridge/lentilbridge/pkg/inspector"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
@@ -48,7 +49,7 @@
 	reports  *reports
 	sessions *sessions
 	rpc      *rpcServer
-	debug    *debugServer
+	debug    *inspector.Inspector
 
 	running sync.WaitGroup
 	failed  chan error
@@ -115,7 +116,7 @@
 	a.executor.OnCrash = a.backend.crashed
 	a.reports.Sessions = a.sessions
 	a.rpc = &rpcServer{Listener: listener, Executor: a.executor, Orders: a.orders, Chunks: a.Chunks}
-	a.debug = &debugServer{Listener: debugListener, Reports: a.reports}
+	a.debug = &inspector.Inspector{Listener: debugListener, Ready: a.reports.ready}
 }
 
 func (a *Agent) startParts(ctx context.Context) {
@@ -126,7 +127,7 @@
 		{"reports", a.reports.serve},
 		{"sessions", a.sessions.serve},
 		{"rpc", a.rpc.serve},
-		{"debug", a.debug.serve},
+		{"debug", a.debug.Run},
 	}
 	if a.Weights != nil {
 		parts = append(parts, part{"weights", a.Weights.Run})
--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -21,6 +21,8 @@
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
+	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
 
 const (
@@ -99,7 +101,13 @@
 type fakeSource map[string][]byte
 
 func (s fakeSource) Manifest(_ context.Context, source string) ([]byte, error) {
-	return []byte("manifest of " + source), nil
+	return manifestOf(source, s[source]).Canonical(), nil
+}
+
+func manifestOf(source string, data []byte) *verifier.Manifest {
+	// Reading from memory cannot fail.
+	m, _ := verifier.Build("drafter", source, 1<<20, bytes.NewReader(data))
+	return m
 }
 
 func (s fakeSource) ReadRange(_ context.Context, source string, offset, length int64) ([]byte, error) {
@@ -111,8 +119,7 @@
 }
 
 func refOf(source string, data []byte) *messenger.VersionRef {
-	sum := blake3.Sum256([]byte("manifest of " + source))
-	return &messenger.VersionRef{Model: "drafter", Name: source, Source: source, Digest: hex.EncodeToString(sum[:]), SizeBytes: uint64(len(data))}
+	return &messenger.VersionRef{Model: "drafter", Name: source, Source: source, Digest: manifestOf(source, data).Digest(), SizeBytes: uint64(len(data))}
 }
 
 // process is an agent that runs in the test.
@@ -207,7 +214,10 @@
 	defer engineServer.Close()
 	engine := adapter.NewHTTPEngine(strings.TrimPrefix(engineServer.URL, "http://"))
 	data := bytes.Repeat([]byte("w"), 5<<20)
-	weights := &sourceWeights{Source: fakeSource{"v1": data}, Engine: engine, Log: zap.NewNop()}
+	weights := &transferWeights{
+		Self: &messenger.Peer{Vm: "model-1", Region: "central"}, Source: fakeSource{"v1": data}, Engine: engine,
+		Store: &storer.Storer{}, Log: zap.NewNop(),
+	}
 	client, stop, p := startAgent(c, &Agent{Settings: testSettings(entryAddress), Engine: engine, Weights: weights})
 	defer stop()
 
--- a/pkg/agent/reports.go
+++ b/pkg/agent/reports.go
@@ -144,6 +144,12 @@
 	return messenger.ReplicaState_REPLICA_STATE_READY
 }
 
+// ready reports the state in a word and whether attempts are taken.
+func (r *reports) ready(time.Time) (string, bool) {
+	state := r.state()
+	return state.String(), state == messenger.ReplicaState_REPLICA_STATE_READY
+}
+
 // isSignificant reports whether the change is worth a report of its own.
 func isSignificant(old, report *messenger.AgentReport) bool {
 	if old.GetReplica().GetSequence() != report.GetReplica().GetSequence() ||
--- a/pkg/identifier/digest.go
+++ b/pkg/identifier/digest.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 )
 
 const (
@@ -23,19 +25,16 @@
 	return (len(text) + bytesPerToken - 1) / bytesPerToken
 }
 
-// PrefixHash returns the hash of the start of a prompt, never 0. Requests of
-// different targets never share a cached prefix.
-func PrefixHash(t Target, prompt string) uint64 {
-	if len(prompt) > prefixBytes {
-		prompt = prompt[:prefixBytes]
+// PrefixHash returns the hash of the start of a prompt, never 0. It covers
+// whole blocks, so that it is one of the hashes that engines report for the
+// prompt (see adapter.PrefixHashes). A prompt without a whole block is hashed
+// as it is.
+func PrefixHash(prompt string) uint64 {
+	n := min(len(prompt), prefixBytes)
+	if n >= adapter.PrefixBlockBytes {
+		n -= n % adapter.PrefixBlockBytes
 	}
-	d := xxhash.New()
-	_, _ = d.WriteString(t.Model)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(t.Adapter)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(prompt)
-	return max(d.Sum64(), 1)
+	return max(xxhash.Sum64String(prompt[:n]), 1)
 }
 
 func fingerprint(team string, t Target, parts ...[]byte) string {
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -141,7 +141,7 @@
 	r.Idempotent = true
 	r.Fingerprint = fingerprint(r.Team.Name, r.Target, c.Body)
 	if route.Affinity == nil || *route.Affinity {
-		r.PrefixHash = PrefixHash(r.Target, c.Prompt)
+		r.PrefixHash = PrefixHash(c.Prompt)
 	}
 	return nil
 }
--- a/pkg/identifier/identifier_test.go
+++ b/pkg/identifier/identifier_test.go
@@ -4,12 +4,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -113,3 +115,13 @@
 		qt.Assert(t, other, qt.Not(qt.Equals), same)
 	}
 }
+
+// Guards against prompt hashes that no engine ever reports, with which cache
+// events would have no effect.
+func TestPrefixHashIsOneThatEnginesReport(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{adapter.PrefixBlockBytes, 150, 1024, 5000} {
+		prompt := strings.Repeat("inspection report ", 400)[:n]
+		c.Check(slices.Contains(adapter.PrefixHashes(prompt), PrefixHash(prompt)), qt.IsTrue, qt.Commentf("%d bytes", n))
+	}
+}
