--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -175,7 +175,7 @@
 		r := newRig(t, "", &fakeAgent{unreachable: true}, &fakeAgent{script: serve})
 		for range 200 {
 			res := r.Run(t.Context(), modelRequest(), &sink{})
-			qt.Assert(t, res.Err, qt.IsNil)
+			qt.Assert(t, res.Err == nil, qt.IsTrue, qt.Commentf("%v", res.Err))
 			qt.Assert(t, res.Attempts <= 2, qt.IsTrue)
 		}
 	})
