--- a/pkg/activator/activator.go
+++ b/pkg/activator/activator.go
@@ -48,7 +48,8 @@
 	Engine adapter.Engine
 	Source Source
 	Guard  Guard
-	Log    *logger.Logger
+	// Log may be nil.
+	Log *logger.Logger
 	// CheckInterval is DefaultCheckInterval when 0.
 	CheckInterval time.Duration
 
@@ -119,7 +120,7 @@
 	defer ticker.Stop()
 	for {
 		if err := a.Check(ctx); err != nil && ctx.Err() == nil {
-			a.Log.Warn("engine is not ready", zap.Error(err))
+			a.log().Warn("engine is not ready", zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -170,7 +171,7 @@
 	if err := a.Engine.Apply(ctx, epoch, order); err != nil {
 		return err
 	}
-	logger.LogDecision(a.Log, logger.Decision{Kind: "activate", Subject: ref.GetDigest(), Chosen: ref.GetName(), Reason: "order"})
+	logger.LogDecision(a.log(), logger.Decision{Kind: "activate", Subject: ref.GetDigest(), Chosen: ref.GetName(), Reason: "order"})
 	return a.confirm(ctx)
 }
 
@@ -247,6 +248,13 @@
 	return a.reload(ctx)
 }
 
+func (a *Activator) log() *logger.Logger {
+	if a.Log == nil {
+		return zap.NewNop()
+	}
+	return a.Log
+}
+
 func (a *Activator) reload(ctx context.Context) error {
 	ref := a.Status().Version
 	order, err := a.loadOrder(ref)
@@ -260,7 +268,7 @@
 	if err := a.Engine.Apply(ctx, epoch, order); err != nil {
 		return err
 	}
-	logger.LogDecision(a.Log, logger.Decision{Kind: "activate", Subject: ref.GetDigest(), Chosen: ref.GetName(), Reason: "engine restarted without weights"})
+	logger.LogDecision(a.log(), logger.Decision{Kind: "activate", Subject: ref.GetDigest(), Chosen: ref.GetName(), Reason: "engine restarted without weights"})
 	if err := a.confirm(ctx); err != nil {
 		return err
 	}
--- a/pkg/fetcher/request.go
+++ b/pkg/fetcher/request.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,16 +19,17 @@
 	transfer *Transfer
 	plan     planner.Request
 	client   messenger.ChunksClient
+	timeout  time.Duration
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
 
 func (t *Transfer) startRequest(ctx context.Context, plan planner.Request) {
-	r := &request{transfer: t, plan: plan}
+	r := &request{transfer: t, plan: plan, timeout: t.plan.Timeout(plan)}
 	if plan.Kind != planner.FromOrigin {
 		r.client = t.watches[plan.VM].client
 	}
-	r.ctx, r.cancel = context.WithTimeout(ctx, t.plan.Timeout(plan))
+	r.ctx, r.cancel = context.WithCancel(ctx)
 	t.cancels[plan.Chunk] = append(t.cancels[plan.Chunk], r)
 	t.logRequest(plan)
 	t.running.Add(1)
@@ -75,23 +76,35 @@
 	}
 }
 
+// read waits for the limiter and then reads the chunk. The timeout does not
+// include the wait: a low rate is no fault of the sender.
 func (r *request) read() ([]byte, planner.Result, error) {
-	t := r.transfer
-	length := t.manifest.ChunkBytes(r.plan.Chunk)
-	if err := t.Limiter.Wait(r.ctx, limiter.Download, int(length)); err != nil {
+	length := r.transfer.manifest.ChunkBytes(r.plan.Chunk)
+	if err := r.transfer.Limiter.Wait(r.ctx, limiter.Download, int(length)); err != nil {
 		return nil, r.failure(), err
 	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.timeout)
+	defer cancel()
 	if r.plan.Kind == planner.FromOrigin {
-		data, err := t.Source.ReadRange(r.ctx, t.Version.GetSource(), t.manifest.ChunkOffset(r.plan.Chunk), length)
-		if err != nil {
-			return nil, r.failure(), err
-		}
-		return data, planner.Done, nil
+		return r.readOrigin(ctx, length)
 	}
-	reply, err := r.client.Get(r.ctx, &messenger.ChunkRequest{
-		Digest:        t.digest,
+	return r.readPeer(ctx)
+}
+
+func (r *request) readOrigin(ctx context.Context, length int64) ([]byte, planner.Result, error) {
+	t := r.transfer
+	data, err := t.Source.ReadRange(ctx, t.Version.GetSource(), t.manifest.ChunkOffset(r.plan.Chunk), length)
+	if err != nil {
+		return nil, r.failure(), err
+	}
+	return data, planner.Done, nil
+}
+
+func (r *request) readPeer(ctx context.Context) ([]byte, planner.Result, error) {
+	reply, err := r.client.Get(ctx, &messenger.ChunkRequest{
+		Digest:        r.transfer.digest,
 		Index:         uint32(r.plan.Chunk),
-		Vm:            t.Self.GetVm(),
+		Vm:            r.transfer.Self.GetVm(),
 		AcrossRegions: r.plan.Kind == planner.AcrossRegions,
 	})
 	switch {
@@ -105,10 +118,10 @@
 	return reply.GetData(), planner.Done, nil
 }
 
-// failure tells a timeout of the sender from a request that is not needed any
+// failure tells a fault of the sender from a request that is not needed any
 // more.
 func (r *request) failure() planner.Result {
-	if errors.Is(r.ctx.Err(), context.Canceled) {
+	if r.ctx.Err() != nil {
 		return planner.Cancelled
 	}
 	return planner.Failed
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -64,6 +64,9 @@
 	// idleAfter is the time without transferred bytes after which first-token
 	// delays count towards the baseline.
 	idleAfter = 2 * time.Second
+	// silenceAfter is the time without live requests after which an earlier
+	// delay says nothing about the present.
+	silenceAfter = 2 * time.Second
 	// baselineWeight and recentWeight are the weights of a new observation in
 	// the two moving averages.
 	baselineWeight = 1.0 / 32
@@ -96,6 +99,10 @@
 	recent   float64
 	lastMove time.Time
 	lastStep time.Time
+	// lastSeen is the time of the last observation; fresh is set until a step
+	// has used it.
+	lastSeen time.Time
+	fresh    bool
 }
 
 // Wait blocks until n bytes may pass the link.
@@ -153,6 +160,8 @@
 		return
 	}
 	l.recent = average(l.recent, seconds, recentWeight)
+	l.lastSeen = now
+	l.fresh = true
 	// A VM that never saw a request without a transfer follows the low delays.
 	// A measured baseline stays, or noise would pull it down during a transfer.
 	if !l.measured && (l.baseline == 0 || seconds < l.baseline) {
@@ -183,16 +192,24 @@
 	}
 	l.lastStep = now
 	elapsed = min(elapsed, time.Second)
+	fresh := l.fresh
+	l.fresh = false
 	for link := range links {
-		p, ok := l.policyOf(link).(Adaptive)
-		if !ok {
-			continue
-		}
-		current := float64(l.buckets[link].Limit())
-		if l.baseline > 0 && l.recent > l.baseline*p.Tolerance {
-			l.setRate(link, max(p.MinBytesPerSecond, current*p.Decrease))
-			continue
+		if p, ok := l.policyOf(link).(Adaptive); ok {
+			l.adapt(link, p, fresh, elapsed, now)
 		}
+	}
+}
+
+// adapt lowers the rate once for each interval with late first tokens and
+// raises it when they are in time or when there are no live requests.
+func (l *Limiter) adapt(link Link, p Adaptive, fresh bool, elapsed time.Duration, now time.Time) {
+	current := float64(l.buckets[link].Limit())
+	late := l.baseline > 0 && l.recent > l.baseline*p.Tolerance && now.Sub(l.lastSeen) < silenceAfter
+	switch {
+	case late && fresh:
+		l.setRate(link, max(p.MinBytesPerSecond, current*p.Decrease))
+	case !late:
 		l.setRate(link, min(p.MaxBytesPerSecond, current+p.Increase*elapsed.Seconds()))
 	}
 }
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -76,6 +76,31 @@
 	})
 }
 
+// Guards against one late response that keeps lowering the rate after live
+// requests have ended.
+func TestRateRecoversAfterLastRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &limiter.Limiter{DownloadPolicy: adaptive()}
+		l.ObserveFirstToken(100*time.Millisecond, time.Now())
+		c.Assert(l.Wait(t.Context(), limiter.Download, 1000), qt.IsNil)
+		l.Tick(time.Now())
+		time.Sleep(300 * time.Millisecond)
+		l.ObserveFirstToken(10*time.Second, time.Now())
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 2.5*megabyte)
+		for range 10 {
+			time.Sleep(150 * time.Millisecond)
+			l.Tick(time.Now())
+		}
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 2.5*megabyte)
+		for range 100 {
+			time.Sleep(150 * time.Millisecond)
+			l.Tick(time.Now())
+		}
+		c.Assert(l.Rate(limiter.Download), qt.Equals, 9*megabyte)
+	})
+}
+
 // Guards against a late stretch before a transfer that becomes the baseline.
 func TestBaselineIsNotLearntDuringTransfer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -22,7 +22,10 @@
 
 // Defaults of the limits.
 const (
-	DefaultNeighbours     = 8
+	DefaultNeighbours = 8
+	// DefaultInFlight is one request per neighbour. With fewer, senders run out
+	// of requests; with more, requests wait at the first holder of a chunk when
+	// a second one could serve them.
 	DefaultInFlight       = 8
 	DefaultPerPeer        = 2
 	DefaultImportInFlight = 2
