--- a/pkg/fetcher/fake_test.go
+++ b/pkg/fetcher/fake_test.go
@@ -161,6 +161,8 @@
 	bytes    int64
 	// corrupt changes the first reads of each chunk.
 	corrupt int
+	// stalledFrom and stalledUntil bound a time in which no read completes.
+	stalledFrom, stalledUntil time.Time
 }
 
 func newSource(chunks int) *fakeSource {
@@ -186,6 +188,11 @@
 	if err := wait(ctx); err != nil {
 		return nil, err
 	}
+	for now := time.Now(); now.After(s.stalledFrom) && now.Before(s.stalledUntil); now = time.Now() {
+		if err := wait(ctx); err != nil {
+			return nil, err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads[offset]++
--- a/pkg/fetcher/fetcher_test.go
+++ b/pkg/fetcher/fetcher_test.go
@@ -158,6 +158,23 @@
 	})
 }
 
+// Guards against agents that all read the same chunks after the origin has
+// stalled for all of them.
+func TestTransferSurvivesStalledOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		s := newSwarm(newSource(400), "time", repeat("central", 20)...)
+		s.source.stalledFrom = time.Now().Add(10 * chunkTime)
+		s.source.stalledUntil = s.source.stalledFrom.Add(15 * time.Second)
+		s.start(ctx)
+		s.done.Wait()
+		s.assertComplete(c)
+		c.Assert(s.source.copies() <= 1.05, qt.IsTrue, qt.Commentf("%f copies", s.source.copies()))
+	})
+}
+
 // Guards against chunks that are read again after an interruption.
 func TestTransferResumesFromBitmap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
