--- a/pkg/planner/choose.go
+++ b/pkg/planner/choose.go
@@ -182,7 +182,7 @@
 }
 
 func (p *Planner) nextImport(now time.Time) (Request, bool) {
-	if p.importInFlight >= p.importLimit(now) {
+	if p.importInFlight >= p.ImportInFlight {
 		return Request{}, false
 	}
 	for at, i := range p.importQueue {
@@ -200,15 +200,6 @@
 	return Request{}, false
 }
 
-// importLimit is one across a region link: the importers together fill it, and
-// with more requests in flight each chunk arrives later.
-func (p *Planner) importLimit(now time.Time) int {
-	if p.importsAcross() && !p.noRemote(now) {
-		return 1
-	}
-	return p.ImportInFlight
-}
-
 func (p *Planner) importFrom(i int, now time.Time) (Request, bool) {
 	req := Request{Kind: FromOrigin, Chunk: i, Reason: ReasonFirst}
 	for _, peer := range p.ImportOrder(i) {
