--- a/pkg/monitor/dialer.go
+++ b/pkg/monitor/dialer.go
@@ -65,6 +65,7 @@
 		m.addDiscovery(targets)
 	} else if topo.relay {
 		m.addCandidate(targets, now)
+		m.addUnknownSeeds(targets)
 	}
 	delete(targets, m.self.GetRpcAddress())
 	return targets
@@ -128,6 +129,22 @@
 	}
 }
 
+// addUnknownSeeds adds the seeds at which no known daemon listens. Without
+// that, daemons that first found each other would never look further.
+func (m *Monitor) addUnknownSeeds(targets map[string]string) {
+	known := make(map[string]bool, len(m.entries))
+	for _, e := range m.entries {
+		if e.confirmed {
+			known[e.record.GetRpcAddress()] = true
+		}
+	}
+	for _, address := range m.Seeds {
+		if _, wanted := targets[address]; !known[address] && !wanted {
+			targets[address] = ""
+		}
+	}
+}
+
 // addCandidate adds one of the daemons that only the object API has named.
 // Without that, two groups of daemons of one failure domain that started apart
 // would not find each other.
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -40,7 +40,7 @@
 	frozenAfter = 3 * heartbeatEvery
 	// DefaultLoadBytesPerSecond bounds the load details to one daemon. When
 	// more changes, each replica's load is older, but costs the same.
-	DefaultLoadBytesPerSecond = 2000
+	DefaultLoadBytesPerSecond = 1500
 	maxSuspicions             = 65_536
 )
 
--- a/pkg/monitor/network_test.go
+++ b/pkg/monitor/network_test.go
@@ -267,9 +267,13 @@
 	p := newPipe(ctx, c, target)
 	defer p.cancel()
 	go p.runSession(target)
+	var sent *messenger.Replica
 	for p.ctx.Err() == nil {
 		a.mu.Lock()
-		report := &messenger.AgentReport{Replica: a.replica, Load: a.load}
+		report := &messenger.AgentReport{Load: a.load}
+		if a.replica != sent && !a.silent {
+			report.Replica, sent = a.replica, a.replica
+		}
 		silent := a.silent
 		a.mu.Unlock()
 		if !silent {
--- a/pkg/monitor/session.go
+++ b/pkg/monitor/session.go
@@ -32,6 +32,9 @@
 	kick    chan struct{}
 	closed  chan struct{}
 	once    sync.Once
+	// own is the agent's last record. A report without a record stands for an
+	// unchanged one, which saves most bytes of a report.
+	own *messenger.Replica
 	// The fields below are guarded by the monitor's mutex.
 	vm          string
 	incarnation string
@@ -44,7 +47,8 @@
 	statusSent time.Time
 }
 
-// Session serves the stream of an agent.
+// Session serves the stream of an agent. Reports after the first can leave
+// out the replica while it has not changed.
 func (m *Monitor) Session(stream messenger.Entry_SessionServer) error {
 	m.init()
 	s := &session{monitor: m, stream: stream, kick: make(chan struct{}, 1), closed: make(chan struct{})}
@@ -55,6 +59,7 @@
 	if first.GetReplica().GetVm() == "" || first.GetReplica().GetIncarnation() == "" {
 		return status.Error(codes.InvalidArgument, "the first report needs vm and incarnation of the replica")
 	}
+	s.own = first.GetReplica()
 	s.vm, s.incarnation = first.GetReplica().GetVm(), first.GetReplica().GetIncarnation()
 	if !m.addSession(s) {
 		return status.Error(codes.ResourceExhausted, "too many sessions")
@@ -102,9 +107,13 @@
 		if err != nil {
 			return
 		}
+		if report.GetReplica() == nil {
+			report.Replica = s.own
+		}
 		if report.GetReplica().GetVm() != s.vm || report.GetReplica().GetIncarnation() != s.incarnation {
 			return
 		}
+		s.own = report.GetReplica()
 		s.monitor.report(s, report, time.Now())
 	}
 }
