--- a/tools/bench/control.go
+++ b/tools/bench/control.go
@@ -78,6 +78,9 @@
 	fmt.Fprintf(w, "control-full-size-mean-bytes %.0f B/s\n", (costs["full"].member*(n-2)+2*costs["full"].relay)/n)
 	fmt.Fprintf(w, "control-full-size-core-share %.4f cores\n", costs["full"].core)
 	fmt.Fprintf(w, "control-full-size-heap %.1f MB\n", costs["full"].heap/1e6)
+	if err := benchControlRevision(w); err != nil {
+		return err
+	}
 	return benchControlBaseline(w, full.replicas+full.otherReplicas)
 }
 
