Resolve a claim whose holder ran for long and then never started

A call that found its key in use gave up with the outcome unknown when the holder's reservation expired after more than four looks, and was then refused by its own expired reservation. Looks are now counted only while nothing runs, and an expired reservation no longer excludes its server.

The system tests put a TCP link in front of the agents that holds a start back or half-opens a connection.

--- a/pkg/forwarder/claim.go
+++ b/pkg/forwarder/claim.go
@@ -29,7 +29,9 @@
 // claim writes the claim for the attempt. It returns true when the result is
 // an answer recorded earlier, and an error when the call must not run.
 func (o *once) claim(ctx context.Context, a *attempt) (bool, *identifier.RequestError) {
-	for polls := 0; ; polls++ {
+	// polls counts the looks in a row at which no attempt was running.
+	polls := 0
+	for {
 		reply, err := o.Claims.Claim(ctx, &messenger.ClaimRequest{
 			Key: o.req.ClaimKey, BodyDigest: o.req.BodyDigest, Team: o.req.Team.Name, Service: o.req.Target.Service,
 			Attempt: a.id, AgentAddress: a.choice.Address, AgentIncarnation: a.choice.Incarnation,
@@ -51,10 +53,17 @@
 		case messenger.ClaimState_CLAIM_STATE_UNAVAILABLE:
 			return false, claimError("claims-unavailable", "the call could not be claimed")
 		case messenger.ClaimState_CLAIM_STATE_IN_PROGRESS:
-			done, again, err := o.inProgress(ctx, reply, polls)
-			if !again {
+			done, isRunning, err := o.inProgress(ctx, reply)
+			if done || err != nil {
 				return done, err
 			}
+			polls++
+			if isRunning {
+				polls = 0
+			}
+			if polls >= forgottenPolls || sleep(ctx, statusPoll) != nil {
+				return false, unresolvedError()
+			}
 		default:
 			return false, o.unrecorded(ctx, a)
 		}
@@ -91,16 +100,16 @@
 }
 
 // inProgress resolves a claim of another attempt by asking the agent that it
-// names. The second result asks for another look at the claim.
-func (o *once) inProgress(ctx context.Context, reply *messenger.ClaimReply, polls int) (done, again bool, _ *identifier.RequestError) {
-	unresolved := unknownError("an earlier call with the same idempotency key has no known outcome; this call was not run")
+// names. Without an answer and an error, the claim has to be looked at again;
+// the second result says that its attempt may still run.
+func (o *once) inProgress(ctx context.Context, reply *messenger.ClaimReply) (done, isRunning bool, _ *identifier.RequestError) {
 	holder, err := o.holder(reply)
 	if err != nil {
-		return false, false, unresolved
+		return false, false, unresolvedError()
 	}
 	status, err := holder.status(ctx)
 	if err != nil {
-		return false, false, unresolved
+		return false, false, unresolvedError()
 	}
 	switch status.GetState() {
 	case messenger.AttemptState_ATTEMPT_STATE_FINISHED:
@@ -109,17 +118,17 @@
 		return done, false, err
 	case messenger.AttemptState_ATTEMPT_STATE_BROKEN:
 		o.completeFor(ctx, reply.GetAttempt(), identifier.OutcomeUnknown, nil)
-		return false, false, unresolved
+		return false, false, unresolvedError()
 	case messenger.AttemptState_ATTEMPT_STATE_NEVER_STARTED:
 		o.completeFor(ctx, reply.GetAttempt(), identifier.OutcomeNotRun, nil)
-		polls++
 	case messenger.AttemptState_ATTEMPT_STATE_RUNNING:
-		polls = 0
-	}
-	if polls >= forgottenPolls || sleep(ctx, statusPoll) != nil {
-		return false, false, unresolved
+		return false, true, nil
 	}
-	return false, true, nil
+	return false, false, nil
+}
+
+func unresolvedError() *identifier.RequestError {
+	return unknownError("an earlier call with the same idempotency key has no known outcome; this call was not run")
 }
 
 // holder is the attempt that a claim names, possibly of another entry daemon.
--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -168,6 +169,29 @@
 	})
 }
 
+// runningThen reports an attempt as running n times and then in its last state.
+func runningThen(n int, last messenger.AttemptState) func() (*messenger.AttemptStatusReply, error) {
+	return func() (*messenger.AttemptStatusReply, error) {
+		if n--; n >= 0 {
+			return &messenger.AttemptStatusReply{State: running}, nil
+		}
+		return &messenger.AttemptStatusReply{State: last}, nil
+	}
+}
+
+// refuseOnce refuses the first start and stores the second.
+func refuseOnce(reason messenger.RefuseReason) func(*fakeStream, *messenger.AttemptStart) error {
+	refused := false
+	return func(s *fakeStream, start *messenger.AttemptStart) error {
+		if refused {
+			return store(s, start)
+		}
+		refused = true
+		s.send(refusal(reason))
+		return nil
+	}
+}
+
 // TestServiceOutcome guards against running a non-idempotent call twice and
 // against a wrong outcome of it.
 func TestServiceOutcome(t *testing.T) {
@@ -208,6 +232,8 @@
 		{name: "holder has forgotten", key: "k", claims: []*messenger.ClaimReply{inProgress}, second: &fakeAgent{script: store, state: state(forgotten, "")}, outcome: "unknown", code: "outcome-unknown"},
 		{name: "holder still running at the deadline", key: "k", claims: []*messenger.ClaimReply{inProgress}, second: &fakeAgent{script: store, state: state(running, "")}, outcome: "unknown", code: "outcome-unknown"},
 		{name: "holder never started", key: "k", claims: []*messenger.ClaimReply{inProgress, granted}, second: &fakeAgent{script: store, state: state(neverStarted, "")}, first: &fakeAgent{script: store}, outcome: "served", body: "stored", starts: 1, told: "not-run served"},
+		{name: "holder ran for long, then never started", key: "k", claims: append(slices.Repeat([]*messenger.ClaimReply{inProgress}, 11), granted), second: &fakeAgent{script: store, state: runningThen(10, neverStarted)}, first: &fakeAgent{script: store}, outcome: "served", body: "stored", starts: 1, told: "not-run served"},
+		{name: "reservation expired meanwhile", key: "k", first: &fakeAgent{script: refuseOnce(messenger.RefuseReason_REFUSE_REASON_RESERVATION_EXPIRED)}, second: &fakeAgent{refusal: &messenger.AttemptRefused{Reason: overloaded}}, outcome: "served", body: "stored", starts: 2, told: "not-run served"},
 		{name: "frozen and never started", key: "k", first: &fakeAgent{script: freeze, cancelled: neverStarted}, outcome: "not-run", code: "not-started", starts: 1, told: "not-run"},
 		{name: "frozen and silent", key: "k", first: &fakeAgent{script: freeze}, outcome: "unknown", code: "outcome-unknown", starts: 1},
 		{name: "cut but finished", key: "k", first: &fakeAgent{script: play(acceptedV1), state: state(finished, "late")}, outcome: "served", body: "late", starts: 1, told: "served"},
--- a/pkg/forwarder/once.go
+++ b/pkg/forwarder/once.go
@@ -197,6 +197,11 @@
 		return true, serverError(http.StatusServiceUnavailable, "not-sent", "the backend server could not be reached")
 	case refused:
 		o.complete(ctx, a, identifier.OutcomeNotRun, nil)
+		if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_RESERVATION_EXPIRED {
+			// The wait for an earlier call with the key outlasted the
+			// reservation, which says nothing against the server.
+			o.tried = o.tried[:len(o.tried)-1]
+		}
 		err := overloadError(time.Duration(e.GetRetryAfterMs()) * time.Millisecond)
 		return planned(e.GetReason()), err
 	case broken:
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -70,6 +70,8 @@
 	EntryArgs            []string
 	AgentArgs            []string
 	VMListLag            time.Duration
+	// Links puts a link between the agents and the entry daemons.
+	Links bool
 
 	t       *testing.T
 	c       *qt.C
@@ -80,6 +82,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
+	links     map[string]*link
 }
 
 // start starts everything, publishes the objects and waits until each replica
@@ -90,6 +93,7 @@
 	s.network = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, networks.Add(1))
 	s.dir = t.TempDir()
 	s.processes = map[string]*process{}
+	s.links = map[string]*link{}
 	s.api = &adapter.HTTPObjectAPI{BaseURL: "http://" + s.platform(7000)}
 	if s.WeightBytes == 0 {
 		s.WeightBytes, s.ChunkBytes = 1<<20, 64<<10
@@ -157,6 +161,7 @@
 		"--engine-address", s.engineIP(k) + ":8000", "--weights-address", s.platform(7001),
 		"--download-rate", rate, "--upload-rate", rate,
 	}
+	args = append(args, s.linkArgs(agentName(k), s.engineIP(k))...)
 	s.run(agentName(k), "lentil-agent", append(args, s.AgentArgs...)...)
 }
 
@@ -172,6 +177,7 @@
 		"--rpc-address", s.serviceIP(k) + ":9090", "--debug-address", s.serviceIP(k) + ":6060", "--entries", s.seeds(),
 		"--service-address", s.serviceIP(k) + ":8000",
 	}
+	args = append(args, s.linkArgs(serviceAgentName(k), s.serviceIP(k))...)
 	s.run(serviceAgentName(k), "lentil-agent", append(args, s.AgentArgs...)...)
 }
 
