Keep serving the previous version when an activation fails

An engine that refused a new version still runs the previous one, but the agent reported no version from then on, and such a replica costs no budget: a version that no engine accepts took the whole fleet out of service.

Trial with the fallback in Observe off: TestRefusedActivationKeepsPreviousVersion fails, the engine is not ready.

Transfers and Drop of the weights path without chunks also set it up first; reports that were built before Run raced with it.

--- a/pkg/activator/activator.go
+++ b/pkg/activator/activator.go
@@ -57,12 +57,21 @@
 	mu       sync.Mutex
 	expected *messenger.VersionRef
 	adapters map[string]*messenger.VersionRef
+	// previous is what the engine was confirmed to run before the activation
+	// in progress. An engine that refused the new version still runs it.
+	previous *confirmed
 	status   Status
 	// generation counts Invalidate calls: a state read before an Invalidate
 	// must not make the engine ready after it.
 	generation uint64
 }
 
+// confirmed is a version that the engine has reported, with its adapters.
+type confirmed struct {
+	version  *messenger.VersionRef
+	adapters map[string]*messenger.VersionRef
+}
+
 // MismatchError reports an engine that runs another version than expected.
 type MismatchError struct {
 	Expected string
@@ -141,6 +150,7 @@
 		return
 	}
 	a.adapters = nil
+	a.previous = nil
 	a.status = Status{Reason: "version is not confirmed yet"}
 	a.generation++
 }
@@ -172,7 +182,11 @@
 		return err
 	}
 	logger.LogDecision(a.Log, logger.Decision{Kind: "activate", Subject: ref.GetDigest(), Chosen: ref.GetName(), Reason: "order"})
-	return a.confirm(ctx)
+	if err := a.confirm(ctx); err != nil {
+		return err
+	}
+	a.forgetPrevious()
+	return nil
 }
 
 // Unload frees the engine's weights.
--- a/pkg/activator/activator_test.go
+++ b/pkg/activator/activator_test.go
@@ -29,6 +29,8 @@
 	reports string
 	// onState runs during each State call.
 	onState func()
+	// refuses is the error of each order.
+	refuses error
 }
 
 func (e *fakeEngine) State(context.Context) (adapter.EngineState, error) {
@@ -41,6 +43,9 @@
 
 func (e *fakeEngine) Apply(_ context.Context, epoch uint64, order adapter.EngineOrder) error {
 	e.epochs = append(e.epochs, epoch)
+	if e.refuses != nil {
+		return e.refuses
+	}
 	switch order := order.(type) {
 	case adapter.LoadVersion:
 		data, err := io.ReadAll(order.Weights)
@@ -190,3 +195,30 @@
 	c.Assert(r.Check(t.Context()), qt.IsNotNil)
 	c.Assert(r.Status().Ready, qt.IsFalse)
 }
+
+// Guards against a replica that stops serving because its engine refused a
+// new version: a version that no engine accepts would take the whole fleet
+// out of service, one replica after the other.
+func TestRefusedActivationKeepsPreviousVersion(t *testing.T) {
+	c := qt.New(t)
+	r := newRig()
+	old := r.version(c, "a", 2)
+	c.Assert(r.Activate(t.Context(), fence, old), qt.IsNil)
+	c.Assert(r.LoadAdapter(t.Context(), fence, "x", r.version(c, "x", 2)), qt.IsNil)
+	r.engine.refuses = errors.New("out of memory")
+	for range 2 {
+		c.Assert(r.Activate(t.Context(), fence, r.version(c, "b", 2)), qt.IsNotNil)
+		c.Assert(r.Status().Ready, qt.IsFalse)
+	}
+	c.Assert(r.Observe(r.engine.state), qt.IsFalse)
+	c.Assert(r.Status().Ready, qt.IsTrue)
+	c.Assert(r.Status().Version.GetDigest(), qt.Equals, old.GetDigest())
+	c.Assert(r.Status().Adapters, qt.DeepEquals, []string{"x"})
+
+	// After a switch that succeeded the previous version is wrong.
+	r.engine.refuses = nil
+	c.Assert(r.Activate(t.Context(), fence, r.version(c, "b", 2)), qt.IsNil)
+	r.engine.state.Version = old.GetDigest()
+	c.Assert(r.Observe(r.engine.state), qt.IsFalse)
+	c.Assert(r.Status().Ready, qt.IsFalse)
+}
--- a/pkg/activator/confirm.go
+++ b/pkg/activator/confirm.go
@@ -33,13 +33,17 @@
 // Observe takes a state that was read while no order was applied. It reports
 // whether the engine has lost the expected version and can get it again. An
 // agent that has just started takes over the version of a running engine,
-// which was complete and verified when the engine got it.
+// which was complete and verified when the engine got it. An engine that
+// still runs the previous version after a failed activation serves it on.
 func (a *Activator) Observe(state adapter.EngineState) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.expected == nil && state.Version != "" {
 		a.expected = &messenger.VersionRef{Digest: state.Version}
 	}
+	if a.previous != nil && state.Version == a.previous.version.GetDigest() {
+		a.expected, a.adapters, a.previous = a.previous.version, a.previous.adapters, nil
+	}
 	a.status = Status{Instance: state.Instance}
 	var mismatch *MismatchError
 	if !asMismatch(a.compare(state), &mismatch) || mismatch.Found != "" {
@@ -76,12 +80,21 @@
 func (a *Activator) setExpected(ref *messenger.VersionRef) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.status.Ready {
+		a.previous = &confirmed{version: a.expected, adapters: a.adapters}
+	}
 	a.expected = ref
 	a.adapters = nil
 	a.status = Status{Reason: "engine is switching versions"}
 	a.generation++
 }
 
+func (a *Activator) forgetPrevious() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.previous = nil
+}
+
 func (a *Activator) wantedAdapters() map[string]*messenger.VersionRef {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/agent/weights.go
+++ b/pkg/agent/weights.go
@@ -119,6 +119,7 @@
 
 // Prepared implements Weights.
 func (w *sourceWeights) Prepared(digest string) bool {
+	w.setUp()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.copies[digest]
@@ -127,6 +128,7 @@
 
 // Drop implements Weights.
 func (w *sourceWeights) Drop(digest string) error {
+	w.setUp()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.copies, digest)
@@ -263,6 +265,7 @@
 
 // Transfers implements Weights.
 func (w *sourceWeights) Transfers() []*messenger.Transfer {
+	w.setUp()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	transfers := make([]*messenger.Transfer, 0, len(w.copies))
