Drop superseded transfers and order failed ones again

A superseded transfer took bandwidth from the wanted one and kept its place; after 16 versions an agent refused every further one. A transfer that ended with an error was never ordered again.

Trials: without the drop TestSupersededTransfersAreDropped ends with no replica on the last version; without the repeat TestFailedTransferIsOrderedAgain ends with 7 of 8; with the paused state ignored or switches not counted as away, TestRolloutChangesWhileReplicasSwitch fails.

--- /dev/null
+++ b/pkg/controller/changes_test.go
@@ -0,0 +1,194 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// changingRig is a controller whose configuration is replaced by publish.
+type changingRig struct {
+	c     *qt.C
+	fleet *fleetFake
+	set   atomic.Pointer[parser.Set]
+}
+
+func startChanging(ctx context.Context, c *qt.C) *changingRig {
+	r := &changingRig{c: c, fleet: newFleet(8, "d1")}
+	r.publish("draft-2", parser.RolloutRunning)
+	leases := &leaseFake{}
+	leases.take("entry-1")
+	config := func() *parser.Revision { return &parser.Revision{Number: 1, Set: r.set.Load()} }
+	startController(ctx, "entry-1", &emulator.MemoryObjects{}, leases, r.fleet, config)
+	return r
+}
+
+// publish brings a rollout to a version into force.
+func (r *changingRig) publish(version, state string) {
+	set := rolloutSet(state, 2)
+	for n := 3; n < 30; n++ {
+		set.Add(&parser.ModelVersion{Name: fmt.Sprintf("draft-%d", n), Model: "draft", Digest: fmt.Sprintf("d%d", n)})
+	}
+	set.Rollouts["to-draft-2"].Version = version
+	r.set.Store(set)
+}
+
+// waitSwitching waits until a replica switches after at least one has.
+func (r *changingRig) waitSwitching() {
+	for range 600 {
+		time.Sleep(100 * time.Millisecond)
+		if r.fleet.countVersion("d2") > 0 && r.fleet.countState(messenger.ReplicaState_REPLICA_STATE_SWITCHING) > 0 {
+			return
+		}
+	}
+	r.c.Fatal("no replica switches")
+}
+
+func (f *fleetFake) countState(state messenger.ReplicaState) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.replicas {
+		if r.Replica.GetState() == state {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a rollout that ignores what operators decide while replicas
+// switch: one that goes on while it is paused, stays paused, leaves replicas
+// on a withdrawn version, or takes away more capacity than allowed.
+func TestRolloutChangesWhileReplicasSwitch(t *testing.T) {
+	tests := []struct {
+		name string
+		// during runs while replicas switch and returns the version to reach.
+		during   func(r *changingRig) string
+		replicas int
+	}{
+		{"paused and resumed", func(r *changingRig) string {
+			r.publish("draft-2", parser.RolloutPaused)
+			time.Sleep(5 * time.Second)
+			paused := r.fleet.countVersion("d2")
+			r.c.Assert(paused < 8, qt.IsTrue)
+			time.Sleep(10 * time.Minute)
+			r.c.Assert(r.fleet.countVersion("d2"), qt.Equals, paused)
+			r.publish("draft-2", parser.RolloutRunning)
+			return "d2"
+		}, 8},
+		{"aborted", func(r *changingRig) string {
+			r.publish("draft-2", parser.RolloutAborted)
+			return "d1"
+		}, 8},
+		{"paused and aborted", func(r *changingRig) string {
+			r.publish("draft-2", parser.RolloutPaused)
+			time.Sleep(5 * time.Second)
+			r.publish("draft-2", parser.RolloutAborted)
+			return "d1"
+		}, 8},
+		{"aborted and started again", func(r *changingRig) string {
+			r.publish("draft-2", parser.RolloutAborted)
+			time.Sleep(5 * time.Second)
+			r.publish("draft-2", parser.RolloutRunning)
+			return "d2"
+		}, 8},
+		{"a newer version", func(r *changingRig) string {
+			r.publish("draft-3", parser.RolloutRunning)
+			return "d3"
+		}, 8},
+		{"a newer version that is withdrawn", func(r *changingRig) string {
+			r.publish("draft-3", parser.RolloutRunning)
+			time.Sleep(time.Second)
+			r.publish("draft-2", parser.RolloutRunning)
+			return "d2"
+		}, 8},
+		{"a VM joins", func(r *changingRig) string {
+			r.fleet.add("vm-99", "")
+			return "d2"
+		}, 9},
+		{"a VM joins while paused", func(r *changingRig) string {
+			r.publish("draft-2", parser.RolloutPaused)
+			r.fleet.add("vm-99", "")
+			time.Sleep(time.Minute)
+			r.c.Assert(r.fleet.versionOf("vm-99"), qt.Equals, "d1")
+			r.publish("draft-2", parser.RolloutRunning)
+			return "d2"
+		}, 9},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := startChanging(ctx, c)
+				r.waitSwitching()
+				want := test.during(r)
+				time.Sleep(2 * time.Minute)
+				c.Assert(r.fleet.countVersion(want), qt.Equals, test.replicas)
+				c.Assert(r.fleet.countState(messenger.ReplicaState_REPLICA_STATE_READY), qt.Equals, test.replicas)
+				c.Assert(r.fleet.maxAway <= 2, qt.IsTrue, qt.Commentf("%d replicas away at once", r.fleet.maxAway))
+			})
+		})
+	}
+}
+
+func (f *fleetFake) versionOf(vm string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicas[vm].Replica.GetVersion()
+}
+
+// Guards against superseded transfers that fill the agents until they refuse
+// the version that is wanted, and against a version that waits although it
+// is wanted again after it was dropped.
+func TestSupersededTransfersAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := startChanging(ctx, c)
+		time.Sleep(4 * time.Second)
+		last := 0
+		for n := 3; n < 30; n++ {
+			last = n
+			r.publish(fmt.Sprintf("draft-%d", n), parser.RolloutRunning)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * time.Minute)
+		c.Assert(r.fleet.countVersion(fmt.Sprintf("d%d", last)), qt.Equals, 8)
+		r.fleet.mu.Lock()
+		defer r.fleet.mu.Unlock()
+		for vm := range r.fleet.replicas {
+			c.Assert(r.fleet.heldBy(vm) <= 2, qt.IsTrue, qt.Commentf("%s holds %d versions", vm, r.fleet.heldBy(vm)))
+		}
+	})
+}
+
+func (f *fleetFake) failNextTransfer(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing[vm] = true
+}
+
+// Guards against a transfer that failed once and is never ordered again.
+func TestFailedTransferIsOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := startChanging(ctx, c)
+		r.fleet.failNextTransfer("vm-03")
+		time.Sleep(2 * time.Minute)
+		c.Assert(r.fleet.countVersion("d2"), qt.Equals, 8)
+	})
+}
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -251,8 +251,15 @@
 		return
 	}
 	delete(r.fleet.ordered, r.order.vm)
-	if _, isPrepare := r.order.action.(prepareAction); isPrepare && err == nil {
+	if err != nil {
+		return
+	}
+	switch action := r.order.action.(type) {
+	case prepareAction:
 		r.fleet.prepared[preparedKey{r.order.vm, r.order.preparation.digest}] = r.order.preparation
+	case dropAction:
+		// The version may be wanted again.
+		delete(r.fleet.prepared, preparedKey{r.order.vm, action.digest})
 	}
 }
 
--- a/pkg/controller/controller_test.go
+++ b/pkg/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,7 @@
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
 )
 
 const (
@@ -38,10 +40,12 @@
 	orders   int
 	// activations counts the orders to activate by VM.
 	activations map[string]int
+	// failing holds the VMs whose next transfer ends with an error.
+	failing map[string]bool
 }
 
 func newFleet(n int, version string) *fleetFake {
-	f := &fleetFake{replicas: map[string]*controller.Replica{}, reported: map[string]controller.Replica{}, epochs: map[string]uint64{}, activations: map[string]int{}}
+	f := &fleetFake{replicas: map[string]*controller.Replica{}, reported: map[string]controller.Replica{}, epochs: map[string]uint64{}, activations: map[string]int{}, failing: map[string]bool{}}
 	for k := range n {
 		f.add(fmt.Sprintf("vm-%02d", k), version)
 	}
@@ -63,6 +67,17 @@
 // nameOf maps the digests of the tests to version names.
 var nameOf = map[string]string{"d1": "draft-1", "d2": "draft-2"}
 
+// errHeld is how an agent refuses a transfer above its limit.
+const errHeld = "too many versions are held; drop one first"
+
+func (f *fleetFake) heldBy(vm string) int {
+	n := 0
+	if r := f.replicas[vm]; r != nil {
+		n = len(r.Transfers)
+	}
+	return n
+}
+
 func (f *fleetFake) remove(vm string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -150,6 +165,9 @@
 	if req.GetActivate() != nil {
 		f.activations[a.vm]++
 	}
+	if req.GetPrepare() != nil && f.heldBy(a.vm) >= storer.DefaultMaxVersions {
+		return &messenger.OrderReply{HighestEpoch: req.GetFence().GetEpoch(), Error: errHeld}, nil
+	}
 	go (&orderFake{fleet: f, vm: a.vm, request: req}).run()
 	return &messenger.OrderReply{Accepted: true, HighestEpoch: req.GetFence().GetEpoch()}, nil
 }
@@ -164,9 +182,15 @@
 func (o *orderFake) run() {
 	switch order := o.request.GetOrder().(type) {
 	case *messenger.OrderRequest_Prepare:
+		digest := order.Prepare.GetVersion().GetDigest()
+		o.fleet.change(o.vm, func(r *controller.Replica) {
+			r.Transfers = append(without(r.Transfers, digest), &messenger.Transfer{Digest: digest})
+		})
 		time.Sleep(transferTime)
+		o.fleet.change(o.vm, func(r *controller.Replica) { o.endTransfer(r, digest) })
+	case *messenger.OrderRequest_Drop:
 		o.fleet.change(o.vm, func(r *controller.Replica) {
-			r.Transfers = []*messenger.Transfer{{Digest: order.Prepare.GetVersion().GetDigest(), Complete: true}}
+			r.Transfers = without(r.Transfers, order.Drop.GetDigest())
 		})
 	case *messenger.OrderRequest_Activate:
 		o.fleet.change(o.vm, func(r *controller.Replica) {
@@ -181,6 +205,26 @@
 	}
 }
 
+// endTransfer is called with the fleet's lock held. A transfer that was dropped
+// meanwhile stays away.
+func (o *orderFake) endTransfer(r *controller.Replica, digest string) {
+	kept := without(r.Transfers, digest)
+	if len(kept) == len(r.Transfers) {
+		return
+	}
+	r.Transfers = kept
+	ended := &messenger.Transfer{Digest: digest, Complete: true}
+	if o.fleet.failing[o.vm] {
+		o.fleet.failing[o.vm] = false
+		ended = &messenger.Transfer{Digest: digest, Error: "the store refused the version"}
+	}
+	r.Transfers = append(r.Transfers, ended)
+}
+
+func without(transfers []*messenger.Transfer, digest string) []*messenger.Transfer {
+	return slices.DeleteFunc(slices.Clone(transfers), func(t *messenger.Transfer) bool { return t.GetDigest() == digest })
+}
+
 func cloneView(r *controller.Replica) controller.Replica {
 	return controller.Replica{Replica: proto.Clone(r.Replica).(*messenger.Replica), Transfers: r.Transfers}
 }
--- a/pkg/controller/decide.go
+++ b/pkg/controller/decide.go
@@ -12,7 +12,8 @@
 )
 
 // prepareAgain is the time after which a prepare order is repeated when the
-// agent does not report the transfer.
+// agent does not report the transfer, or reports an error. An agent ends a
+// transfer that its store refused, and starts it again only when ordered.
 const prepareAgain = 10 * time.Second
 
 // input is what one decision about a fleet depends on.
@@ -119,6 +120,12 @@
 			waiting = append(waiting, m)
 			continue
 		}
+		// A superseded transfer would take bandwidth and memory from the one
+		// that is wanted now.
+		if o, ok := in.drop(m, target); ok {
+			orders = append(orders, o)
+			continue
+		}
 		if o, ok := in.prepare(m, target, peers); ok {
 			orders = append(orders, o)
 		}
@@ -168,8 +175,12 @@
 	case !ordered || last.incarnation != wanted.incarnation:
 	case last.peers != wanted.peers:
 		reason = "peers changed"
-	case transferOf(m, target.Digest) == nil && in.now.Sub(last.at) > prepareAgain:
+	case in.now.Sub(last.at) <= prepareAgain:
+		return order{}, false
+	case transferOf(m, target.Digest) == nil:
 		reason = "transfer not reported"
+	case transferOf(m, target.Digest).GetError() != "":
+		reason = "transfer failed"
 	default:
 		return order{}, false
 	}
@@ -263,13 +274,25 @@
 		o.action = adapterAction{adapter: a, model: target.Model}
 		return o, true
 	}
+	return in.drop(m, target)
+}
+
+// drop frees a version that is neither wanted nor needed, nor the one that the
+// replica runs: its engine may restart empty and need it again.
+func (in input) drop(m Replica, target *parser.ModelVersion) (order, bool) {
 	for _, t := range m.Transfers {
-		if t.GetDigest() == target.Digest || in.isNeeded(t.GetDigest()) {
+		digest := t.GetDigest()
+		if digest == target.Digest || digest == m.Replica.GetVersion() || in.isNeeded(digest) {
 			continue
 		}
-		o.subject, o.reason = t.GetDigest(), "version not needed any more"
-		o.action = dropAction{digest: t.GetDigest()}
-		return o, true
+		return order{
+			vm:          m.Replica.GetVm(),
+			address:     m.Replica.GetAddress(),
+			incarnation: m.Replica.GetIncarnation(),
+			subject:     digest,
+			reason:      "version not needed any more",
+			action:      dropAction{digest: digest},
+		}, true
 	}
 	return order{}, false
 }
