--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -20,6 +20,7 @@
 // benchmarks run in this order when none is named.
 var benchmarks = []benchmark{
 	{"distribution", "time to N replicas and bytes from the origin", benchDistribution},
+	{"pick", "time and allocations of a pick among 4,300 replicas", benchPick},
 }
 
 func main() {
