--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -21,6 +21,7 @@
 var benchmarks = []benchmark{
 	{"distribution", "time to N replicas and bytes from the origin", benchDistribution},
 	{"pick", "time and allocations of a pick among 4,300 replicas", benchPick},
+	{"routing", "time to the first token under skewed load", benchRouting},
 }
 
 func main() {
