Let the measured rate of a backend server fall slowly

Cause: the rate is tokens per busy second, so a lightly used server shows a low rate and costs as much as a busy one in the picker. Change: the rate falls with a weight of 0.05 per window instead of 0.3.

--- a/pkg/executor/rate.go
+++ b/pkg/executor/rate.go
@@ -3,13 +3,17 @@
 import "time"
 
 const (
-	rateWindow    = 500 * time.Millisecond
-	rateNewWeight = 0.3
+	rateWindow     = 500 * time.Millisecond
+	rateRiseWeight = 0.3
+	// rateFallWeight is low because a server that runs few attempts at once
+	// makes fewer tokens than it could. Entry daemons divide the load by the
+	// rate, so a lightly used server would look as expensive as a busy one.
+	rateFallWeight = 0.05
 )
 
 // rateMeter measures tokens (or calls) per second of the time in which at
 // least one attempt ran, so that an idle backend server keeps the rate that
-// it has shown.
+// it has shown. It rises within seconds and falls within half a minute.
 type rateMeter struct {
 	running int
 	since   time.Time
@@ -50,10 +54,13 @@
 		return
 	}
 	latest := m.units / m.busy.Seconds()
-	if m.rate == 0 {
+	switch {
+	case m.rate == 0:
 		m.rate = latest
-	} else {
-		m.rate += rateNewWeight * (latest - m.rate)
+	case latest > m.rate:
+		m.rate += rateRiseWeight * (latest - m.rate)
+	default:
+		m.rate += rateFallWeight * (latest - m.rate)
 	}
 	m.busy = 0
 	m.units = 0
