--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -22,6 +22,7 @@
 	{"distribution", "time to N replicas and bytes from the origin", benchDistribution},
 	{"pick", "time and allocations of a pick among 4,300 replicas", benchPick},
 	{"routing", "time to the first token under skewed load", benchRouting},
+	{"prefix", "prefix cache hits and the hottest server", benchPrefix},
 }
 
 func main() {
