Bound prefix affinity by the reported load of all entry daemons

Cause: the bound of 1.25 of the mean counted only the requests of one entry daemon. With a few of them per server, one above their mean is far above the bound, and a popular prefix overloads its server. Change: a server also has to be within 1.25 of the mean of the reported running and queued requests, averaged over 2 s.

--- a/pkg/picker/picker_test.go
+++ b/pkg/picker/picker_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// TestPrefixBoundOfReportedLoad guards against a prefix that stays on a server
+// which the other entry daemons have loaded.
+func TestPrefixBoundOfReportedLoad(t *testing.T) {
+	all := near(8)
+	p := newPicker(t, all)
+	q := Query{Target: model, PrefixHash: 12}
+	home, ok := p.Pick(&q, start)
+	qt.Assert(t, ok, qt.IsTrue)
+	home.Release()
+	for i, running := range []uint32{8, 16} {
+		now := start.Add(time.Duration(i+1) * 10 * time.Second)
+		for _, c := range all {
+			c.Load.Sequence = uint64(i + 1)
+			c.Load.Running = 8
+			if c.Replica.GetVm() == home.VM {
+				c.Load.Running = running
+			}
+		}
+		p.Update(all, now)
+		c, ok := p.Pick(&q, now)
+		qt.Assert(t, ok, qt.IsTrue)
+		c.Release()
+		qt.Assert(t, c.VM == home.VM, qt.Equals, running == 8, qt.Commentf("%d running", running))
+	}
+}
+
 // TestHerding guards against picks that all follow the same lagging report.
 func TestHerding(t *testing.T) {
 	all := near(8)
--- a/pkg/picker/policy.go
+++ b/pkg/picker/policy.go
@@ -57,6 +57,9 @@
 	// affinityBound is the load relative to the mean above which a prefix
 	// overflows to the next server.
 	affinityBound = 1.25
+	// leastReportedMean is the mean number of reported requests below which
+	// the bound does not fall, so that idle servers do not lose their prefixes.
+	leastReportedMean = 1
 	// affinityCost keeps prefixes away from servers that are much slower than
 	// the mean.
 	affinityCost = 2
@@ -196,10 +199,11 @@
 }
 
 func affineAmong(servers []*Server, q *Query, holder *Server, now int64) *Server {
-	total, cost, n := int64(1), 0.0, int64(0)
+	total, reported, cost, n := int64(1), 0.0, 0.0, int64(0)
 	for _, s := range servers {
 		if s.usable(q, now, passFree) {
 			total += s.inFlight.Load()
+			reported += s.reportedLoad(now)
 			cost += s.cost(now)
 			n++
 		}
@@ -210,6 +214,9 @@
 	// Rounding the bound up would allow much more than it at a few requests
 	// per server. One above the mean always leaves a server within the bound.
 	most := max(int64(affinityBound*float64(total)/float64(n)), total/n+1)
+	// The requests of this entry daemon are a part of the load only, and one
+	// above their mean may be far above the bound.
+	mostReported := affinityBound * max(reported/float64(n), leastReportedMean)
 	mostCost := affinityCost * cost / float64(n)
 	var best *Server
 	var bestScore uint64
@@ -221,7 +228,8 @@
 		if best != nil && score <= bestScore {
 			continue
 		}
-		if s.usable(q, now, passFree) && s.inFlight.Load() < most && s.cost(now) <= mostCost {
+		if s.usable(q, now, passFree) && s.inFlight.Load() < most &&
+			s.reportedLoad(now) <= mostReported && s.cost(now) <= mostCost {
 			best, bestScore = s, score
 		}
 	}
--- a/pkg/picker/server.go
+++ b/pkg/picker/server.go
@@ -15,6 +15,9 @@
 	// staleLoad is the age at which a reported queue says nothing any more;
 	// agents report at least every 2 s.
 	staleLoad = 6 * time.Second
+	// reportedTime averages the reported requests, because single reports vary
+	// much more than the load does.
+	reportedTime = 2 * time.Second
 	// successWeight is the weight of one result in the moving success rate.
 	successWeight = 0.1
 	// leastSuccess keeps a failing server's cost finite.
@@ -41,6 +44,7 @@
 
 	inFlight atomic.Int64
 	queued   atomic.Int64
+	reported atomic.Uint64
 	loadAt   atomic.Int64
 	rate     atomic.Uint64
 	fallback atomic.Uint64
@@ -87,11 +91,24 @@
 	}
 	s.sequence = load.GetSequence()
 	s.queued.Store(int64(load.GetQueued()))
+	s.averageReported(float64(load.GetQueued()+load.GetRunning()), now)
 	s.rate.Store(math.Float64bits(load.GetRate()))
 	s.draining.Store(load.GetDraining())
 	s.loadAt.Store(now.UnixNano())
 }
 
+// averageReported follows the reported requests with a time constant of
+// reportedTime, whatever the interval of the reports is.
+func (s *Server) averageReported(requests float64, now time.Time) {
+	old := math.Float64frombits(s.reported.Load())
+	age := now.Sub(time.Unix(0, s.loadAt.Load()))
+	if age > staleLoad {
+		old = requests
+	}
+	weight := 1 - math.Exp(-max(age, 0).Seconds()/reportedTime.Seconds())
+	s.reported.Store(math.Float64bits(old + weight*(requests-old)))
+}
+
 // FirstToken takes the delay of a first token.
 func (s *Server) FirstToken(delay time.Duration, now time.Time) {
 	s.limit.Observe(delay, s.InFlight(), now)
@@ -139,6 +156,15 @@
 	return load / (s.speed() * max(success, leastSuccess))
 }
 
+// reportedLoad returns the mean number of requests of all entry daemons on the
+// server in the last few seconds; 0 when the last report is stale.
+func (s *Server) reportedLoad(now int64) float64 {
+	if now-s.loadAt.Load() < int64(staleLoad) {
+		return math.Float64frombits(s.reported.Load())
+	}
+	return 0
+}
+
 func (s *Server) speed() float64 {
 	if r := math.Float64frombits(s.rate.Load()); r > 0 {
 		return r
