--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -20,6 +20,7 @@
 // benchmarks run in this order when none is named.
 var benchmarks = []benchmark{
 	{"distribution", "time to N replicas and bytes from the origin", benchDistribution},
+	{"control", "control cost of daemons and its slopes", benchControl},
 	{"pick", "time and allocations of a pick among 4,300 replicas", benchPick},
 	{"routing", "time to the first token under skewed load", benchRouting},
 	{"prefix", "prefix cache hits and the hottest server", benchPrefix},
