--- a/tools/demo/story.go
+++ b/tools/demo/story.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	loadRate        = 40
+	loadRate = 40
+	// leastTeamRate leaves out teams whose own limit would refuse a part of
+	// the load, because each entry daemon grants its share of the limit.
+	leastTeamRate   = 10
 	firstTimeout    = 2 * time.Minute
 	rolloutTimeout  = 3 * time.Minute
 	pollInterval    = 100 * time.Millisecond
@@ -109,6 +112,9 @@
 		}
 	}
 	for _, team := range s.set.Teams {
+		if team.RequestsPerSecond > 0 && team.RequestsPerSecond < leastTeamRate {
+			continue
+		}
 		weighted := slices.Repeat([]string{team.Name}, team.Weight)
 		if len(team.Routes) == 0 || slices.Contains(team.Routes, l.route) {
 			l.callers = append(l.callers, weighted...)
