--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -246,7 +246,8 @@
 	if *known != nil && samePeers(*known, peers) {
 		return
 	}
-	*known = peers
+	// A list without agents differs from no list.
+	*known = append([]planner.Peer{}, peers...)
 	t.plan.SetPeers(peers, t.Clock())
 	t.plan.Tick(t.Clock())
 }
--- a/pkg/planner/peers.go
+++ b/pkg/planner/peers.go
@@ -104,6 +104,7 @@
 	sortBy(p.region, func(peer Peer) uint64 { return weight(p.Digest, -1, peer.VM) })
 	sortBy(p.remote, func(peer Peer) uint64 { return weight(p.Self.VM, -1, peer.VM) })
 	p.extraImporters = 0
+	clear(p.away)
 	p.setImporters()
 	p.refreshWatched(now)
 }
@@ -224,6 +225,11 @@
 // refreshWatched chooses the agents to follow and keeps what is known of those
 // that stay.
 func (p *Planner) refreshWatched(now time.Time) {
+	for vm := range p.watched {
+		if p.unreachable(vm, now) && !now.Before(p.away[vm]) {
+			p.away[vm] = now.Add(awayFor)
+		}
+	}
 	wanted := map[string]*watched{}
 	for _, peer := range p.chooseNeighbours(now) {
 		wanted[peer.VM] = &watched{peer: peer, neighbour: true}
@@ -289,6 +295,19 @@
 			distance = 1
 		}
 	}
+	return p.fillNeighbours(out, chosen, self)
+}
+
+// fillNeighbours takes unreachable agents when there are too few others: they
+// may not have received their orders yet.
+func (p *Planner) fillNeighbours(out []Peer, chosen map[int]bool, self int) []Peer {
+	n := len(p.region)
+	for distance := 1; distance < n && len(out) < p.Neighbours; distance++ {
+		if i := (self + distance) % n; !chosen[i] {
+			chosen[i] = true
+			out = append(out, p.region[i])
+		}
+	}
 	return out
 }
 
@@ -296,7 +315,13 @@
 // grace time.
 func (p *Planner) unreachable(vm string, now time.Time) bool {
 	w := p.watched[vm]
-	if w == nil || w.up {
+	if w != nil && w.up {
+		return false
+	}
+	if now.Before(p.away[vm]) {
+		return true
+	}
+	if w == nil {
 		return false
 	}
 	if w.downAt.IsZero() {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -52,6 +52,9 @@
 	startGrace = 3 * time.Second
 	// downGrace is how long an agent whose stream broke counts as present.
 	downGrace = time.Second
+	// awayFor is how long the place of an unreachable neighbour is given to
+	// another agent before it is tried again.
+	awayFor = 10 * time.Second
 	// firstLook is how long imports wait for the bitmaps of the watched peers.
 	firstLook = time.Second
 	// starvedAfter is how long a chunk that only an importer holds is left to
@@ -161,6 +164,8 @@
 	list    []*watched
 	chunks  []chunk
 	missing int
+	// away holds the unreachable agents and when to try them again.
+	away map[string]time.Time
 
 	peerInFlight   int
 	importInFlight int
@@ -229,6 +234,7 @@
 	p.lastNews = now
 	p.lastOwnImport = now
 	p.watched = map[string]*watched{}
+	p.away = map[string]time.Time{}
 	p.importBackoff = map[int]backoff{}
 	p.chunks = make([]chunk, p.Chunks)
 	p.missing = p.Chunks
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -100,6 +100,41 @@
 	}
 }
 
+// Guards against a dead neighbour that keeps its place, or gets it back at the
+// next tick.
+func TestUnreachableNeighbourIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 40)
+	p := newPlanner(all[0], 1, all)
+	p.Importers = 1
+	p.SetPeers(all, epoch)
+	allUp(p, epoch)
+	before := p.Watched()
+	dead := before[3]
+	p.Down(dead.VM, epoch)
+	for at := 2 * time.Second; at < 10*time.Second; at += 500 * time.Millisecond {
+		now := epoch.Add(at)
+		p.Tick(now)
+		c.Assert(p.Watched(), qt.HasLen, len(before))
+		for _, peer := range p.Watched() {
+			c.Assert(peer.VM, qt.Not(qt.Equals), dead.VM)
+			p.Up(peer.VM, now)
+		}
+	}
+}
+
+// Guards against an agent that follows nobody because it started before all
+// others.
+func TestUnreachableNeighboursAreTriedWithoutOthers(t *testing.T) {
+	c := qt.New(t)
+	all := peers("central", 12)
+	p := newPlanner(all[0], 1, all)
+	for at := time.Second; at < time.Minute; at += time.Second {
+		p.Tick(epoch.Add(at))
+		c.Assert(len(p.Watched()) >= planner.DefaultNeighbours, qt.IsTrue)
+	}
+}
+
 // Guards against chunks that stay with an importer that died or stalled, and
 // against a takeover while the importer makes progress.
 func TestTakeoverNeedsLackOfProgress(t *testing.T) {
