--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -76,3 +76,17 @@
 
 // Close closes all connections.
 func (p *Pool) Close() { p.Retain(nil) }
+
+// ServerOptions returns the options of a gRPC server that clients of a Pool
+// call. The default server takes their keepalive pings for abuse and closes
+// the connection.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime: keepaliveTime / 2, PermitWithoutStream: true,
+		}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			Time: keepaliveTime, Timeout: keepaliveTimeout,
+		}),
+	}
+}
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -48,7 +48,8 @@
 // before Run; the functions are optional.
 type Monitor struct {
 	// Self is this daemon. StartedMs orders it against its predecessors; the
-	// present time is taken when it is zero.
+	// present time is taken when it is zero. The RPC address must be set: a
+	// record without one stands for a removed daemon.
 	Self   *messenger.EntryVM
 	API    adapter.ObjectAPI
 	VMList adapter.VMList
--- a/pkg/reporter/reporter_test.go
+++ b/pkg/reporter/reporter_test.go
@@ -181,6 +181,25 @@
 	})
 }
 
+// Guards against a write under a lease that was lost while the objects of the
+// last holder were read.
+func TestLeaseLostDuringReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		objects := newFakeObjects()
+		var asked atomic.Int32
+		h := start(t, objects, func() (leaser.Lease, bool) {
+			return leaser.Lease{Epoch: 1}, asked.Add(1)%2 == 1
+		})
+		h.Put(status("vm-1", 1, ""))
+		time.Sleep(10 * time.Second)
+		c.Assert(objects.writes(), qt.Equals, 0)
+		c.Assert(objects.total() > 0, qt.IsTrue)
+		h.stop()
+		<-h.done
+	})
+}
+
 // Guards against statuses that queue up while the object API is down for an
 // hour, a burst of calls after it, and a lost answer that stops the writes.
 func TestOutageAndLostAnswer(t *testing.T) {
--- a/tools/bench/controlcluster.go
+++ b/tools/bench/controlcluster.go
@@ -100,7 +100,7 @@
 		Seeds: seeds, Client: d.pool.Entry,
 		Revision: func() uint64 { return 4711 },
 	}
-	d.server = grpc.NewServer()
+	d.server = grpc.NewServer(connector.ServerOptions()...)
 	messenger.RegisterEntryServer(d.server, d)
 	c.workers.Add(2)
 	go d.runServer(&countedListener{listener, &d.bytes}, &c.workers)
