Keep crash evidence and blocks that reach the owner indirectly

The owner of an isolation shard ignored facts that it heard after loading the shard, a crash in a trial whose permit a former owner gave, and blocks that another daemon had written to the list; it also took a block that it could not write for one that an operator had lifted. Each allowed a third lost server. A request that waits for the trial of an equal one asks again within 500 ms instead of when the permit lapses.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -30,6 +30,10 @@
 	// never reports a result.
 	TrialDuration = 2 * time.Minute
 
+	// trialRetryAfter is when a request asks again that waits for the trial of
+	// another request with the same fingerprint.
+	trialRetryAfter = 500 * time.Millisecond
+
 	forwardTimeout = time.Second
 	refreshEvery   = 10 * time.Second
 )
@@ -129,10 +133,11 @@
 	n := ShardOf(req.GetFingerprint())
 	i.load(ctx, n)
 	i.mu.Lock()
+	i.adopt(n, req.GetFingerprint(), now)
 	reply, changed := i.shards[n].decide(req, now)
 	var spread *messenger.Suspicion
 	if changed {
-		spread = i.shards[n].suspicion(req.GetFingerprint(), now)
+		spread = i.shards[n].suspicion(req.GetFingerprint(), i.facts[req.GetFingerprint()].sequence, now)
 		i.observeLocked([]*messenger.Suspicion{spread}, now)
 	}
 	i.mu.Unlock()
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -22,6 +22,8 @@
 	api   *emulator.MemoryObjects
 	nodes []*isolator.Isolator
 	owner int
+	// cut keeps the daemons from reaching the owner.
+	cut bool
 }
 
 func newNetwork(n int) *network {
@@ -45,7 +47,7 @@
 		if n.owner == k {
 			return nil
 		}
-		return &ownerClient{isolator: n.nodes[n.owner]}
+		return &ownerClient{network: n, isolator: n.nodes[n.owner]}
 	}
 }
 
@@ -57,10 +59,14 @@
 
 type ownerClient struct {
 	messenger.EntryClient
+	network  *network
 	isolator *isolator.Isolator
 }
 
 func (o *ownerClient) Suspect(ctx context.Context, req *messenger.SuspectRequest, _ ...grpc.CallOption) (*messenger.SuspectReply, error) {
+	if o.network.cut {
+		return nil, context.DeadlineExceeded
+	}
 	return o.isolator.SuspectHere(ctx, req)
 }
 
@@ -185,3 +191,102 @@
 		c.Assert(second.GetTrialGranted(), qt.IsTrue)
 	})
 }
+
+// Guards against a third lost server when the owner could not be reached at
+// the first crash and hears of it only by a fact.
+func TestCrashReportedPastTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		net := newNetwork(3)
+		// The owner has decided before, so that it does not load the shard again.
+		net.send(c, 0, "mill/bad", "vm-9", false)
+		net.cut = true
+		lost, _ := net.send(c, 1, "mill/bad", "vm-0", true, "mill/beside")
+		net.cut = false
+		for k := range 4 {
+			crashed, _ := net.send(c, 2*(k%2), "mill/bad", fmt.Sprint("vm-", k+1), true)
+			lost += crashed
+			time.Sleep(time.Second)
+		}
+		c.Assert(lost, qt.Equals, 2)
+	})
+}
+
+// Guards against a trial's crash that does not count because it hit the VM of
+// the first one and its permit came from a former owner.
+func TestTrialCrashAfterOwnerChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := t.Context()
+		net := newNetwork(2)
+		net.send(c, 0, "mill/bad", "vm-0", true, "mill/beside")
+		permit, err := net.nodes[0].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/bad", AskTrial: true})
+		c.Assert(err, qt.IsNil)
+		net.owner = 1
+		report := &messenger.SuspectRequest{
+			Fingerprint: "mill/bad", Vm: "vm-0", Trial: permit.GetTrial(), Crashed: true, InProgress: []string{"mill/bad"},
+		}
+		reply, err := net.nodes[0].Suspect(ctx, report)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetBlocked(), qt.IsTrue)
+	})
+}
+
+// Guards against a block that ends because another daemon or an operator has
+// changed the list before the owner could write it.
+func TestBlocksOfTwoWritersAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		net := newNetwork(3)
+		other := sameShard("mill/bad")
+		crashTwice := func(entry int, fingerprint string) {
+			net.send(c, entry, fingerprint, "vm-0", true)
+			_, blocked := net.send(c, entry, fingerprint, "vm-1", true)
+			c.Assert(blocked, qt.IsFalse)
+		}
+		go net.nodes[0].Run(ctx)
+		time.Sleep(time.Second)
+		// The owner's write meets the list that the other daemon has made.
+		net.cut = true
+		crashTwice(1, other)
+		net.cut = false
+		crashTwice(0, "mill/bad")
+		time.Sleep(30 * time.Second)
+		stored, err := net.api.Get(ctx, fmt.Sprintf("blocks/%d", isolator.ShardOf(other)))
+		c.Assert(err, qt.IsNil)
+		for _, fingerprint := range []string{"mill/bad", other} {
+			_, blocked, _ := net.nodes[2].Blocked(fingerprint, time.Now())
+			c.Check(blocked, qt.IsTrue)
+			c.Check(string(stored.Value), qt.Contains, `"fingerprint":"`+fingerprint+`"`)
+		}
+	})
+}
+
+// sameShard returns another fingerprint of the shard.
+func sameShard(fingerprint string) string {
+	for k := 0; ; k++ {
+		other := fmt.Sprint("mill/other-", k)
+		if isolator.ShardOf(other) == isolator.ShardOf(fingerprint) {
+			return other
+		}
+	}
+}
+
+// Guards against a request that waits for minutes after the trial of another
+// one with the same fingerprint has ended.
+func TestTrialIsAskedForAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		net := newNetwork(1)
+		net.send(c, 0, "mill/slow", "vm-0", true)
+		ask := &messenger.SuspectRequest{Fingerprint: "mill/slow", AskTrial: true}
+		_, err := net.nodes[0].Suspect(t.Context(), ask)
+		c.Assert(err, qt.IsNil)
+		reply, err := net.nodes[0].Suspect(t.Context(), ask)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetTrialGranted(), qt.IsFalse)
+		c.Assert(reply.GetRetryAfterMs() > 0 && reply.GetRetryAfterMs() < isolator.TrialDuration.Milliseconds(), qt.IsTrue)
+	})
+}
--- a/pkg/isolator/shard.go
+++ b/pkg/isolator/shard.go
@@ -28,7 +28,12 @@
 	blockedUntil time.Time
 	trial        string
 	trialUntil   time.Time
+	// crashedTrial is the last trial that crashed; it counts once, however
+	// often it is reported.
+	crashedTrial string
 	sequence     uint64
+	// isStored is set once the block is in the list that operators edit.
+	isStored bool
 }
 
 // decide applies one request and returns the reply, and whether anything that
@@ -63,11 +68,15 @@
 	known.sequence = nextSequence(known.sequence, now)
 	// A trial runs alone, so that its crash has one cause. Without a trial,
 	// the same VM can be reported by several entry daemons for one crash.
-	trialCrashed := req.GetTrial() != "" && req.GetTrial() == known.trial
+	// The permit may come from a former owner of the shard.
+	trialCrashed := req.GetTrial() != "" && req.GetTrial() != known.crashedTrial
 	if !trialCrashed && slices.Contains(known.vms, req.GetVm()) {
 		return known.reply(now)
 	}
 	known.vms = append(known.vms, req.GetVm())
+	if trialCrashed {
+		known.crashedTrial = req.GetTrial()
+	}
 	known.trial = ""
 	if len(suspectsOf(req)) == 1 {
 		known.soleCrashes++
@@ -94,7 +103,9 @@
 		return known.reply(now)
 	}
 	if known.trial != "" && now.Before(known.trialUntil) {
-		return &messenger.SuspectReply{RetryAfterMs: known.trialUntil.Sub(now).Milliseconds()}
+		// Most trials end long before their permit does.
+		wait := min(known.trialUntil.Sub(now), trialRetryAfter)
+		return &messenger.SuspectReply{RetryAfterMs: wait.Milliseconds()}
 	}
 	s.trials++
 	known.trial = fmt.Sprintf("%d-%d", now.UnixNano(), s.trials)
@@ -102,14 +113,15 @@
 	return &messenger.SuspectReply{TrialGranted: true, Trial: known.trial}
 }
 
-// suspicion returns the fact to spread about a fingerprint.
-func (s *shard) suspicion(fingerprint string, now time.Time) *messenger.Suspicion {
+// suspicion returns the fact to spread about a fingerprint. A fact that clears
+// it comes after the one with the previous sequence number.
+func (s *shard) suspicion(fingerprint string, previous uint64, now time.Time) *messenger.Suspicion {
 	known := s.suspects[fingerprint]
 	if known == nil {
 		return &messenger.Suspicion{
 			Fingerprint: fingerprint,
 			Cleared:     true,
-			Sequence:    nextSequence(0, now),
+			Sequence:    nextSequence(previous, now),
 		}
 	}
 	fact := &messenger.Suspicion{
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -44,23 +44,28 @@
 	}
 	now := i.Now()
 	for _, b := range blocks {
-		s.suspects[b.Fingerprint] = &suspect{
-			vms:          b.VMs,
-			soleCrashes:  1,
-			seenAt:       now,
-			blockedUntil: time.UnixMilli(b.UntilMillis),
-		}
-	}
-	for fingerprint, f := range i.facts {
-		if ShardOf(fingerprint) != n || s.suspects[fingerprint] != nil || f.blocked || now.After(f.until) {
-			continue
-		}
-		s.suspects[fingerprint] = &suspect{vms: []string{f.vm}, seenAt: now, sequence: f.sequence}
+		s.suspects[b.Fingerprint] = blockedSuspect(b, now)
 	}
 	s.loaded = err == nil
 	s.version = version
 }
 
+func blockedSuspect(b parser.Block, now time.Time) *suspect {
+	return &suspect{vms: b.VMs, soleCrashes: 1, seenAt: now, blockedUntil: time.UnixMilli(b.UntilMillis), isStored: true}
+}
+
+// adopt makes a suspect of what the former owner, or a daemon that could not
+// reach this one, has spread about a fingerprint. Blocks are taken from the
+// object that operators edit.
+func (i *Isolator) adopt(n int, fingerprint string, now time.Time) {
+	s := &i.shards[n]
+	f, known := i.facts[fingerprint]
+	if !known || s.suspects[fingerprint] != nil || f.blocked || now.After(f.until) {
+		return
+	}
+	s.suspects[fingerprint] = &suspect{vms: []string{f.vm}, seenAt: now, sequence: f.sequence}
+}
+
 // store writes the blocks of a shard when they differ from those stored.
 func (i *Isolator) store(ctx context.Context, n int) {
 	i.mu.Lock()
@@ -81,12 +86,18 @@
 		return
 	}
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.shards[n].version = stored
-	i.mu.Unlock()
+	for _, b := range blocks {
+		if known := i.shards[n].suspects[b.Fingerprint]; known != nil {
+			known.isStored = true
+		}
+	}
 }
 
-// refresh takes over blocks that operators have lifted, writes blocks that
-// could not be written before, and forgets shards of other owners.
+// refresh follows the lists of blocks that operators and daemons which could
+// not reach this one have changed, writes blocks that could not be written
+// before, and forgets shards of other owners.
 func (i *Isolator) refresh(ctx context.Context, now time.Time) {
 	for n := range i.shards {
 		if !i.Held(ShardName(n), now) {
@@ -108,16 +119,11 @@
 	i.mu.Lock()
 	s := &i.shards[n]
 	var lifted []*messenger.Suspicion
-	if version != s.version && s.version != 0 {
-		for fingerprint, known := range s.suspects {
-			if known.isBlocked(now) && !containsBlock(stored, fingerprint) {
-				delete(s.suspects, fingerprint)
-				lifted = append(lifted, s.suspicion(fingerprint, now))
-			}
-		}
+	if version != s.version {
+		lifted = s.follow(stored, now)
 	}
 	s.version = version
-	missing := len(s.blocks(now)) != len(stored)
+	missing := s.differs(stored, now)
 	i.observeLocked(lifted, now)
 	i.mu.Unlock()
 	for _, fact := range lifted {
@@ -131,6 +137,36 @@
 	}
 }
 
+// follow takes over a changed list of blocks and returns the facts about those
+// that were lifted. A block that was never in the list is not lifted.
+func (s *shard) follow(stored []parser.Block, now time.Time) []*messenger.Suspicion {
+	var lifted []*messenger.Suspicion
+	for fingerprint, known := range s.suspects {
+		if known.isBlocked(now) && known.isStored && !containsBlock(stored, fingerprint) {
+			delete(s.suspects, fingerprint)
+			lifted = append(lifted, s.suspicion(fingerprint, known.sequence, now))
+		}
+	}
+	for _, b := range stored {
+		known, found := s.suspects[b.Fingerprint], blockedSuspect(b, now)
+		if found.isBlocked(now) && (known == nil || !known.isBlocked(now)) {
+			s.suspects[b.Fingerprint] = found
+		}
+	}
+	return lifted
+}
+
+// differs reports whether the list of blocks has to be written.
+func (s *shard) differs(stored []parser.Block, now time.Time) bool {
+	blocks := s.blocks(now)
+	for _, b := range blocks {
+		if !containsBlock(stored, b.Fingerprint) {
+			return true
+		}
+	}
+	return len(blocks) != len(stored)
+}
+
 func (i *Isolator) readBlocks(ctx context.Context, n int) ([]parser.Block, uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
