--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/lentilbridge/lentilbridge/pkg/accepter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
@@ -39,9 +38,6 @@
 	maxRPCConnections    = 8192
 	maxRPCMessageBytes   = 16 << 20
 	maxRPCStreams        = 1024
-	minKeepaliveInterval = 5 * time.Second
-	keepaliveTime        = 20 * time.Second
-	keepaliveTimeout     = 10 * time.Second
 	// updateInterval bounds how often a changed directory reaches the picker.
 	updateInterval = 50 * time.Millisecond
 )
@@ -245,12 +241,10 @@
 }
 
 func (d *daemon) rpcServer() *grpc.Server {
-	options := []grpc.ServerOption{
+	options := append(connector.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxRPCMessageBytes),
 		grpc.MaxConcurrentStreams(maxRPCStreams),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	}
+	)
 	server := grpc.NewServer(append(options, d.cfg.TLS.ServerOptions()...)...)
 	messenger.RegisterEntryServer(server, &entryServer{daemon: d})
 	return server
