Add demo measure: processor time, memory and object API calls by load

docs/CAPACITY.md needs slopes per request, per token and per daemon from runs of the real processes.

--- a/tools/demo/load.go
+++ b/tools/demo/load.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	answerTokens  = 24
+	defaultTokens = 24
 	outcomeHeader = "lentil-outcome"
 	versionHeader = "lentil-model-version"
 )
@@ -35,7 +35,9 @@
 	callers   []string
 	recorders []string
 	rate      float64
-	versions  map[string]string // version name to digest
+	// tokens is the length of each answer.
+	tokens   int
+	versions map[string]string // version name to digest
 
 	mu         sync.Mutex
 	outcomes   outcomes
@@ -111,7 +113,7 @@
 	prompt := fmt.Sprintf("mould %d: draft the specification %d", random.IntN(20), c.number)
 	stream := c.number%2 == 0
 	body, err := json.Marshal(map[string]any{
-		"model": c.load.route, "prompt": prompt, "max_tokens": answerTokens, "stream": stream, "seed": c.number,
+		"model": c.load.route, "prompt": prompt, "max_tokens": c.load.tokens, "stream": stream, "seed": c.number,
 	})
 	if err != nil {
 		return "", "", err
@@ -140,7 +142,7 @@
 	if digest == "" {
 		digest = version
 	}
-	want := strings.Join(emulator.Answer(digest, prompt, answerTokens, int64(c.number)), "")
+	want := strings.Join(emulator.Answer(digest, prompt, c.load.tokens, int64(c.number)), "")
 	if text != want {
 		return "served", version, &wrongAnswerError{version: version, got: text, want: want}
 	}
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -40,9 +40,9 @@
 	var opts options
 	root := &ffcli.Command{
 		Name:        "demo",
-		ShortUsage:  "demo up|run [flags]",
+		ShortUsage:  "demo up|run|measure [flags]",
 		ShortHelp:   "Runs lentilbridge on small stand-ins of the outside systems.",
-		Subcommands: []*ffcli.Command{upCommand(&opts), runCommand(&opts)},
+		Subcommands: []*ffcli.Command{upCommand(&opts), runCommand(&opts), measureCommand(&opts)},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
 		},
--- a/tools/demo/story.go
+++ b/tools/demo/story.go
@@ -100,7 +100,7 @@
 // newLoad calls the route of the fleet's model and a service that records.
 func (t *story) newLoad(fleet *parser.Fleet) *load {
 	s := t.system
-	l := &load{system: s, rate: loadRate, versions: map[string]string{}}
+	l := &load{system: s, rate: loadRate, tokens: defaultTokens, versions: map[string]string{}}
 	for _, r := range s.set.Routes {
 		if r.Model == fleet.Model && r.Adapter == "" && (l.route == "" || r.Name < l.route) {
 			l.route = r.Name
