End a request at its deadline without a retry; prove the request path

The agent's deadline was rounded down and passed before the entry daemon's. The attempt then counted as a failure of the server and was retried, and the caller was told stream-broken instead of deadline-exceeded. The remaining time is rounded up, and a break after the deadline is no failure.

--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -156,6 +156,10 @@
 		a.choice.FirstToken(now.Sub(a.sent), now)
 		return answered{e.Answer}
 	case *messenger.AttemptEvent_Broken:
+		if !e.Broken.GetBackendCrashed() && !now.Before(a.req.Deadline) {
+			// The agent's deadline passed as well and its event came first.
+			return unwanted{errDeadline}
+		}
 		return broken{e.Broken}
 	}
 	return nil
--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -154,6 +155,30 @@
 	})
 }
 
+// TestAgentAtDeadline guards against an attempt that its agent ends at the
+// deadline and that is taken for a failure of the server and retried.
+func TestAgentAtDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		untilDeadline := func(s *fakeStream, start *messenger.AttemptStart) error {
+			s.send(accepted("v1"), firstTwo())
+			time.Sleep(time.Duration(start.GetRemainingMs()) * time.Millisecond)
+			s.send(&messenger.AttemptEvent{Event: &messenger.AttemptEvent_Broken{Broken: &messenger.AttemptBroken{Detail: "the deadline passed"}}})
+			return nil
+		}
+		second := &fakeAgent{script: serve}
+		r := newRig(t, "", &fakeAgent{script: untilDeadline, cancelled: running}, second)
+		req := modelRequest()
+		// Not a whole number of milliseconds remains.
+		req.Deadline = time.Now().Add(5*time.Second + 500*time.Microsecond)
+		res := r.Run(t.Context(), req, &sink{})
+		time.Sleep(time.Second)
+		c.Assert(res.Outcome, qt.Equals, identifier.OutcomeUnknown)
+		c.Assert(res.Err.Code, qt.Equals, "deadline-exceeded")
+		c.Assert(second.starts, qt.HasLen, 0)
+	})
+}
+
 // TestRetryBudget guards against retries that multiply the load when half of
 // the replicas fail.
 func TestRetryBudget(t *testing.T) {
--- a/pkg/forwarder/repeatable.go
+++ b/pkg/forwarder/repeatable.go
@@ -136,11 +136,17 @@
 		Incarnation: a.incarnation,
 		Team:        req.Team.Name,
 		Priority:    req.Priority,
-		RemainingMs: max(time.Until(req.Deadline).Milliseconds(), 1),
+		RemainingMs: remainingMillis(req.Deadline, time.Now()),
 		Fingerprint: req.Fingerprint,
 	}
 }
 
+// remainingMillis rounds up, so that the agent does not end an attempt before
+// the deadline: that would look like a failure of the server and be retried.
+func remainingMillis(deadline, now time.Time) int64 {
+	return max((deadline.Sub(now) + time.Millisecond - 1).Milliseconds(), 1)
+}
+
 // settle takes over what the attempt brought and gives its place back.
 func (m *repeatable) settle(a *attempt, e ending) {
 	now := time.Now()
--- a/test/cases_test.go
+++ b/test/cases_test.go
@@ -20,7 +20,8 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"lentil": func() { os.Exit(commander.Main(os.Args[1:])) },
+		"lentil":  func() { os.Exit(commander.Main(os.Args[1:])) },
+		"request": func() { os.Exit(sendRequest(os.Args[1:])) },
 	})
 }
 
--- /dev/null
+++ b/test/crash_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// lentil runs the operators' program and returns its output.
+func (s *system) lentil(args ...string) []byte {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), programEnv+"=lentil", "LENTIL_OBJECT_API=http://"+s.platform(7000), "LENTIL_AUTHOR=test", "GORACE=atexit_sleep_ms=0")
+	var errOut bytes.Buffer
+	cmd.Stderr = &errOut
+	out, err := cmd.Output()
+	s.c.Assert(err, qt.IsNil, qt.Commentf("lentil %v: %s", args, &errOut))
+	return out
+}
+
+// crashed counts the processes of a kind that have ended.
+func (s *system) crashed(n int, name func(int) string) int {
+	ended := 0
+	for k := range n {
+		select {
+		case <-s.process(name(k)).exited:
+			ended++
+		default:
+		}
+	}
+	return ended
+}
+
+// Guards against a request that takes more than two backend servers down, also
+// when it is sent again through another entry daemon, and against harm to the
+// requests beside it. Operators can lift its block.
+func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &system{
+		Entries: 2, Engines: 4, Services: 3,
+		EngineArgs:  []string{"--token-time", "20ms", "--crash-on", "BOOM"},
+		ServiceArgs: []string{"--crash-on", "BOOM"},
+	}
+	s.start(t)
+
+	// Prompts with the same beginning go to the same engine.
+	common := strings.Repeat("a drawing of a mould ", 20)
+	bad := common + "BOOM"
+	var prompts []string
+	var calls []*call
+	for k := range 6 {
+		prompts = append(prompts, fmt.Sprint(common, k))
+		calls = append(calls, s.sendCompletion(k%2, prompts[k], longAnswer, true))
+	}
+	s.waitUntil("requests are in progress", func() bool {
+		all := uint64(0)
+		for k := range s.Engines {
+			all += s.generated(k)
+		}
+		return all >= 10*uint64(len(calls))
+	})
+	a := s.complete(0, bad, 5, false, 1)
+	c.Assert(a.status, qt.Equals, http.StatusUnprocessableEntity, qt.Commentf("%s", a.body))
+	c.Assert(a.outcome, qt.Equals, "unknown")
+	c.Assert(a.body, qt.Contains, `"code":"request-blocked"`)
+	for entry := range s.Entries {
+		a = s.complete(entry, bad, 5, false, 1)
+		c.Assert(a.outcome, qt.Equals, "not-run", qt.Commentf("%s", a.body))
+		c.Assert(a.body, qt.Contains, `"code":"request-blocked"`)
+	}
+	c.Assert(s.crashed(s.Engines, engineName), qt.Equals, 2)
+	for k, prompt := range prompts {
+		s.checkWhole(calls[k].wait(), prompt, longAnswer)
+	}
+
+	// A call that must not be repeated is sent again with new keys.
+	for k, key := range []string{"boom-1", "boom-1", "boom-2", "boom-3", "boom-4"} {
+		a = s.record(k%2, key, "BOOM order")
+		c.Assert(a.outcome, qt.Not(qt.Equals), "served", qt.Commentf("%s", a.body))
+	}
+	c.Assert(a.outcome, qt.Equals, "not-run", qt.Commentf("%s", a.body))
+	c.Assert(a.body, qt.Contains, `"code":"request-blocked"`)
+	c.Assert(s.crashed(s.Services, serviceName), qt.Equals, 2)
+
+	// A supervisor starts engines of a newer release.
+	s.EngineArgs = nil
+	for k := range s.Engines {
+		s.process(engineName(k)).kill()
+		s.startEngine(k)
+		s.waitReady(k)
+	}
+	a = s.complete(1, bad, 5, false, 1)
+	c.Assert(a.body, qt.Contains, `"code":"request-blocked"`)
+	var blocks []parser.Block
+	s.waitUntil("both blocks are listed", func() bool {
+		blocks = nil
+		c.Assert(json.Unmarshal(s.lentil("get", "blocks", "-o", "json"), &blocks), qt.IsNil)
+		return len(blocks) == 2
+	})
+	for _, b := range blocks {
+		c.Check(b.VMs, qt.HasLen, 2)
+		c.Check(time.UnixMilli(b.UntilMillis).After(time.Now()), qt.IsTrue)
+		s.lentil("delete", "block", b.Fingerprint)
+	}
+	c.Assert(string(s.lentil("get", "blocks")), qt.Equals, "no requests are blocked\n")
+	for entry := range s.Entries {
+		s.waitUntil("the request runs again", func() bool {
+			a = s.complete(entry, bad, 5, false, 1)
+			return a.status == http.StatusOK
+		})
+		s.checkWhole(a, bad, 5)
+	}
+}
--- a/test/notrun_test.go
+++ b/test/notrun_test.go
@@ -33,8 +33,9 @@
 	c.answer = c.system.record(c.entry, c.key, c.body)
 }
 
-func (s *system) sendRecord(entry int, key, body string) *call {
-	c := &call{system: s, entry: entry, key: key, body: body, done: make(chan struct{})}
+// sendRecord sends a record through the first entry daemon.
+func (s *system) sendRecord(key, body string) *call {
+	c := &call{system: s, key: key, body: body, done: make(chan struct{})}
 	go c.run()
 	return c
 }
@@ -90,7 +91,7 @@
 
 	l = s.links[serviceAgentName(0)]
 	l.hold("late order", false)
-	record := s.sendRecord(0, "late", "late order")
+	record := s.sendRecord("late", "late order")
 	<-l.holding
 	l.cut()
 	a = record.wait()
@@ -112,7 +113,7 @@
 	l := s.links[serviceAgentName(0)]
 	// The reservation carries the key; the start follows it.
 	l.hold("mill/records/paused", true)
-	first := s.sendRecord(0, "paused", "paused order")
+	first := s.sendRecord("paused", "paused order")
 	<-l.holding
 	s.waitUntil("the start is on the link", func() bool { return l.pieces() > 0 })
 	s.process(entryName(0)).signal(syscall.SIGSTOP)
@@ -149,7 +150,7 @@
 	// The start of a record does.
 	l := s.links[serviceAgentName(0)]
 	l.hold("frozen order", false)
-	first := s.sendRecord(0, "frozen", "frozen order")
+	first := s.sendRecord("frozen", "frozen order")
 	<-l.holding
 	s.process(serviceAgentName(0)).signal(syscall.SIGSTOP)
 	l.deliver()
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/agent"
+	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 	"github.com/lentilbridge/lentilbridge/pkg/publisher"
@@ -35,7 +36,7 @@
 const (
 	// waitLimit ends a test whose condition never holds. It is no bound on how
 	// fast the system is.
-	waitLimit = 90 * time.Second
+	waitLimit = 30 * time.Second
 	pollEvery = 50 * time.Millisecond
 	apiKey    = "test-key"
 )
@@ -46,6 +47,8 @@
 		os.Exit(router.Main(os.Args[1:]))
 	case "lentil-agent":
 		os.Exit(agent.Main(os.Args[1:]))
+	case "lentil":
+		os.Exit(commander.Main(os.Args[1:]))
 	case "lentil-standin":
 		os.Exit(emulator.Main(os.Args[1:]))
 	}
