Stop a rollout whose version crashes engines

A replica that lost its version in a failed order looked like a new VM, which costs no capacity, so that the rollout went on to the next replica. It counts as unavailable now, and the rollout stops at max-unavailable.

--- a/pkg/controller/changes_test.go
+++ b/pkg/controller/changes_test.go
@@ -192,3 +192,33 @@
 		c.Assert(r.fleet.countVersion("d2"), qt.Equals, 8)
 	})
 }
+
+func (f *fleetFake) isCrashing(digest string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashing == digest
+}
+
+func (f *fleetFake) setCrashing(digest string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashing = digest
+}
+
+// Guards against a version that crashes each engine and takes one replica
+// after the other out of service, because a replica that has lost its version
+// looks like a new one that takes no capacity away.
+func TestVersionThatCrashesEnginesStopsItsRollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := startChanging(ctx, c)
+		r.fleet.setCrashing("d2")
+		time.Sleep(10 * time.Minute)
+		c.Assert(r.fleet.countVersion("d1"), qt.Equals, 6)
+		r.publish("draft-2", parser.RolloutAborted)
+		time.Sleep(2 * time.Minute)
+		c.Assert(r.fleet.countVersion("d1"), qt.Equals, 8)
+	})
+}
--- a/pkg/controller/controller_test.go
+++ b/pkg/controller/controller_test.go
@@ -42,6 +42,8 @@
 	activations map[string]int
 	// failing holds the VMs whose next transfer ends with an error.
 	failing map[string]bool
+	// crashing is a version that crashes each engine; empty is none.
+	crashing string
 }
 
 func newFleet(n int, version string) *fleetFake {
@@ -197,7 +199,16 @@
 			r.Replica.State = messenger.ReplicaState_REPLICA_STATE_SWITCHING
 		})
 		time.Sleep(switchTime)
+		if o.fleet.isCrashing(order.Activate.GetVersion().GetDigest()) {
+			o.fleet.change(o.vm, func(r *controller.Replica) {
+				r.Replica.Version, r.Replica.VersionName = "", ""
+				r.Replica.State = messenger.ReplicaState_REPLICA_STATE_STARTING
+				r.LastOrderError = "the engine crashed"
+			})
+			return
+		}
 		o.fleet.change(o.vm, func(r *controller.Replica) {
+			r.LastOrderError = ""
 			r.Replica.Version = order.Activate.GetVersion().GetDigest()
 			r.Replica.VersionName = order.Activate.GetVersion().GetName()
 			r.Replica.State = messenger.ReplicaState_REPLICA_STATE_READY
@@ -226,7 +237,9 @@
 }
 
 func cloneView(r *controller.Replica) controller.Replica {
-	return controller.Replica{Replica: proto.Clone(r.Replica).(*messenger.Replica), Transfers: r.Transfers}
+	return controller.Replica{
+		Replica: proto.Clone(r.Replica).(*messenger.Replica), Transfers: r.Transfers, LastOrderError: r.LastOrderError,
+	}
 }
 
 // leaseFake is the lease that several controllers believe in.
--- a/pkg/controller/decide.go
+++ b/pkg/controller/decide.go
@@ -311,8 +311,12 @@
 }
 
 // isAway reports a replica that serves a version in normal times and is not
-// available now.
+// available now. A replica that lost its version in a failed order counts too:
+// a version that crashes engines would else take all replicas, one by one.
 func (in input) isAway(m Replica) bool {
+	if m.Replica.GetVersion() == "" && m.LastOrderError != "" {
+		return true
+	}
 	switch in.ordered[m.Replica.GetVm()].kind {
 	case kindSwitch:
 		return true
