--- a/pkg/broadcaster/broadcaster_test.go
+++ b/pkg/broadcaster/broadcaster_test.go
@@ -310,3 +310,70 @@
 		d.end()
 	})
 }
+
+// Guards against a daemon that starts during an outage with the revision of
+// the first peer that answers instead of the highest that its peers hold.
+func TestStartsWithHighestRevisionOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		known := peers{}
+		var running []*daemon
+		for address, revision := range map[string]uint64{"a:1": 5, "b:1": 9, "c:1": 7} {
+			d := start(t, newFakeHead(revision), true, nil)
+			known[address] = d.Broadcaster
+			running = append(running, d)
+		}
+		time.Sleep(time.Second)
+		down := newFakeHead(9)
+		down.set(func() { down.down = true })
+		for range 10 {
+			fresh := start(t, down, false, known)
+			time.Sleep(10 * time.Second)
+			c.Assert(fresh.Number(), qt.Equals, uint64(9))
+			fresh.end()
+		}
+		for _, d := range running {
+			d.end()
+		}
+	})
+}
+
+// Guards against a region that was cut off and brings its old revision back
+// into force, or stays on it: its daemons name the old revision in heartbeats,
+// answer pulls with it, and its object API still shows the old head.
+func TestRegionThatWasCutOffTakesTheHigherRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		near, far := newFakeHead(5), newFakeHead(5)
+		known := peers{}
+		connected := start(t, near, true, known)
+		cutOff := start(t, far, true, known)
+		time.Sleep(time.Second)
+		near.publish(8)
+		time.Sleep(time.Hour)
+		c.Assert(connected.Number(), qt.Equals, uint64(8))
+		c.Assert(cutOff.Number(), qt.Equals, uint64(5))
+
+		known["connected:1"], known["cut-off:1"] = connected.Broadcaster, cutOff.Broadcaster
+		connected.Hear(5, "cut-off:1")
+		cutOff.Hear(8, "connected:1")
+		time.Sleep(5 * time.Second)
+		c.Assert(connected.Number(), qt.Equals, uint64(8))
+		c.Assert(cutOff.Number(), qt.Equals, uint64(8))
+		c.Assert(connected.lower.Value(), qt.Equals, float64(0))
+
+		// The late head of the region's object API is refused with an alarm.
+		far.publish(6)
+		time.Sleep(10 * time.Second)
+		c.Assert(cutOff.Number(), qt.Equals, uint64(8))
+		c.Assert(cutOff.lower.Value() >= 1, qt.IsTrue)
+		far.publish(9)
+		time.Sleep(10 * time.Second)
+		c.Assert(cutOff.Number(), qt.Equals, uint64(9))
+		connected.Hear(9, "cut-off:1")
+		time.Sleep(5 * time.Second)
+		c.Assert(connected.Number(), qt.Equals, uint64(9))
+		connected.end()
+		cutOff.end()
+	})
+}
