--- /dev/null
+++ b/test/leaving_test.go
@@ -0,0 +1,211 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// recorders file records one after the other, each under its own key, and send
+// again under the same key what was answered with not-run.
+type recorders struct {
+	System *system
+
+	done    chan struct{}
+	running sync.WaitGroup
+
+	filed  []string
+	broken []string
+}
+
+func (f *recorders) start() {
+	f.done = make(chan struct{})
+	f.running.Add(1)
+	go f.run()
+}
+
+func (f *recorders) stop() {
+	close(f.done)
+	f.running.Wait()
+}
+
+func (f *recorders) run() {
+	defer f.running.Done()
+	caller := &caller{callers: &callers{System: f.System}}
+	for n := 0; ; n++ {
+		select {
+		case <-f.done:
+			return
+		default:
+		}
+		f.file(caller, fmt.Sprintf("record %d", n))
+	}
+}
+
+func (f *recorders) file(r *caller, body string) {
+	for {
+		address := r.entry(time.Now())
+		a := f.System.postTo(address, "/services/records/records", body, map[string]string{"idempotency-key": body})
+		switch {
+		case a.err == nil && a.status == http.StatusCreated && a.outcome == "served":
+			f.filed = append(f.filed, body)
+			return
+		case a.err == nil && a.outcome == "not-run":
+			time.Sleep(pollEvery)
+		case a.err != nil && strings.Contains(a.err.Error(), "connection refused"):
+			r.refused(address, time.Now())
+		default:
+			f.broken = append(f.broken, fmt.Sprintf("%s: status %d, outcome %s, error %v, %s", body, a.status, a.outcome, a.err, a.body))
+			return
+		}
+	}
+}
+
+// terminate asks a daemon to leave and waits until it has ended by itself.
+func (s *system) terminate(name string) {
+	p := s.process(name)
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		s.c.Check(p.cmd.ProcessState.ExitCode(), qt.Equals, 0, qt.Commentf("%s", name))
+	case <-time.After(waitLimit):
+		s.dumpLogs()
+		s.t.Fatalf("%s did not end after SIGTERM", name)
+	}
+}
+
+// isReady reports whether the daemon of a VM answers that it is ready.
+func (s *system) isReady(ip string) bool {
+	resp, err := http.Get("http://" + ip + ":6060/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// counter reads a metric of an entry daemon.
+func (s *system) counter(entry int, name string) float64 {
+	vars := map[string]json.RawMessage{}
+	s.c.Assert(json.Unmarshal(s.get("http://"+s.entryIP(entry)+":6060/debug/vars"), &vars), qt.IsNil)
+	value := 0.0
+	s.c.Assert(json.Unmarshal(vars[name], &value), qt.IsNil, qt.Commentf("%s", name))
+	return value
+}
+
+// Guards against requests that are lost when VMs are replaced one after the
+// other under load: entry VMs that callers still know, agents with long streams
+// open, and agents of a service whose calls must not run twice.
+func TestRollingReplacementLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &system{Entries: 3, Engines: 2, Services: 2}
+	s.start(t)
+	load := &callers{System: s, Number: 4, Tokens: 60}
+	records := &recorders{System: s}
+	load.start()
+	records.start()
+
+	for k := range s.Engines {
+		var streams []*longStream
+		for n := range 3 {
+			streams = append(streams, (&longStream{System: s, Entry: n, Prompt: fmt.Sprintf("agent %d stream %d", k, n), Tokens: longTokens}).open())
+		}
+		s.terminate(agentName(k))
+		for n, stream := range streams {
+			c.Check(stream.isWhole("v1"), qt.IsTrue, qt.Commentf("%s", stream.body))
+			c.Check(s.counter(n, "requests.resumes"), qt.Equals, 0.0, qt.Commentf("a drain lets streams end where they run"))
+		}
+		s.process(engineName(k)).kill()
+		s.startEngine(k)
+		s.startAgent(k)
+		s.waitUntil(agentName(k)+" is ready", func() bool { return s.isReady(s.engineIP(k)) && s.runs(k, "v1") })
+	}
+	for k := range s.Services {
+		s.terminate(serviceAgentName(k))
+		s.startServiceAgent(k)
+		s.waitUntil(serviceAgentName(k)+" is ready", func() bool { return s.isReady(s.serviceIP(k)) })
+	}
+	for k := range s.Entries {
+		// Longer than the daemon goes on after the signal without requests.
+		stream := (&longStream{System: s, Entry: k, Prompt: fmt.Sprintf("entry %d", k), Tokens: 2 * longTokens}).open()
+		s.terminate(entryName(k))
+		c.Check(stream.isOpen(), qt.IsFalse)
+		c.Check(stream.isWhole("v1"), qt.IsTrue)
+		s.startEntry(k)
+		s.waitUntil(entryName(k)+" is ready", func() bool { return s.isReady(s.entryIP(k)) })
+	}
+	load.stop()
+	records.stop()
+	c.Check(load.broken, qt.HasLen, 0)
+	c.Check(load.mixed, qt.HasLen, 0)
+	c.Check(load.early, qt.HasLen, 0)
+	c.Check(records.broken, qt.HasLen, 0)
+	for _, body := range records.filed {
+		c.Check(s.storedRecords(body), qt.Equals, 1, qt.Commentf("%s", body))
+	}
+	t.Logf("%d answers, %d records", load.served, len(records.filed))
+}
+
+// Guards against new work for a leaving backend server from an entry daemon
+// that could not be told: it is frozen while the agent announces that it
+// leaves, and the list of VMs lags by 30 s.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &system{Entries: 2, Engines: 2, VMListLag: 30 * time.Second}
+	s.start(t)
+	list := `{"vms":[{"vm":"agent-0","leaving":true},{"vm":"agent-1","leaving":false}]}`
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.platform(7002)+"/v1/vms", strings.NewReader(list))
+	c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+
+	// Streams on both servers keep the leaving one up.
+	var streams []*longStream
+	for n := range 8 {
+		streams = append(streams, (&longStream{System: s, Entry: 1, Prompt: fmt.Sprintf("stream %d", n), Tokens: 4 * longTokens}).open())
+	}
+	s.process(entryName(0)).signal(syscall.SIGSTOP)
+	s.process(agentName(0)).signal(syscall.SIGTERM)
+	sent := 0
+	newWork := func(entry, requests int) uint64 {
+		before, ok := s.engine(0)
+		c.Assert(ok, qt.IsTrue)
+		for range requests {
+			sent++
+			prompt := fmt.Sprintf("request %d", sent)
+			a := s.complete(entry, prompt, 2, false, 1)
+			text, _ := textOf(a)
+			c.Check(text, qt.Equals, s.expectedText("v1", prompt, 2, 1), qt.Commentf("%s", a.body))
+		}
+		after, ok := s.engine(0)
+		c.Assert(ok, qt.IsTrue)
+		return after.PromptTokens - before.PromptTokens
+	}
+	s.waitUntil("the reachable entry daemon sends no new work", func() bool { return newWork(1, 10) == 0 })
+	s.process(entryName(0)).signal(syscall.SIGCONT)
+	s.waitUntil("the woken entry daemon sends no new work", func() bool { return newWork(0, 10) == 0 })
+	c.Check(newWork(0, 40), qt.Equals, uint64(0))
+	c.Check(newWork(1, 40), qt.Equals, uint64(0))
+	open := 0
+	for _, stream := range streams {
+		if stream.isOpen() {
+			open++
+		}
+	}
+	c.Check(open, qt.Equals, len(streams))
+	for _, stream := range streams {
+		c.Check(stream.isWhole("v1"), qt.IsTrue)
+	}
+	<-s.process(agentName(0)).exited
+	c.Check(s.process(agentName(0)).cmd.ProcessState.ExitCode(), qt.Equals, 0)
+}
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/agent"
+	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 	"github.com/lentilbridge/lentilbridge/pkg/publisher"
@@ -48,6 +49,8 @@
 		os.Exit(agent.Main(os.Args[1:]))
 	case "lentil-standin":
 		os.Exit(emulator.Main(os.Args[1:]))
+	case "lentil":
+		os.Exit(commander.Main(os.Args[1:]))
 	}
 }
 
@@ -69,7 +72,9 @@
 	ServiceArgs          []string
 	EntryArgs            []string
 	AgentArgs            []string
-	VMListLag            time.Duration
+	// AgentArgsOf returns further arguments of the agent of engine VM k.
+	AgentArgsOf func(k int) []string
+	VMListLag   time.Duration
 
 	t       *testing.T
 	c       *qt.C
@@ -157,6 +162,9 @@
 		"--engine-address", s.engineIP(k) + ":8000", "--weights-address", s.platform(7001),
 		"--download-rate", rate, "--upload-rate", rate,
 	}
+	if s.AgentArgsOf != nil {
+		args = append(args, s.AgentArgsOf(k)...)
+	}
 	s.run(agentName(k), "lentil-agent", append(args, s.AgentArgs...)...)
 }
 
@@ -238,31 +246,7 @@
 // post sends a request of the test's team through an entry daemon and reads
 // the whole answer.
 func (s *system) post(entry int, path, body string, header map[string]string) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entryIP(entry)+":8080"+path, strings.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Header.Set("Authorization", "Bearer "+apiKey)
-	req.Header.Set("Content-Type", "application/json")
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	outcome := resp.Trailer.Get("lentil-outcome")
-	if outcome == "" {
-		outcome = resp.Header.Get("lentil-outcome")
-	}
-	return answer{
-		status: resp.StatusCode, outcome: outcome, version: resp.Header.Get("lentil-model-version"),
-		header: resp.Header, body: string(text), err: err,
-	}
+	return s.postTo(s.entryIP(entry)+":8080", path, body, header)
 }
 
 // complete asks for a completion of n tokens.
