--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -1,12 +1,9 @@
 package test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -16,17 +13,6 @@
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
-// lentil runs the operators' program and returns its output.
-func (s *system) lentil(args ...string) []byte {
-	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), programEnv+"=lentil", "LENTIL_OBJECT_API=http://"+s.platform(7000), "LENTIL_AUTHOR=test", "GORACE=atexit_sleep_ms=0")
-	var errOut bytes.Buffer
-	cmd.Stderr = &errOut
-	out, err := cmd.Output()
-	s.c.Assert(err, qt.IsNil, qt.Commentf("lentil %v: %s", args, &errOut))
-	return out
-}
-
 // crashed counts the processes of a kind that have ended.
 func (s *system) crashed(n int, name func(int) string) int {
 	ended := 0
@@ -104,15 +90,15 @@
 	var blocks []parser.Block
 	s.waitUntil("both blocks are listed", func() bool {
 		blocks = nil
-		c.Assert(json.Unmarshal(s.lentil("get", "blocks", "-o", "json"), &blocks), qt.IsNil)
+		c.Assert(json.Unmarshal(s.mustLentil("get", "blocks", "-o", "json"), &blocks), qt.IsNil)
 		return len(blocks) == 2
 	})
 	for _, b := range blocks {
 		c.Check(b.VMs, qt.HasLen, 2)
 		c.Check(time.UnixMilli(b.UntilMillis).After(time.Now()), qt.IsTrue)
-		s.lentil("delete", "block", b.Fingerprint)
+		s.mustLentil("delete", "block", b.Fingerprint)
 	}
-	c.Assert(string(s.lentil("get", "blocks")), qt.Equals, "no requests are blocked\n")
+	c.Assert(string(s.mustLentil("get", "blocks")), qt.Equals, "no requests are blocked\n")
 	for entry := range s.Entries {
 		s.waitUntil("the request runs again", func() bool {
 			a = s.complete(entry, bad, 5, false, 1)
