--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -23,6 +23,9 @@
 	{"pick", "time and allocations of a pick among 4,300 replicas", benchPick},
 	{"routing", "time to the first token under skewed load", benchRouting},
 	{"prefix", "prefix cache hits and the hottest server", benchPrefix},
+	{"overload", "goodput and fairness above the capacity", benchOverload},
+	{"retries", "extra load while replicas fail", benchRetries},
+	{"claims", "writes to the object API of non-idempotent calls", benchClaims},
 }
 
 func main() {
