Charge only requests that run; take the pace from mean time and mean cost

Cause: a request that was refused in the queue because it had become late used up its team's deficit, and the pace was the mean of time per token of single requests. Short requests wait as long as others, so the pace, and with it the expected wait, came out several times too high; queues were kept so short that the queue of a small team often was empty.

--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -15,7 +15,7 @@
 	// lowestTurn gives one in so many turns to the lowest waiting priority, so
 	// that batch requests progress under constant interactive load.
 	lowestTurn = 16
-	// paceWeight is the weight of one request in the mean time per token.
+	// paceWeight is the weight of one request in the mean time and cost.
 	paceWeight = 0.05
 	priorities = 3
 	// runHeadroom is how much longer than the mean a run is expected to be, so
@@ -42,9 +42,13 @@
 	running int
 	waiting int
 	turns   int
-	// pace is the mean time that one token of cost occupies a place.
-	pace   float64
-	levels [priorities]level
+	// pace is the mean time that one token of cost occupies a place: the mean
+	// time of a request by its mean cost. The mean of the ratios of single
+	// requests would be far above it, because short ones wait as long as others.
+	pace     float64
+	meanTime float64
+	meanCost float64
+	levels   [priorities]level
 }
 
 func (q *queue) level(p messenger.Priority) *level {
@@ -75,7 +79,9 @@
 		w := q.next()
 		q.waiting--
 		w.late = now.After(w.entered) && now.Add(q.expectedRun(w)).After(w.deadline)
-		if !w.late {
+		if w.late {
+			q.level(w.priority).refund(w)
+		} else {
 			q.running++
 		}
 		close(w.decided)
@@ -100,12 +106,12 @@
 }
 
 func (q *queue) finished(cost int, d time.Duration) {
-	pace := d.Seconds() / float64(cost)
-	if q.pace == 0 {
-		q.pace = pace
-		return
+	if q.meanCost == 0 {
+		q.meanTime, q.meanCost = d.Seconds(), float64(cost)
 	}
-	q.pace += paceWeight * (pace - q.pace)
+	q.meanTime += paceWeight * (d.Seconds() - q.meanTime)
+	q.meanCost += paceWeight * (float64(cost) - q.meanCost)
+	q.pace = q.meanTime / q.meanCost
 }
 
 // expectedWait estimates the time until the waiter's turn: what its team has
@@ -213,6 +219,13 @@
 	}
 }
 
+// refund gives back what a waiter cost that was taken out but does not run.
+func (l *level) refund(w *waiter) {
+	if t := l.find(w.team.Name); t != nil {
+		t.deficit += w.cost
+	}
+}
+
 func (l *level) remove(w *waiter) bool {
 	t := l.find(w.team.Name)
 	if t == nil {
