Keep a block lifted that two entry daemons had decided

The owner did not note that a block which another daemon had stored is in the list, and wrote it again after an operator had removed it. The case 'the same request at the owner' of TestBlocksOfTwoWritersAreKept fails without it.

--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -233,35 +233,53 @@
 }
 
 // Guards against a block that ends because another daemon or an operator has
-// changed the list before the owner could write it.
+// changed the list before the owner could write it, and against one that
+// returns after an operator has lifted it.
 func TestBlocksOfTwoWritersAreKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		net := newNetwork(3)
-		other := sameShard("mill/bad")
-		crashTwice := func(entry int, fingerprint string) {
-			net.send(c, entry, fingerprint, "vm-0", true)
-			_, blocked := net.send(c, entry, fingerprint, "vm-1", true)
-			c.Assert(blocked, qt.IsFalse)
-		}
-		go net.nodes[0].Run(ctx)
-		time.Sleep(time.Second)
-		// The owner's write meets the list that the other daemon has made.
-		net.cut = true
-		crashTwice(1, other)
-		net.cut = false
-		crashTwice(0, "mill/bad")
-		time.Sleep(30 * time.Second)
-		stored, err := net.api.Get(ctx, fmt.Sprintf("blocks/%d", isolator.ShardOf(other)))
-		c.Assert(err, qt.IsNil)
-		for _, fingerprint := range []string{"mill/bad", other} {
-			_, blocked, _ := net.nodes[2].Blocked(fingerprint, time.Now())
-			c.Check(blocked, qt.IsTrue)
-			c.Check(string(stored.Value), qt.Contains, `"fingerprint":"`+fingerprint+`"`)
-		}
-	})
+	other := sameShard("mill/bad")
+	tests := []struct {
+		name    string
+		atOwner string
+	}{
+		{"another request at the owner", "mill/bad"},
+		{"the same request at the owner", other},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				net := newNetwork(3)
+				go net.nodes[0].Run(ctx)
+				time.Sleep(time.Second)
+				// The owner's write meets the list that the other daemon has made.
+				for k, fingerprint := range []string{other, tt.atOwner} {
+					for _, vm := range []string{"vm-0", "vm-1"} {
+						_, err := net.nodes[1-k].SuspectHere(ctx, &messenger.SuspectRequest{
+							Fingerprint: fingerprint, Vm: vm, Crashed: true, InProgress: []string{fingerprint},
+						})
+						c.Assert(err, qt.IsNil)
+					}
+				}
+				time.Sleep(30 * time.Second)
+				stored, err := net.api.Get(ctx, fmt.Sprintf("blocks/%d", isolator.ShardOf(other)))
+				c.Assert(err, qt.IsNil)
+				for _, fingerprint := range []string{tt.atOwner, other} {
+					_, blocked, _ := net.nodes[2].Blocked(fingerprint, time.Now())
+					c.Check(blocked, qt.IsTrue)
+					c.Check(string(stored.Value), qt.Contains, `"fingerprint":"`+fingerprint+`"`)
+				}
+				_, err = net.api.Update(ctx, stored.Key, []byte(`{"blocks":[]}`), stored.Version)
+				c.Assert(err, qt.IsNil)
+				time.Sleep(30 * time.Second)
+				for _, fingerprint := range []string{tt.atOwner, other} {
+					_, blocked, _ := net.nodes[2].Blocked(fingerprint, time.Now())
+					c.Check(blocked, qt.IsFalse)
+				}
+			})
+		})
+	}
 }
 
 // sameShard returns another fingerprint of the shard.
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -149,7 +149,10 @@
 	}
 	for _, b := range stored {
 		known, found := s.suspects[b.Fingerprint], blockedSuspect(b, now)
-		if found.isBlocked(now) && (known == nil || !known.isBlocked(now)) {
+		switch {
+		case known != nil && known.isBlocked(now):
+			known.isStored = true
+		case found.isBlocked(now):
 			s.suspects[b.Fingerprint] = found
 		}
 	}
