--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -57,7 +58,7 @@
 }
 
 // Guards against a stream that is cut, repeats or skips tokens when its agent
-// or engine dies in the middle, against answers that reach another caller when
+// or engine dies or freezes in the middle, against answers that reach another caller when
 // an engine runs abandoned requests on, and against a broken stream that looks
 // complete.
 func TestStreamWhenAgentOrEngineDies(t *testing.T) {
@@ -78,6 +79,15 @@
 	s.startEngine(serving)
 	s.waitReady(serving)
 
+	// The frozen agent sends the rest of its answer after the resumed one.
+	stream, serving = s.middle("agent freezes")
+	resumed := s.generated(1 - serving)
+	s.process(agentName(serving)).signal(syscall.SIGSTOP)
+	s.waitUntil("the stream goes on elsewhere", func() bool { return s.generated(1-serving) > resumed })
+	s.process(agentName(serving)).signal(syscall.SIGCONT)
+	s.checkWhole(stream.wait(), "agent freezes", longAnswer)
+	s.waitReady(serving)
+
 	// The caller leaves, the engine runs on.
 	before := s.generated(0) + s.generated(1)
 	ctx, leave := context.WithCancel(context.Background())
