Withdraw hints of the VM list and ignore them for new agents

A hint held for as long as the agent's session, also when the list no longer called its VM leaving. With VMs replaced faster than the list lags, the list named the predecessor after its successor had started, and drained that one.

--- a/pkg/monitor/faults_test.go
+++ b/pkg/monitor/faults_test.go
@@ -163,6 +163,50 @@
 	})
 }
 
+// Guards against an agent that stays drained by the list of VMs: it was started
+// in place of another one before the lagging list named its predecessor, or
+// the list no longer calls its VM leaving.
+func TestHintOfVMListIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		list := &fakeList{}
+		var nodes []*node
+		for _, name := range []string{"entry-a1-0", "entry-a1-1", "entry-a1-2", "entry-a1-3"} {
+			nodes = append(nodes, network.start(t, &monitor.Monitor{Self: entryIn("a1", name), VMList: list}, "entry-a1-0:1"))
+		}
+		old := network.startAgent(t, replicaIn("a1", "vm-1"), nodes...)
+		time.Sleep(10 * time.Second)
+		fresh := replicaIn("a1", "vm-2")
+		fresh.StartedMs = time.Now().UnixMilli()
+		replacement := network.startAgent(t, fresh, nodes...)
+		time.Sleep(time.Second)
+		hinted := func(a *agent) (n int) {
+			for _, d := range nodes {
+				if a.notice(d).GetDrainHint() {
+					n++
+				}
+			}
+			return n
+		}
+		list.set(adapter.ListedVM{VM: "vm-1", Leaving: true}, adapter.ListedVM{VM: "vm-2", Leaving: true})
+		time.Sleep(25 * time.Second)
+		c.Assert(hinted(old), qt.Equals, len(nodes))
+		c.Assert(hinted(replacement), qt.Equals, 0)
+		time.Sleep(2 * time.Minute)
+		c.Assert(hinted(replacement), qt.Equals, 0)
+		list.set(adapter.ListedVM{VM: "vm-1"}, adapter.ListedVM{VM: "vm-2"})
+		time.Sleep(25 * time.Second)
+		c.Assert(hinted(old), qt.Equals, 0)
+		list.set(adapter.ListedVM{VM: "vm-1"}, adapter.ListedVM{VM: "vm-2", Leaving: true})
+		time.Sleep(25 * time.Second)
+		c.Assert(hinted(replacement), qt.Equals, len(nodes))
+		old.stop()
+		replacement.stop()
+		stopAll(nodes)
+	})
+}
+
 // collected gathers what monitors pass to their callbacks.
 type collected struct {
 	mu         sync.Mutex
--- a/pkg/monitor/hints.go
+++ b/pkg/monitor/hints.go
@@ -16,6 +16,9 @@
 // of control traffic.
 const listEvery = 10 * time.Second
 
+// maxListLag is how far the list may lag behind a restart.
+const maxListLag = time.Minute
+
 // hint is a VM that the list calls leaving. It counts for the incarnation that
 // was known at the first sight, because the list may lag behind a restart.
 type hint struct {
@@ -59,21 +62,24 @@
 func (m *Monitor) applyList(vms []adapter.ListedVM, now time.Time) {
 	for _, listed := range vms {
 		r := m.replicas[listed.VM]
+		h := m.hints[listed.VM]
 		if !listed.Leaving {
 			delete(m.hints, listed.VM)
+			if h != nil && r != nil && !r.isGone() {
+				m.takeHint(hintOf(listed.VM, false), nil)
+			}
 			continue
 		}
 		if r == nil || r.isGone() {
 			continue
 		}
-		h := m.hints[listed.VM]
 		if h == nil {
-			h = &hint{incarnation: r.record.GetIncarnation()}
+			h = newHint(r.record, now)
 			m.hints[listed.VM] = h
 		}
 		h.seen = now
 		if h.incarnation == r.record.GetIncarnation() && r.record.GetState() != messenger.ReplicaState_REPLICA_STATE_DRAINING {
-			m.takeHint(hintOf(listed.VM), nil)
+			m.takeHint(hintOf(listed.VM, true), nil)
 		}
 	}
 	for vm, h := range m.hints {
@@ -83,22 +89,34 @@
 	}
 }
 
-// hintOf returns the hint in the form in which it travels. Agents number
-// their loads from one, so no load of an agent looks like it.
-func hintOf(vm string) *messenger.ReplicaLoad {
-	return &messenger.ReplicaLoad{Vm: vm, Load: &messenger.Load{Draining: true}}
+// newHint returns the hint for the present incarnation, or for none when it
+// has just started: a lagging list still speaks of its predecessor then. An
+// agent that leaves in its first minute is announced by its own reports.
+func newHint(record *messenger.Replica, now time.Time) *hint {
+	if now.Sub(time.UnixMilli(record.GetStartedMs())) < maxListLag {
+		return &hint{}
+	}
+	return &hint{incarnation: record.GetIncarnation()}
+}
+
+// hintOf returns the hint that a VM leaves, or the withdrawal of one, in the
+// form in which it travels. Agents number their loads from one, so no load of
+// an agent looks like it.
+func hintOf(vm string, leaving bool) *messenger.ReplicaLoad {
+	return &messenger.ReplicaLoad{Vm: vm, Load: &messenger.Load{Draining: leaving}}
 }
 
 func isHint(load *messenger.Load) bool {
-	return load.GetDraining() && load.GetSequence() == 0 && load.GetRate() == 0 &&
+	return load.GetSequence() == 0 && load.GetRate() == 0 &&
 		load.GetQueued() == 0 && load.GetRunning() == 0 && load.GetVersion() == ""
 }
 
 // takeHint tells the agent, if it has a session here, and passes the hint on.
 func (m *Monitor) takeHint(load *messenger.ReplicaLoad, from *link) {
 	r := m.replicas[load.GetVm()]
-	if r.session != nil && !r.session.hinted {
-		r.session.hinted = true
+	leaving := load.GetLoad().GetDraining()
+	if r.session != nil && r.session.hinted != leaving {
+		r.session.hinted = leaving
 		r.session.wake()
 	}
 	m.spread(key{kindHint, load.GetVm()}, load, from)
