--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 func digestOfKey(key string) string {
@@ -83,3 +85,49 @@
 		c.Check(f.sent > 0, qt.IsTrue)
 	}
 }
+
+// Guards against requests that are lost while operators change their mind
+// about a rollout, and against replicas that do not follow: the origin stalls
+// and fails during the transfer, the rollout is paused while replicas switch, a
+// VM joins meanwhile, the rollout is aborted and a newer version follows.
+func TestOperatorsChangeRolloutUnderTraffic(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &system{Entries: 2, Engines: 3, EngineArgs: []string{"--load-time", "1s"}}
+	s.start(t)
+	load := &callers{System: s, Number: 3, Tokens: 30}
+	load.start()
+	allRun := func(engines int, version string) bool {
+		for k := range engines {
+			if !s.runs(k, version) {
+				return false
+			}
+		}
+		return true
+	}
+	s.fault(7001, `{"stall":true}`)
+	s.rollOut("v2")
+	s.waitUntil("the transfer has begun", func() bool { return s.rolloutPhase("next") == parser.PhaseTransferring })
+	s.fault(7001, `{"down":true}`)
+	c.Check(allRun(s.Engines, "v1"), qt.IsTrue)
+	s.fault(7001, `{}`)
+	s.waitUntil("a replica switched", func() bool { return s.runs(0, "v2") || s.runs(1, "v2") || s.runs(2, "v2") })
+
+	s.set.Rollouts["next"].State = parser.RolloutPaused
+	s.publish()
+	s.waitUntil("the rollout is paused", func() bool { return s.rolloutPhase("next") == parser.PhasePaused })
+	s.startEngine(s.Engines)
+	s.startAgent(s.Engines)
+	s.waitUntil("the new VM serves the fleet's own version", func() bool { return s.runs(s.Engines, "v1") })
+
+	s.set.Rollouts["next"].State = parser.RolloutAborted
+	s.publish()
+	s.waitUntil("every replica is back on v1", func() bool { return allRun(s.Engines+1, "v1") })
+	s.rollOut("v3")
+	s.waitUntil("every replica runs v3", func() bool { return allRun(s.Engines+1, "v3") })
+	s.waitServing("v3")
+	load.stop()
+	c.Check(load.broken, qt.HasLen, 0)
+	c.Check(load.mixed, qt.HasLen, 0)
+	c.Check(load.served > 0, qt.IsTrue)
+}
