Keep the first-token baseline of the concurrency limit out of overloads

Cause: the baseline followed slow samples by 0.5% each. At a hundred samples per second it reached the delay of an overload within seconds, and the limit, which allows twice the baseline, grew with it: 542 places for 64 slots after 15 s. Requests then waited in the engines instead of the fair queue. Change: the baseline rises with a time constant of 30 s, and only while the limit is unused or at its minimum. The warm-up of the benchmark is 8 s now, because 4 s hid the growth.

--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -302,3 +302,41 @@
 		})
 	}
 }
+
+// Guards against a limit that grows during an overload because the baseline
+// follows the delay of the overload, and against one that falls on a server
+// that became slower for good while it was hardly used.
+func TestConcurrencyBaseline(t *testing.T) {
+	tests := []struct {
+		name     string
+		inFlight int
+		delay    func(limit int) time.Duration
+		check    func(limit int) bool
+	}{
+		// Eight requests take the 250 ms that are fast enough.
+		{
+			name: "overload", inFlight: 1000,
+			delay: func(limit int) time.Duration { return time.Duration(limit) * slowFloor / 8 },
+			check: func(limit int) bool { return limit <= 16 },
+		},
+		{
+			name: "slower for good", inFlight: 1,
+			delay: func(int) time.Duration { return time.Second },
+			check: func(limit int) bool { return limit > initialConcurrency },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewConcurrency()
+			now := time.Unix(0, 0)
+			c.Observe(50*time.Millisecond, 1, now)
+			for _, inFlight := range []int{tt.inFlight, 1000} {
+				for range 10_000 {
+					now = now.Add(10 * time.Millisecond)
+					c.Observe(tt.delay(c.Limit()), inFlight, now)
+				}
+			}
+			qt.Assert(t, tt.check(c.Limit()), qt.IsTrue, qt.Commentf("limit %d", c.Limit()))
+		})
+	}
+}
--- a/pkg/admitter/concurrency.go
+++ b/pkg/admitter/concurrency.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,10 +28,13 @@
 	decreaseInterval = 200 * time.Millisecond
 	// recentWeight is the weight of one sample in the recent delay.
 	recentWeight = 0.2
-	// baselineFall and baselineRise make the baseline follow the fast samples;
-	// it still rises for a server that became slower for good.
+	// baselineFall makes the baseline follow the fast samples.
 	baselineFall = 0.1
-	baselineRise = 0.005
+	// baselineRiseTime is the time constant with which the baseline follows a
+	// server that became slower for good. It counts time and not samples, and
+	// only while the limit is unused or at its minimum: otherwise the baseline
+	// would follow the delay of an overload, and the limit would grow with it.
+	baselineRiseTime = 30 * time.Second
 )
 
 // Concurrency is the limit of requests in progress on one backend server:
@@ -41,6 +45,7 @@
 	recent   float64
 	baseline float64
 	lowered  time.Time
+	observed time.Time
 	limit    atomic.Int32
 }
 
@@ -59,9 +64,10 @@
 func (c *Concurrency) Observe(delay time.Duration, inFlight int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.average(float64(delay))
+	isUnused := 2*float64(inFlight) < c.exact
+	c.average(float64(delay), isUnused || c.exact <= minConcurrency, now)
 	// An unused limit proves nothing about the server and does not move.
-	if 2*float64(inFlight) < c.exact {
+	if isUnused {
 		return
 	}
 	if c.recent > max(slowFactor*c.baseline, float64(slowFloor)) {
@@ -71,16 +77,20 @@
 	c.set(c.exact + 1/c.exact)
 }
 
-func (c *Concurrency) average(delay float64) {
+func (c *Concurrency) average(delay float64, mayRise bool, now time.Time) {
+	passed := max(now.Sub(c.observed), 0)
+	c.observed = now
 	if c.baseline == 0 {
 		c.baseline, c.recent = delay, delay
 		return
 	}
 	c.recent += recentWeight * (delay - c.recent)
-	if delay < c.baseline {
+	switch {
+	case delay < c.baseline:
 		c.baseline += baselineFall * (delay - c.baseline)
-	} else {
-		c.baseline += baselineRise * (delay - c.baseline)
+	case mayRise:
+		weight := 1 - math.Exp(-passed.Seconds()/baselineRiseTime.Seconds())
+		c.baseline += weight * (delay - c.baseline)
 	}
 }
 
--- a/tools/bench/overload.go
+++ b/tools/bench/overload.go
@@ -20,7 +20,7 @@
 	overloadSeed     = 1
 	overloadReplicas = 8
 	overloadSlots    = 8
-	overloadWarmUp   = 4 * time.Second
+	overloadWarmUp   = 8 * time.Second
 	overloadDuration = 6 * time.Second
 	overloadDeadline = 2 * time.Second
 	overloadPrefill  = 20 * time.Millisecond
