--- /dev/null
+++ b/pkg/broadcaster/example_test.go
@@ -0,0 +1,55 @@
+package broadcaster_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// A change of the head comes into force at the watching process. A lower
+// revision is never taken.
+func Example() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	api := &emulator.MemoryObjects{}
+	head, err := api.Create(ctx, broadcaster.HeadKey, []byte("1"))
+	if err != nil {
+		fmt.Println(err)
+	}
+	b := &broadcaster.Broadcaster{API: api, Load: func(ctx context.Context) (*parser.Revision, error) {
+		o, err := api.Get(ctx, broadcaster.HeadKey)
+		if err != nil {
+			return nil, err
+		}
+		revision := &parser.Revision{Set: parser.NewSet()}
+		_, err = fmt.Sscan(string(o.Value), &revision.Number)
+		return revision, err
+	}}
+	go b.Run(ctx)
+	waitFor(b, 1)
+	fmt.Println("revision", b.Number())
+
+	if _, err := api.Update(ctx, broadcaster.HeadKey, []byte("2"), head.Version); err != nil {
+		fmt.Println(err)
+	}
+	waitFor(b, 2)
+	fmt.Println("revision", b.Number())
+	fmt.Println("lower taken:", b.Offer(&parser.Revision{Number: 1}, "a peer"))
+	// Output:
+	// revision 1
+	// revision 2
+	// lower taken: false
+}
+
+func waitFor(b *broadcaster.Broadcaster, revision uint64) {
+	for {
+		changed := b.Changed()
+		if b.Number() >= revision {
+			return
+		}
+		<-changed
+	}
+}
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -167,6 +167,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
 	if c.Owner == nil {
 		c.Owner = noOwner
 	}
