--- a/pkg/agent/main.go
+++ b/pkg/agent/main.go
@@ -40,9 +40,10 @@
 
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	flags := flag.NewFlagSet(programName, flag.ContinueOnError)
-	flags.SetOutput(errOut)
+	flags.SetOutput(io.Discard)
 	settings, err := ParseSettings(flags, args)
 	if errors.Is(err, flag.ErrHelp) {
+		writeHelp(out, flags)
 		return exitDone
 	}
 	if err != nil {
--- a/pkg/agent/parts_test.go
+++ b/pkg/agent/parts_test.go
@@ -254,8 +254,8 @@
 		{"two backends", []string{"--service-address", "127.0.0.1:3"}, "--service-address: can't be given with --engine-address; an agent has one backend server"},
 		{"no name", []string{"--vm", ""}, "--vm: is required; give --vm NAME or set LENTIL_VM"},
 		{"bad address", []string{"--entries", "nowhere"}, `--entries: "nowhere" is not an address; give HOST:PORT`},
-		{"any host", []string{"--rpc-address", ":7000"}, "--advertise-address: is required when --rpc-address names no host"},
-		{"negative rate", []string{"--upload-rate", "-1"}, "--upload-rate: must not be negative"},
+		{"any host", []string{"--rpc-address", ":7000"}, "--advertise-address: is required when --rpc-address names no host; give HOST:PORT"},
+		{"negative rate", []string{"--upload-rate", "-1"}, "--upload-rate: must not be negative; give bytes per second, or 0 for no fixed limit"},
 		{"log level", []string{"--log-level", "loud"}, "--log-level: log level loud does not exist; use debug, info, warn or error"},
 		{"argument", []string{"now"}, "now: unexpected argument; see lentil-agent --help"},
 	}
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -11,12 +12,12 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
+	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
 const (
 	programName = "lentil-agent"
-	envPrefix   = "LENTIL"
 
 	defaultDrainTimeout = 10 * time.Minute
 	defaultMaxRunning   = 64
@@ -65,32 +66,36 @@
 // (LENTIL_VM for --vm). It returns flag.ErrHelp after --help.
 func ParseSettings(flags *flag.FlagSet, args []string) (Settings, error) {
 	s := Settings{TLS: &authenticator.Authenticator{}}
-	flags.StringVar(&s.VM, "vm", "", "`name` of this VM")
+	flags.StringVar(&s.VM, "vm", "", "`name` of this VM, unique among all VMs")
 	flags.StringVar(&s.Region, "region", "", "`name` of this VM's region")
 	flags.StringVar(&s.FailureDomain, "failure-domain", "", "`name` of this VM's failure domain")
 	flags.StringVar(&s.Fleet, "fleet", "", "`name` of the fleet that this VM belongs to")
 	flags.StringVar(&s.Model, "model", "", "`name` of the fleet's model, reported until an order names it")
 	flags.StringVar(&s.Service, "service", "", "`name` of the service behind --service-address; the fleet's name when empty")
-	flags.StringVar(&s.RPCAddress, "rpc-address", "127.0.0.1:0", "`address` to listen on for entry daemons and other agents")
+	flags.StringVar(&s.RPCAddress, "rpc-address", "127.0.0.1:0", "`address` to listen on for entry daemons and other agents (gRPC)")
 	flags.StringVar(&s.AdvertiseAddress, "advertise-address", "", "`address` under which others reach --rpc-address, when it differs")
-	flags.StringVar(&s.DebugAddress, "debug-address", "127.0.0.1:0", "`address` to listen on for metrics, /healthz and /readyz")
-	entries := flags.String("entries", "", "comma-separated RPC `addresses` of entry daemons to ask first")
-	flags.StringVar(&s.EngineAddress, "engine-address", "", "`address` of the model engine")
-	flags.StringVar(&s.ServiceAddress, "service-address", "", "`address` of the plain service")
-	flags.StringVar(&s.WeightsAddress, "weights-address", "", "`address` of the origin of weights")
-	flags.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "how long running attempts may go on after SIGTERM")
-	flags.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	flags.StringVar(&s.DebugAddress, "debug-address", "127.0.0.1:0", "`address` to listen on for /debug/vars, /healthz and /readyz (HTTP, not protected)")
+	entries := flags.String("entries", "", "gRPC `addresses` of some entry daemons to find the others, separated by commas")
+	flags.StringVar(&s.EngineAddress, "engine-address", "", "`address` of the model engine (HTTP), reachable by this agent only")
+	flags.StringVar(&s.ServiceAddress, "service-address", "", "`address` of the plain service (HTTP), reachable by this agent only")
+	flags.StringVar(&s.WeightsAddress, "weights-address", "", "`address` of the origin of weights (HTTP); without it orders to transfer are refused")
+	flags.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "longest `time` that running attempts may go on after SIGTERM or before a switch of versions")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` of log lines: debug, info, warn or error; decisions are logged at info")
 	flags.IntVar(&s.MaxRunning, "max-running", defaultMaxRunning, "`number` of attempts that run at once")
 	flags.IntVar(&s.MaxWaiting, "max-waiting", defaultMaxWaiting, "`number` of attempts that wait for a place")
-	flags.Int64Var(&s.UploadRate, "upload-rate", 0, "`bytes` per second that this VM sends to peers; 0 has no limit")
-	flags.Int64Var(&s.DownloadRate, "download-rate", 0, "`bytes` per second that this VM reads; 0 has no limit")
-	flags.Int64Var(&s.RegionRate, "region-rate", 0, "`bytes` per second that this VM reads from other regions; 0 has no limit")
-	flags.StringVar(&s.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit agent; empty leaves connections between daemons unprotected")
-	flags.StringVar(&s.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert")
-	flags.StringVar(&s.TLS.CAFile, "tls-ca", "", "`file` with the certificates of the CA of all daemons")
-	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+	flags.Int64Var(&s.UploadRate, "upload-rate", 0, "highest rate to peers in `bytes/s`; 0 stands for 1.25e9, lowered while first tokens are late")
+	flags.Int64Var(&s.DownloadRate, "download-rate", 0, "highest rate of reading weights in `bytes/s`; 0 as for --upload-rate")
+	flags.Int64Var(&s.RegionRate, "region-rate", 0, "highest rate of reading weights from other regions in `bytes/s`; 0 as for --upload-rate")
+	flags.StringVar(&s.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit agent; without the three --tls flags connections between daemons are not protected")
+	flags.StringVar(&s.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert (PEM)")
+	flags.StringVar(&s.TLS.CAFile, "tls-ca", "", "`file` with the certificates of the CA of all daemons (PEM)")
+	err := ff.Parse(flags, args, ff.WithEnvVarPrefix(explainer.EnvPrefix))
+	if errors.Is(err, flag.ErrHelp) {
 		return s, err
 	}
+	if err != nil {
+		return s, explainer.Explain(programName, flags, err)
+	}
 	if flags.NArg() > 0 {
 		return s, &SettingError{Setting: flags.Arg(0), Text: "unexpected argument; see " + programName + " --help"}
 	}
@@ -125,7 +130,7 @@
 	}
 	for _, r := range required {
 		if r.value == "" {
-			return &SettingError{r.setting, fmt.Sprintf("is required; give %s NAME or set %s", r.setting, envName(r.setting))}
+			return &SettingError{r.setting, fmt.Sprintf("is required; give %s NAME or set %s", r.setting, explainer.EnvName(strings.TrimPrefix(r.setting, "--")))}
 		}
 	}
 	if len(s.Entries) == 0 {
@@ -137,7 +142,7 @@
 func (s *Settings) checkBackend() error {
 	switch {
 	case s.EngineAddress == "" && s.ServiceAddress == "":
-		return &SettingError{"--engine-address", "is required unless --service-address is given"}
+		return &SettingError{"--engine-address", "is required unless --service-address is given; give one of the two as HOST:PORT"}
 	case s.EngineAddress != "" && s.ServiceAddress != "":
 		return &SettingError{"--service-address", "can't be given with --engine-address; an agent has one backend server"}
 	case s.EngineAddress != "" && s.Service != "":
@@ -181,7 +186,7 @@
 		return &SettingError{"--rpc-address", fmt.Sprintf("%q is not an address; give HOST:PORT", s.RPCAddress)}
 	}
 	if ip := net.ParseIP(host); host == "" || ip != nil && ip.IsUnspecified() {
-		return &SettingError{"--advertise-address", "is required when --rpc-address names no host"}
+		return &SettingError{"--advertise-address", "is required when --rpc-address names no host; give HOST:PORT"}
 	}
 	return nil
 }
@@ -194,10 +199,10 @@
 		return &SettingError{"--drain-timeout", "must be above 0, for example 10m"}
 	}
 	if s.MaxRunning < 1 {
-		return &SettingError{"--max-running", "must be at least 1"}
+		return &SettingError{"--max-running", "must be at least 1, for example 64"}
 	}
 	if s.MaxWaiting < 1 {
-		return &SettingError{"--max-waiting", "must be at least 1"}
+		return &SettingError{"--max-waiting", "must be at least 1, for example 64"}
 	}
 	rates := []struct {
 		setting string
@@ -209,7 +214,7 @@
 	}
 	for _, r := range rates {
 		if r.rate < 0 {
-			return &SettingError{r.setting, "must not be negative"}
+			return &SettingError{r.setting, "must not be negative; give bytes per second, or 0 for no fixed limit"}
 		}
 	}
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
@@ -227,8 +232,3 @@
 	}
 	return list
 }
-
-func envName(setting string) string {
-	name := strings.TrimPrefix(setting, "--")
-	return envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
-}
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -17,7 +17,7 @@
 	"golang.org/x/term"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/parser"
+	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 )
 
 // Program is one call of lentil.
@@ -91,7 +91,7 @@
 		return nil
 	}
 	if err != nil {
-		return flagError(v, fs, err)
+		return explainer.Explain("lentil "+v.name, fs, err)
 	}
 	if err := s.start(); err != nil {
 		return err
@@ -119,7 +119,7 @@
 func parseArguments(fs *flag.FlagSet, args []string) ([]string, error) {
 	var positional []string
 	for {
-		if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("LENTIL")); err != nil {
+		if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(explainer.EnvPrefix)); err != nil {
 			return nil, err
 		}
 		if fs.NArg() == 0 {
@@ -130,22 +130,6 @@
 	}
 }
 
-// flagError names a similar flag where there is one.
-func flagError(v verb, fs *flag.FlagSet, err error) error {
-	message := strings.TrimPrefix(err.Error(), "error parsing commandline arguments: ")
-	suggestion := "type lentil " + v.name + " --help"
-	name, unknown := strings.CutPrefix(message, "flag provided but not defined: -")
-	if !unknown {
-		return &UsageError{Message: message, Suggestion: suggestion}
-	}
-	var names []string
-	fs.VisitAll(func(f *flag.Flag) { names = append(names, f.Name) })
-	if near := parser.Nearest(name, names); near != "" {
-		suggestion = "write " + dashes(near)
-	}
-	return &UsageError{Message: "flag " + dashes(name) + " does not exist", Suggestion: suggestion}
-}
-
 func isHelpFlag(arg string) bool {
 	return arg == "--help" || arg == "-help" || arg == "-h"
 }
--- a/pkg/commander/exit.go
+++ b/pkg/commander/exit.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
@@ -59,6 +60,7 @@
 
 func exitCode(err error) int {
 	var usage *UsageError
+	var flagError *explainer.FlagError
 	var address *adapter.AddressError
 	var problems *parser.ProblemsError
 	var conflict *publisher.ConflictError
@@ -68,7 +70,7 @@
 	var unknown *publisher.UnknownOutcomeError
 	var notInForce *NotInForceError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &address):
+	case errors.As(err, &usage), errors.As(err, &flagError), errors.As(err, &address):
 		return ExitUsage
 	case errors.As(err, &problems):
 		return ExitProblems
--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -8,6 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
@@ -78,7 +79,8 @@
 	_ = table.Flush()
 	fmt.Fprintf(w, "\nKinds of objects: %s\n", strings.Join(parser.Kinds(), ", "))
 	fmt.Fprint(w, `
-Each flag can be set by an environment variable, for example LENTIL_OBJECT_API.
+Each flag can be set by an environment variable: --object-api is
+LENTIL_OBJECT_API. A flag takes precedence over its variable.
 
 Exit codes:
   0  done
@@ -89,38 +91,26 @@
   5  the object API is not available
   6  published, but not in force everywhere in time
 
+Example:
+  export LENTIL_OBJECT_API=http://127.0.0.1:7300
+  lentil check examples/authority
+  lentil apply --wait examples/authority
+  lentil rollout status --follow assistant-v2
+
 Type lentil SUBCOMMAND --help for its flags.
 `)
 }
 
 func writeVerbHelp(w io.Writer, v verb, fs *flag.FlagSet) {
 	fmt.Fprintf(w, "%s\n\nUsage:\n  %s\n", v.details, strings.Join(strings.Fields("lentil "+v.name+" "+v.arguments+" [FLAGS]"), " "))
-	hasFlags := false
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fs.VisitAll(func(f *flag.Flag) {
-		if !hasFlags {
-			fmt.Fprint(table, "\nFlags:\n")
-			hasFlags = true
-		}
-		placeholder, usage := flag.UnquoteUsage(f)
-		if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" && f.DefValue != "-1" && f.Name != "author" {
-			usage += " (default " + f.DefValue + ")"
-		}
-		fmt.Fprintf(table, "  %s\t%s\n", strings.TrimRight(dashes(f.Name)+" "+placeholder, " "), usage)
-	})
-	_ = table.Flush()
+	fmt.Fprint(w, "\nFlags:\n")
+	// The default of --author is the name of the user who asks.
+	explainer.WriteFlags(w, fs, "author")
 	if v.example != "" {
 		fmt.Fprintf(w, "\nExample:\n  %s\n", strings.ReplaceAll(v.example, "\n", "\n  "))
 	}
 }
 
-func dashes(name string) string {
-	if len(name) == 1 {
-		return "-" + name
-	}
-	return "--" + name
-}
-
 func wantArguments(v verb, args []string, low, high int) error {
 	if len(args) >= low && (high < 0 || len(args) <= high) {
 		return nil
--- a/pkg/emulator/verb_weights.go
+++ b/pkg/emulator/verb_weights.go
@@ -11,9 +11,9 @@
 
 func registerWeights(flags *flag.FlagSet) func(ctx context.Context, out io.Writer) error {
 	s := &Weights{}
-	address := flags.String("address", "127.0.0.1:0", "`address` to listen on")
-	flags.Float64Var(&s.BytesPerSecond, "bytes-per-second", 0, "limit of all reads together; 0 does not limit")
-	versions := flags.String("versions", "", "`versions` to serve, as source=size:chunk-size:seed, separated by commas")
+	address := flags.String("address", "127.0.0.1:0", "`address` to listen on, HOST:PORT")
+	flags.Float64Var(&s.BytesPerSecond, "bytes-per-second", 0, "limit of all reads together in `bytes/s`; 0 does not limit")
+	versions := flags.String("versions", "", "`versions` to serve, as source=size:chunk-size:seed (bytes), separated by commas (required)")
 	return func(ctx context.Context, out io.Writer) error {
 		sources, err := parseWeightsVersions(*versions)
 		if err != nil {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -23,20 +23,25 @@
 // Main runs the entry daemon until SIGINT or SIGTERM and returns its exit
 // code.
 func Main(args []string) int {
-	cfg, err := parseSettings(args, os.Stderr)
+	cfg, err := parseSettings(args, os.Stdout)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitDone
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "lentil-entry: %v\n", err)
+		fmt.Fprintf(os.Stderr, "%s: %v\n", programName, err)
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	d := &daemon{cfg: cfg}
-	if err := d.run(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "lentil-entry: %v\n", err)
-		return exitFailed
+	err = d.run(ctx)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", programName, err)
+	var settingErr *SettingError
+	if errors.As(err, &settingErr) {
+		return exitUsage
 	}
-	return exitDone
+	return exitFailed
 }
--- a/pkg/router/settings.go
+++ b/pkg/router/settings.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/lentilbridge/lentilbridge/pkg/accepter"
 	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
+	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 )
 
 // settings are the checked settings of an entry daemon.
@@ -38,7 +41,8 @@
 	TLS authenticator.Authenticator
 }
 
-// SettingError reports a setting that cannot hold.
+// SettingError reports a setting that cannot hold. Value is empty for one that
+// is missing.
 type SettingError struct {
 	Flag   string
 	Value  string
@@ -46,51 +50,57 @@
 }
 
 func (e *SettingError) Error() string {
+	if e.Value == "" {
+		return fmt.Sprintf("--%s: %s", e.Flag, e.Advice)
+	}
 	return fmt.Sprintf("--%s %q: %s", e.Flag, e.Value, e.Advice)
 }
 
-const usage = `lentil-entry is the daemon of an entry VM.
-
-Each flag can be set by an environment variable: --rpc-address is
-LENTIL_RPC_ADDRESS. Flags go first.
+// ArgumentError reports an argument that is not a flag.
+type ArgumentError struct {
+	Argument string
+}
 
-Flags:
-`
+func (e *ArgumentError) Error() string {
+	return fmt.Sprintf("argument %q is not expected; type %s --help", e.Argument, programName)
+}
 
+// parseSettings writes the help to w and returns flag.ErrHelp after --help.
 func parseSettings(args []string, w io.Writer) (*settings, error) {
 	cfg := &settings{}
 	var seeds string
-	flags := flag.NewFlagSet("lentil-entry", flag.ContinueOnError)
-	flags.SetOutput(w)
-	flags.Usage = func() {
-		fmt.Fprint(w, usage)
-		flags.PrintDefaults()
-	}
-	flags.StringVar(&cfg.VM, "vm", "", "`name` of this VM (required)")
+	flags := flag.NewFlagSet(programName, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	flags.StringVar(&cfg.VM, "vm", "", "`name` of this VM, unique among all VMs (required)")
 	flags.StringVar(&cfg.Region, "region", "", "`region` of this VM (required)")
 	flags.StringVar(&cfg.FailureDomain, "failure-domain", "", "`failure domain` of this VM (required)")
-	flags.StringVar(&cfg.PublicAddress, "public-address", "127.0.0.1:8080", "`address` for callers (HTTP)")
-	flags.StringVar(&cfg.RPCAddress, "rpc-address", "127.0.0.1:9090", "`address` for entry daemons and agents (gRPC)")
+	flags.StringVar(&cfg.PublicAddress, "public-address", "127.0.0.1:8080", "`address` to listen on for callers (HTTP)")
+	flags.StringVar(&cfg.RPCAddress, "rpc-address", "127.0.0.1:9090", "`address` to listen on for entry daemons and agents (gRPC)")
 	flags.StringVar(&cfg.AdvertisePublic, "advertise-public-address", "", "`address` that callers are told; --public-address when empty")
 	flags.StringVar(&cfg.AdvertiseRPC, "advertise-rpc-address", "", "`address` that other daemons are told; --rpc-address when empty")
-	flags.StringVar(&cfg.DebugAddress, "debug-address", "127.0.0.1:6060", "`address` of /debug/vars, /healthz and /readyz")
-	flags.StringVar(&cfg.ObjectAPI, "object-api", "", "`URL` of the object API (required)")
-	flags.StringVar(&cfg.VMList, "vm-list", "", "`URL` of the list of VMs; empty uses none")
-	flags.StringVar(&seeds, "seeds", "", "gRPC `addresses` of other entry daemons, separated by commas")
+	flags.StringVar(&cfg.DebugAddress, "debug-address", "127.0.0.1:6060", "`address` to listen on for /debug/vars, /healthz and /readyz (HTTP, not protected)")
+	flags.StringVar(&cfg.ObjectAPI, "object-api", "", "`URL` of the object API, for example http://10.0.0.2:7000 (required)")
+	flags.StringVar(&cfg.VMList, "vm-list", "", "`URL` of the platform's list of VMs, a hint for leaving VMs; empty uses none")
+	flags.StringVar(&seeds, "seeds", "", "gRPC `addresses` of some entry daemons to find the others, separated by commas")
 	flags.StringVar(&cfg.OriginRegion, "origin-region", "", "`region` of the origin of weights; --region when empty")
-	flags.DurationVar(&cfg.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` that a stop waits for requests in progress")
-	flags.DurationVar(&cfg.EntriesValid, "entries-valid", accepter.DefaultEntriesValid, "`time` that callers may use an answer of /v1/entries")
-	flags.StringVar(&cfg.LogLevel, "log-level", "info", "debug, info, warn or error")
-	flags.Int64Var(&cfg.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in `bytes`")
+	flags.DurationVar(&cfg.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` that a stop waits for requests in progress, after --entries-valid and 3s")
+	flags.DurationVar(&cfg.EntriesValid, "entries-valid", accepter.DefaultEntriesValid, "`time` that callers may use an answer of /v1/entries, 1s to 1h")
+	flags.StringVar(&cfg.LogLevel, "log-level", "info", "lowest `level` of log lines: debug, info, warn or error; decisions are logged at info")
+	flags.Int64Var(&cfg.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in `bytes`, 1 to 33554432")
 	flags.Uint64Var(&cfg.MaxTransferBytes, "max-transfer-bytes", 0, "weight transfer limit for each VM in `bytes/s`; 0 leaves it to the agents")
-	flags.StringVar(&cfg.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit entry; empty leaves connections between daemons unprotected")
-	flags.StringVar(&cfg.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert")
-	flags.StringVar(&cfg.TLS.CAFile, "tls-ca", "", "`file` with the certificates of the CA of all daemons")
-	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("LENTIL")); err != nil {
+	flags.StringVar(&cfg.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit entry; without the three --tls flags connections between daemons are not protected")
+	flags.StringVar(&cfg.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert (PEM)")
+	flags.StringVar(&cfg.TLS.CAFile, "tls-ca", "", "`file` with the certificates of the CA of all daemons (PEM)")
+	err := ff.Parse(flags, args, ff.WithEnvVarPrefix(explainer.EnvPrefix))
+	if errors.Is(err, flag.ErrHelp) {
+		writeHelp(w, flags)
 		return nil, err
 	}
+	if err != nil {
+		return nil, explainer.Explain(programName, flags, err)
+	}
 	if flags.NArg() > 0 {
-		return nil, &SettingError{Flag: "help", Value: flags.Arg(0), Advice: "lentil-entry takes flags only"}
+		return nil, &ArgumentError{Argument: flags.Arg(0)}
 	}
 	cfg.Seeds = splitList(seeds)
 	cfg.applyDefaults()
@@ -117,7 +127,7 @@
 		{"object-api", cfg.ObjectAPI},
 	} {
 		if required.value == "" {
-			return &SettingError{Flag: required.flag, Advice: "is required"}
+			return &SettingError{Flag: required.flag, Advice: fmt.Sprintf("is required; give --%s VALUE or set %s", required.flag, explainer.EnvName(required.flag))}
 		}
 	}
 	addresses := []struct{ flag, value string }{
@@ -144,6 +154,9 @@
 			return &SettingError{Flag: u.flag, Value: u.value, Advice: "give a URL, for example http://10.0.0.2:7000"}
 		}
 	}
+	if err := cfg.checkAdvertised(); err != nil {
+		return err
+	}
 	if cfg.EntriesValid < time.Second || cfg.EntriesValid > time.Hour {
 		return &SettingError{Flag: "entries-valid", Value: cfg.EntriesValid.String(), Advice: "give 1s to 1h"}
 	}
@@ -153,8 +166,35 @@
 	if err := cfg.TLS.Check(); err != nil {
 		return &SettingError{Flag: "tls-cert", Value: cfg.TLS.CertFile, Advice: err.Error()}
 	}
-	if cfg.MaxBodyBytes < 1 {
-		return &SettingError{Flag: "max-body-bytes", Value: fmt.Sprint(cfg.MaxBodyBytes), Advice: "give 1 or more"}
+	if cfg.MaxBodyBytes < 1 || cfg.MaxBodyBytes > accepter.DefaultMaxBodies {
+		// A body above the bound of all bodies in progress would always be refused.
+		return &SettingError{
+			Flag: "max-body-bytes", Value: fmt.Sprint(cfg.MaxBodyBytes),
+			Advice: fmt.Sprintf("give 1 to %d", accepter.DefaultMaxBodies),
+		}
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, cfg.LogLevel) {
+		return &SettingError{Flag: "log-level", Value: cfg.LogLevel, Advice: "give debug, info, warn or error"}
+	}
+	return nil
+}
+
+// checkAdvertised refuses to advertise an address that others can't reach.
+func (cfg *settings) checkAdvertised() error {
+	for _, a := range []struct{ flag, value, listener string }{
+		{"advertise-public-address", cfg.AdvertisePublic, "public-address"},
+		{"advertise-rpc-address", cfg.AdvertiseRPC, "rpc-address"},
+	} {
+		host, port, err := net.SplitHostPort(a.value)
+		if err != nil {
+			return err
+		}
+		if ip := net.ParseIP(host); host == "" || port == "0" || ip != nil && ip.IsUnspecified() {
+			return &SettingError{
+				Flag: a.flag, Value: a.value,
+				Advice: fmt.Sprintf("others cannot reach it; give HOST:PORT here or in --%s, for example 10.0.0.7:9090", a.listener),
+			}
+		}
 	}
 	return nil
 }
--- a/test/cases_test.go
+++ b/test/cases_test.go
@@ -14,13 +14,18 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/agent"
 	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/router"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"lentil": func() { os.Exit(commander.Main(os.Args[1:])) },
+		"lentil":         func() { os.Exit(commander.Main(os.Args[1:])) },
+		"lentil-entry":   func() { os.Exit(router.Main(os.Args[1:])) },
+		"lentil-agent":   func() { os.Exit(agent.Main(os.Args[1:])) },
+		"lentil-standin": func() { os.Exit(emulator.Main(os.Args[1:])) },
 	})
 }
 
@@ -39,6 +44,17 @@
 	})
 }
 
+// The sessions guard against daemons that start with settings that cannot
+// work, and against messages and help that do not say what to type instead.
+func TestSettings(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "cases/settings",
+		RequireExplicitExec: true,
+		Cmds:                map[string]func(*testscript.TestScript, bool, []string){"exits": runExits},
+		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
+	})
+}
+
 type objectAPIKey struct{}
 
 func setUpOperator(env *testscript.Env) error {
