--- a/pkg/claimer/index.go
+++ b/pkg/claimer/index.go
@@ -132,6 +132,12 @@
 	return len(r.Answer.Body)
 }
 
+// encodedBytes estimates the size of the record in JSON, where the answer is in
+// base64.
+func (r *record) encodedBytes() int {
+	return r.answerBytes()*4/3 + len(r.Key) + recordBytes
+}
+
 func (r *record) reply(state messenger.ClaimState, retention time.Duration) *messenger.ClaimReply {
 	return &messenger.ClaimReply{
 		State:            state,
--- a/pkg/claimer/shard.go
+++ b/pkg/claimer/shard.go
@@ -16,9 +16,17 @@
 )
 
 const (
-	maxBatch       = 256
-	maxSubmitted   = 1024
+	// maxBatch bounds the operations of one segment.
+	maxBatch = 256
+	// maxSubmitted bounds the operations that wait for a batch; further ones
+	// are refused at once.
+	maxSubmitted = 1024
+	// createAttempts bounds the tries of one segment, after lost answers or
+	// after segments of other writers.
 	createAttempts = 8
+	// recordBytes bounds the encoded size of a record without key and answer:
+	// digest, request, agent address and the names of the fields.
+	recordBytes = 512
 	// maxSegmentBytes leaves room below the object API's limit for the
 	// encoding of the envelope.
 	maxSegmentBytes = 900_000
@@ -44,10 +52,14 @@
 	index   *index
 	// next is the sequence number of the segment to write.
 	next uint64
-	// loose counts the segments after the last snapshot.
-	loose    int
-	head     snapshotHead
-	headAt   uint64
+	// sinceSnapshot counts the segments after the last snapshot.
+	sinceSnapshot int
+	// head is the last snapshot, and headVersion the version of its object in
+	// the object API; 0 when there is none.
+	head        snapshotHead
+	headVersion uint64
+	// lastUsed is when the index was needed last. A daemon that does not own
+	// the shard drops an index that it does not use.
 	lastUsed time.Time
 	// outageUntil refuses claims at once after the object API failed, so
 	// that callers are not queued behind timeouts.
@@ -180,7 +192,7 @@
 			continue
 		}
 		seen[op.key()] = true
-		size += r.answerBytes()*4/3 + len(r.Key) + 512
+		size += r.encodedBytes()
 		pending = append(pending, op)
 		records = append(records, *r)
 	}
@@ -220,12 +232,12 @@
 		s.index = nil
 		return &adapter.ConflictError{Key: segmentKey(s.number, s.next)}
 	}
-	s.head, s.headAt = head, version
+	s.head, s.headVersion = head, version
 	for _, r := range records {
 		s.index.apply(r)
 	}
 	s.next++
-	s.loose++
+	s.sinceSnapshot++
 	return nil
 }
 
@@ -312,7 +324,7 @@
 		next++
 		loose++
 	}
-	s.index, s.next, s.loose, s.head, s.headAt = x, next, loose, head, version
+	s.index, s.next, s.sinceSnapshot, s.head, s.headVersion = x, next, loose, head, version
 	return nil
 }
 
@@ -337,7 +349,7 @@
 			s.index.apply(r)
 		}
 		s.next++
-		s.loose++
+		s.sinceSnapshot++
 	}
 }
 
--- a/pkg/claimer/snapshot.go
+++ b/pkg/claimer/snapshot.go
@@ -74,13 +74,13 @@
 // compactIfDue writes a snapshot of the index and deletes the segments that
 // it covers. The head moves by a conditional update before the deletion.
 func (s *shard) compactIfDue(ctx context.Context, now time.Time) {
-	if s.loose < s.claimer.CompactAfter || !s.claimer.Held(ShardName(s.number), now) {
+	if s.sinceSnapshot < s.claimer.CompactAfter || !s.claimer.Held(ShardName(s.number), now) {
 		return
 	}
 	if err := s.compact(ctx); err != nil {
 		s.claimer.Log.Warn("claim snapshot not written", zap.String("shard", ShardName(s.number)), zap.Error(err))
 		// Try again after the next half of a full set of segments.
-		s.loose /= 2
+		s.sinceSnapshot /= 2
 	}
 }
 
@@ -103,7 +103,7 @@
 	}
 	old := s.head
 	s.head = head
-	s.loose = 0
+	s.sinceSnapshot = 0
 	s.deleteUnused(ctx, old, head)
 	return nil
 }
@@ -113,17 +113,17 @@
 	defer cancel()
 	var o adapter.Object
 	var err error
-	if s.headAt == 0 {
+	if s.headVersion == 0 {
 		o, err = s.claimer.API.Create(callCtx, headKey(s.number), value)
 	} else {
-		o, err = s.claimer.API.Update(callCtx, headKey(s.number), value, s.headAt)
+		o, err = s.claimer.API.Update(callCtx, headKey(s.number), value, s.headVersion)
 	}
 	if err != nil {
 		// The head may have moved all the same; the next use reads it again.
 		s.index = nil
 		return err
 	}
-	s.headAt = o.Version
+	s.headVersion = o.Version
 	return nil
 }
 
@@ -153,7 +153,7 @@
 	var parts [][]record
 	size, from := 0, 0
 	for i, r := range group {
-		size += r.answerBytes()*4/3 + len(r.Key) + 512
+		size += r.encodedBytes()
 		if size > maxSegmentBytes-MaxAnswerBytes*2 {
 			parts = append(parts, group[from:i+1])
 			size, from = 0, i+1
--- a/pkg/parser/nearest.go
+++ b/pkg/parser/nearest.go
@@ -3,8 +3,9 @@
 import "strings"
 
 // Nearest returns the known word that is closest to the given one, whatever its
-// case, or "" when
-// none is close enough to be a likely typing mistake.
+// case, or "" when none is close enough to be a likely typing mistake:
+//
+//	Nearest("regoins", []string{"regions", "replicas"}) // "regions"
 func Nearest(word string, known []string) string {
 	best, bestDistance := "", len(word)/3+2
 	word = strings.ToLower(word)
