Refuse claims at once while the object API does not answer

The time of the refusals began before the call that timed out, so that it was over when the timeout had passed, and each call waited 2 s in turn.

--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -254,3 +254,22 @@
 		n--
 	}
 }
+
+// Guards against callers that wait one after the other for an object API that
+// does not answer. Only the call that finds this out may wait.
+func TestHangingObjectAPIRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		api := &emulator.MemoryObjects{}
+		cl := startClaimer(t.Context(), api, "vm-1", true)
+		api.SetDelay(time.Hour)
+		var waits []time.Duration
+		for range 2 {
+			begin := time.Now()
+			state := claimState(c, cl, claimRequest("key", "body", "request"))
+			c.Assert(state, qt.Equals, messenger.ClaimState_CLAIM_STATE_UNAVAILABLE)
+			waits = append(waits, time.Since(begin))
+		}
+		c.Assert(waits[1] < waits[0]/2, qt.IsTrue, qt.Commentf("%v", waits))
+	})
+}
--- a/pkg/claimer/shard.go
+++ b/pkg/claimer/shard.go
@@ -137,7 +137,7 @@
 	}
 	for range createAttempts {
 		if err := s.load(ctx); err != nil {
-			s.noteOutage(now, err)
+			s.noteOutage(s.claimer.Now(), err)
 			refuseAll(batch, messenger.ClaimState_CLAIM_STATE_UNAVAILABLE)
 			return
 		}
@@ -162,7 +162,7 @@
 			// replayed and the same operations are decided again.
 			batch = append(pending, batch...)
 		default:
-			s.noteOutage(now, err)
+			s.noteOutage(s.claimer.Now(), err)
 			s.index = nil
 			state := messenger.ClaimState_CLAIM_STATE_UNKNOWN_OUTCOME
 			if surelyNotApplied(err) {
@@ -379,6 +379,8 @@
 	}
 }
 
+// noteOutage takes the time after the failed call: a call that timed out took
+// longer than outageBackoff.
 func (s *shard) noteOutage(now time.Time, err error) {
 	s.outageUntil = now.Add(outageBackoff)
 	s.claimer.Log.Warn("claims not recorded", zap.String("shard", ShardName(s.number)), zap.Error(err))
