Do not take a block for lifted that was never stored

After a lost answer to a write of the list of blocks, each block that the list did not hold was lifted at the next refresh, as if an operator had deleted it.

--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -185,3 +185,44 @@
 		c.Assert(second.GetTrialGranted(), qt.IsTrue)
 	})
 }
+
+// Guards against blocks that are taken for lifted by an operator because the
+// answer to one write of the list was lost.
+func TestLostAnswerKeepsBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNetwork(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go n.nodes[0].Run(ctx)
+		synctest.Wait()
+		fingerprints := sameShard(3)
+		for k, fingerprint := range fingerprints {
+			if k == 1 {
+				n.api.LoseAnswers(1)
+			}
+			for _, vm := range []string{"vm-1", "vm-2"} {
+				_, err := n.nodes[0].SuspectHere(ctx, &messenger.SuspectRequest{
+					Fingerprint: fingerprint, Vm: vm, Crashed: true, InProgress: []string{fingerprint},
+				})
+				c.Assert(err, qt.IsNil)
+			}
+		}
+		time.Sleep(isolator.BlockDuration / 2)
+		for _, fingerprint := range fingerprints {
+			_, blocked, _ := n.nodes[0].Blocked(fingerprint, time.Now())
+			c.Check(blocked, qt.IsTrue, qt.Commentf("%s", fingerprint))
+		}
+	})
+}
+
+// sameShard returns fingerprints of one isolation shard.
+func sameShard(n int) []string {
+	var fingerprints []string
+	for k := 0; len(fingerprints) < n; k++ {
+		if f := fmt.Sprint("fingerprint-", k); isolator.ShardOf(f) == 0 {
+			fingerprints = append(fingerprints, f)
+		}
+	}
+	return fingerprints
+}
--- a/pkg/isolator/shard.go
+++ b/pkg/isolator/shard.go
@@ -23,7 +23,10 @@
 	vms []string
 	// soleCrashes counts the crashes with no other request in progress. Only
 	// these name one cause.
-	soleCrashes  int
+	soleCrashes int
+	// listed is set while the stored list is known to hold the block. Only then
+	// its absence from a newer list means that an operator has lifted it.
+	listed       bool
 	seenAt       time.Time
 	blockedUntil time.Time
 	trial        string
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -47,6 +47,7 @@
 		s.suspects[b.Fingerprint] = &suspect{
 			vms:          b.VMs,
 			soleCrashes:  1,
+			listed:       true,
 			seenAt:       now,
 			blockedUntil: time.UnixMilli(b.UntilMillis),
 		}
@@ -81,8 +82,11 @@
 		return
 	}
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.shards[n].version = stored
-	i.mu.Unlock()
+	for fingerprint, known := range i.shards[n].suspects {
+		known.listed = containsBlock(blocks, fingerprint)
+	}
 }
 
 // refresh takes over blocks that operators have lifted, writes blocks that
@@ -107,13 +111,19 @@
 	}
 	i.mu.Lock()
 	s := &i.shards[n]
+	if version > 0 && version < s.version {
+		// The list was written after it was read here.
+		i.mu.Unlock()
+		return
+	}
 	var lifted []*messenger.Suspicion
-	if version != s.version && s.version != 0 {
-		for fingerprint, known := range s.suspects {
-			if known.isBlocked(now) && !containsBlock(stored, fingerprint) {
-				delete(s.suspects, fingerprint)
-				lifted = append(lifted, s.suspicion(fingerprint, now))
-			}
+	for fingerprint, known := range s.suspects {
+		switch {
+		case containsBlock(stored, fingerprint):
+			known.listed = true
+		case version > s.version && known.listed && known.isBlocked(now):
+			delete(s.suspects, fingerprint)
+			lifted = append(lifted, s.suspicion(fingerprint, now))
 		}
 	}
 	s.version = version
