--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -95,8 +95,8 @@
 	b.start(ctx)
 	var workers sync.WaitGroup
 	workers.Add(2)
-	go b.runPulls(ctx, &workers)
-	go b.runWatch(ctx, &workers)
+	go puller{b}.run(ctx, &workers)
+	go watcher{b}.run(ctx, &workers)
 	workers.Wait()
 	return ctx.Err()
 }
--- a/pkg/broadcaster/pull.go
+++ b/pkg/broadcaster/pull.go
@@ -55,8 +55,12 @@
 	return reply, nil
 }
 
-// runPulls pulls revisions that heartbeats named.
-func (b *Broadcaster) runPulls(ctx context.Context, workers *sync.WaitGroup) {
+// puller pulls revisions that heartbeats named.
+type puller struct {
+	*Broadcaster
+}
+
+func (b puller) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	retry := b.newBackoff(retryAfter)
 	for ctx.Err() == nil {
--- a/pkg/broadcaster/watch.go
+++ b/pkg/broadcaster/watch.go
@@ -11,8 +11,12 @@
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 )
 
-// runWatch holds the watch on the head while this daemon is a relay.
-func (b *Broadcaster) runWatch(ctx context.Context, workers *sync.WaitGroup) {
+// watcher holds the watch on the head while this daemon is a relay.
+type watcher struct {
+	*Broadcaster
+}
+
+func (b watcher) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	retry := b.newBackoff(pollEvery)
 	for ctx.Err() == nil {
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -118,6 +118,11 @@
 	}
 	i.mu.Lock()
 	s := &i.shards[n]
+	if version > 0 && version < s.version {
+		// The list was written after it was read here.
+		i.mu.Unlock()
+		return
+	}
 	var lifted []*messenger.Suspicion
 	if version != s.version {
 		lifted = s.follow(stored, now)
--- a/pkg/reporter/reporter.go
+++ b/pkg/reporter/reporter.go
@@ -82,7 +82,7 @@
 	r.init()
 	var workers sync.WaitGroup
 	workers.Add(1)
-	go r.runSelf(ctx, &workers)
+	go sender{r}.run(ctx, &workers)
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = r.Interval
 	retry.MaxInterval = maxRetry
@@ -119,8 +119,12 @@
 	}
 }
 
-// runSelf sends this daemon's own status when it changes, and now and then.
-func (r *Reporter) runSelf(ctx context.Context, workers *sync.WaitGroup) {
+// sender sends this daemon's own status when it changes, and now and then.
+type sender struct {
+	*Reporter
+}
+
+func (r sender) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	if r.Self == nil || r.Send == nil {
 		return
