--- a/test/system_test.go
+++ b/test/system_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,9 +52,6 @@
 	}
 }
 
-// networks numbers the loopback networks of the systems of one test binary.
-var networks atomic.Int64
-
 // system is a deployment as separate processes on loopback addresses of its
 // own. Its fields are set before start.
 type system struct {
@@ -92,7 +87,7 @@
 func (s *system) start(t *testing.T) {
 	s.t = t
 	s.c = qt.New(t)
-	s.network = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, networks.Add(1))
+	s.network = reserveNetwork(t)
 	s.dir = t.TempDir()
 	s.processes = map[string]*process{}
 	s.api = &adapter.HTTPObjectAPI{BaseURL: "http://" + s.platform(7000)}
@@ -490,17 +485,3 @@
 		p.kill()
 	}
 }
-
-// dumpLogs shows the last lines of each process.
-func (s *system) dumpLogs() {
-	const tail = 1500
-	files, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
-	for _, file := range files {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			continue
-		}
-		text = text[max(0, len(text)-tail):]
-		s.t.Logf("%s:\n%s", filepath.Base(file), bytes.TrimSpace(text))
-	}
-}
