Keep complete versions of a replica that reports none

An agent reports no version while its engine restarts, and loads the version again from its chunks. During a rollout the drop of superseded versions took them away.

Trial without the rule: TestRestartingEngineKeepsItsVersion fails, only the chunks of the new version are left.

--- a/pkg/controller/changes_test.go
+++ b/pkg/controller/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/pkg/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
@@ -222,3 +224,28 @@
 		c.Assert(r.fleet.countVersion("d1"), qt.Equals, 8)
 	})
 }
+
+// Guards against a version that is dropped while its engine restarts: the agent
+// then reports no version, and needs the chunks to load it again.
+func TestRestartingEngineKeepsItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := startChanging(ctx, c)
+		time.Sleep(2 * time.Minute)
+		c.Assert(r.fleet.countVersion("d2"), qt.Equals, 8)
+		r.fleet.change("vm-03", func(r *controller.Replica) {
+			r.Replica.Version, r.Replica.VersionName = "", ""
+			r.Replica.State = messenger.ReplicaState_REPLICA_STATE_STARTING
+		})
+		r.publish("draft-3", parser.RolloutRunning)
+		time.Sleep(time.Second)
+		r.fleet.mu.Lock()
+		held := slices.Clone(r.fleet.replicas["vm-03"].Transfers)
+		r.fleet.mu.Unlock()
+		c.Assert(len(without(held, "d2")) < len(held), qt.IsTrue, qt.Commentf("%v", held))
+		time.Sleep(2 * time.Minute)
+		c.Assert(r.fleet.countVersion("d3"), qt.Equals, 8)
+	})
+}
--- a/pkg/controller/decide.go
+++ b/pkg/controller/decide.go
@@ -278,13 +278,17 @@
 }
 
 // drop frees a version that is neither wanted nor needed, nor the one that the
-// replica runs: its engine may restart empty and need it again.
+// replica runs: its engine may restart empty and need it again. The replica
+// reports no version meanwhile, so that each complete one may be it.
 func (in input) drop(m Replica, target *parser.ModelVersion) (order, bool) {
 	for _, t := range m.Transfers {
 		digest := t.GetDigest()
 		if digest == target.Digest || digest == m.Replica.GetVersion() || in.isNeeded(digest) {
 			continue
 		}
+		if m.Replica.GetVersion() == "" && t.GetComplete() {
+			continue
+		}
 		return order{
 			vm:          m.Replica.GetVm(),
 			address:     m.Replica.GetAddress(),
