End the watch of a daemon that is no longer a relay

Cause: every daemon is a relay until it has found the others, and the role was looked at only between two watches, each of which waits up to 30 s. Daemons that start together all watched for that long, and a waiting watch is a call per second. Change: a daemon that watches looks at its role every second and ends the watch when it has lost it.

--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -34,8 +34,11 @@
 	// emptyWatchPause bounds the calls when watches end at once.
 	emptyWatchPause = 200 * time.Millisecond
 	callTimeout     = 5 * time.Second
-	retryAfter      = 200 * time.Millisecond
-	maxRetryAfter   = 10 * time.Second
+	// roleInterval is how often a daemon that watches asks whether it still is
+	// a relay.
+	roleInterval  = time.Second
+	retryAfter    = 200 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
 	// startPeers is how many peers a starting daemon asks at once when the
 	// object API does not answer.
 	startPeers = 3
--- a/pkg/broadcaster/broadcaster_test.go
+++ b/pkg/broadcaster/broadcaster_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,11 +164,15 @@
 }
 
 func start(t *testing.T, head *fakeHead, relay bool, known peers) *daemon {
+	return startWith(t, head, func(time.Time) bool { return relay }, known)
+}
+
+func startWith(t *testing.T, head *fakeHead, relay func(time.Time) bool, known peers) *daemon {
 	ctx, cancel := context.WithCancel(t.Context())
 	d := &daemon{stop: cancel, done: make(chan struct{}), lower: generic.NewCounter("lower")}
 	d.Broadcaster = &broadcaster.Broadcaster{
 		API: head, Load: head.load, Encode: encode, Decode: decode, Client: known.client,
-		IsRelay:        func(time.Time) bool { return relay },
+		IsRelay:        relay,
 		LowerRevisions: d.lower,
 		Peers: func(time.Time) (addresses []string) {
 			for address := range known {
@@ -310,3 +315,23 @@
 		d.end()
 	})
 }
+
+// Guards against a daemon that keeps its watch after another one has become
+// the relay.
+func TestFormerRelayEndsItsWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeHead(1)
+		var former atomic.Bool
+		d := startWith(t, head, func(time.Time) bool { return !former.Load() }, nil)
+		time.Sleep(time.Second)
+		c.Assert(d.Status().Watching, qt.IsTrue)
+		former.Store(true)
+		time.Sleep(3 * time.Second)
+		c.Assert(d.Status().Watching, qt.IsFalse)
+		watches := head.count("watch")
+		time.Sleep(time.Minute)
+		c.Assert(head.count("watch"), qt.Equals, watches)
+		d.end()
+	})
+}
