--- a/tools/bench/fleet.go
+++ b/tools/bench/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
+	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/storer"
 )
@@ -51,10 +52,12 @@
 	store    *storer.Storer
 	dial     fetcher.Dialer
 	source   adapter.WeightSource
-	cancel   context.CancelFunc
-	dead     bool
-	doneAt   time.Time
-	err      error
+	// limiter paces the transfer; nil does not.
+	limiter *limiter.Limiter
+	cancel  context.CancelFunc
+	dead    bool
+	doneAt  time.Time
+	err     error
 }
 
 func newFleet(t trial) (*fleet, error) {
@@ -171,6 +174,7 @@
 		Source:       v.source,
 		Dial:         v.dial,
 		Store:        v.store,
+		Limiter:      v.limiter,
 		Seed:         uint64(benchSeed + index),
 	}
 	if v.fleet.trial.by == byOrigin {
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -26,6 +26,8 @@
 	{"overload", "goodput and fairness above the capacity", benchOverload},
 	{"retries", "extra load while replicas fail", benchRetries},
 	{"claims", "writes to the object API of non-idempotent calls", benchClaims},
+	{"rollout-latency", "first tokens of live requests during a weight transfer", benchRolloutLatency},
+	{"configuration", "time until a change is in force and calls to the object API", benchConfiguration},
 }
 
 func main() {
