--- a/tools/bench/retries.go
+++ b/tools/bench/retries.go
@@ -28,6 +28,7 @@
 	retriesRequests = 8000
 	retriesRate     = 2000
 	fixedTries      = 3
+	failureInterval = 500 * time.Millisecond
 )
 
 var errBenchCut = status.Error(codes.Unavailable, "the connection was cut")
@@ -49,15 +50,37 @@
 func benchRetries(w io.Writer) error {
 	fmt.Fprintf(w, "retries/seed %d number\n", retriesSeed)
 	for _, r := range []*retriesRun{{name: "budget"}, {name: "fixed-3-tries", fixed: true}} {
-		for _, failing := range []int{0, retriesReplicas / 2, retriesReplicas} {
-			r.measure(w, failing)
+		for _, f := range []failure{{failing: 0}, {failing: retriesReplicas / 2}, {failing: retriesReplicas / 2, moving: true}, {failing: retriesReplicas}} {
+			r.measure(w, f)
 		}
 	}
 	return nil
 }
 
-func (r *retriesRun) measure(w io.Writer, failing int) {
-	r.setUp(failing)
+// failure is which replicas fail. With moving the failing ones and the others
+// change places, so that the picker's knowledge is out of date.
+type failure struct {
+	failing int
+	moving  bool
+}
+
+func (f failure) name() string {
+	name := fmt.Sprintf("failing-%d-of-%d", f.failing, retriesReplicas)
+	if f.moving {
+		name += "-moving"
+	}
+	return name
+}
+
+func (f failure) fails(i int, passed time.Duration) bool {
+	if f.moving && passed/failureInterval%2 == 1 {
+		return i >= f.failing
+	}
+	return i < f.failing
+}
+
+func (r *retriesRun) measure(w io.Writer, f failure) {
+	r.setUp(f)
 	started := time.Now()
 	for n := range retriesRequests {
 		time.Sleep(time.Until(started.Add(time.Duration(n) * time.Second / retriesRate)))
@@ -66,13 +89,13 @@
 		go c.run()
 	}
 	r.pending.Wait()
-	name := fmt.Sprintf("retries/%s/failing-%d-of-%d", r.name, failing, retriesReplicas)
+	name := fmt.Sprintf("retries/%s/%s", r.name, f.name())
 	fmt.Fprintf(w, "%s/extra-load %.1f %%\n", name, 100*(float64(r.attempts.Load())/retriesRequests-1))
 	fmt.Fprintf(w, "%s/served %.1f %%\n", name, 100*float64(r.served.Load())/retriesRequests)
 }
 
-func (r *retriesRun) setUp(failing int) {
-	random := rand.New(rand.NewPCG(retriesSeed, uint64(failing)))
+func (r *retriesRun) setUp(f failure) {
+	random := rand.New(rand.NewPCG(retriesSeed, uint64(f.failing)))
 	guarded := &lockedRandom{random: random}
 	p := &picker.Picker{VM: "entry", Region: "r0", FailureDomain: "d0", Random: guarded.next}
 	r.agents = map[string]*shortAgent{}
@@ -81,7 +104,7 @@
 	var all []picker.Candidate
 	for i := range retriesReplicas {
 		entry := replica(i)
-		r.agents[entry.GetAddress()] = &shortAgent{attempts: &r.attempts, failing: i < failing}
+		r.agents[entry.GetAddress()] = &shortAgent{attempts: &r.attempts, failure: f, number: i, started: time.Now()}
 		all = append(all, picker.Candidate{Replica: entry, Load: &messenger.Load{Rate: 1}})
 	}
 	p.Update(all, time.Now())
@@ -141,8 +164,9 @@
 		agent := c.retries.agents[choice.Address]
 		c.retries.attempts.Add(1)
 		agent.work()
-		choice.Done(!agent.failing, time.Now())
-		if !agent.failing {
+		failed := agent.failing(time.Now())
+		choice.Done(!failed, time.Now())
+		if !failed {
 			c.retries.served.Add(1)
 			return
 		}
@@ -161,7 +185,13 @@
 type shortAgent struct {
 	messenger.AgentClient
 	attempts *atomic.Int64
-	failing  bool
+	failure  failure
+	number   int
+	started  time.Time
+}
+
+func (a *shortAgent) failing(now time.Time) bool {
+	return a.failure.fails(a.number, now.Sub(a.started))
 }
 
 func (a *shortAgent) work() { time.Sleep(2 * time.Millisecond) }
@@ -193,7 +223,7 @@
 	switch s.step {
 	case 1:
 		s.agent.work()
-		if s.agent.failing {
+		if s.agent.failing(time.Now()) {
 			return nil, errBenchCut
 		}
 		return &messenger.AttemptEvent{Id: s.id, Event: &messenger.AttemptEvent_Accepted{Accepted: &messenger.AttemptAccepted{Version: "v1"}}}, nil
