--- a/tools/bench/controlrevision.go
+++ b/tools/bench/controlrevision.go
@@ -40,7 +40,7 @@
 	return &r, json.Unmarshal(b, &r)
 }
 
-func benchRevision(number uint64) *parser.Revision {
+func revisionOf(number uint64) *parser.Revision {
 	set := parser.NewSet()
 	for i := range revisionObjects {
 		set.Add(&parser.Team{
@@ -68,16 +68,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	reader := &revisionReader{}
 	reader.pool.Options = []grpc.DialOption{grpc.WithContextDialer(reader.dial)}
-	source.Offer(benchRevision(1), "bench")
+	source.Offer(revisionOf(1), "bench")
 	reader.broadcaster = &broadcaster.Broadcaster{
 		IsRelay: func(time.Time) bool { return false }, Client: reader.pool.Entry, Decode: decodeBenchRevision,
-		Load: func(context.Context) (*parser.Revision, error) { return benchRevision(1), nil },
+		Load: func(context.Context) (*parser.Revision, error) { return revisionOf(1), nil },
 	}
 	go reader.run(ctx, &workers)
 	before := reader.bytes.Load()
 	var slowest time.Duration
 	for number := uint64(2); number < 2+revisionPulls; number++ {
-		source.Offer(benchRevision(number), "bench")
+		source.Offer(revisionOf(number), "bench")
 		changed := reader.broadcaster.Changed()
 		started := time.Now()
 		reader.broadcaster.Hear(number, listener.Addr().String())
@@ -87,7 +87,7 @@
 		}
 		slowest = max(slowest, time.Since(started))
 	}
-	encoded, err := encodeBenchRevision(benchRevision(2))
+	encoded, err := encodeBenchRevision(revisionOf(2))
 	fmt.Fprintf(w, "control-revision-set %d B\n", len(encoded))
 	fmt.Fprintf(w, "control-bytes-per-revision %.0f B\n", float64(reader.bytes.Load()-before)/revisionPulls)
 	fmt.Fprintf(w, "control-revision-pull-slowest %.1f ms\n", slowest.Seconds()*1000)
