--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -10,6 +10,8 @@
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
+// Bounds of fields. They catch typing mistakes, such as bytes for tokens;
+// no deployment comes near them.
 const (
 	maxReplicas      = 100_000
 	maxContextTokens = 10_000_000
@@ -20,7 +22,8 @@
 	maxTokensPerSecond   = 1_000_000_000
 	maxTimeoutMillis     = 600_000
 	maxServiceBodyBytes  = 64 << 20
-	digestDigits         = 64
+	// digestDigits is the length of a SHA-256 or BLAKE3 digest in hexadecimal.
+	digestDigits = 64
 	// maxFallbacks bounds the routes that one request may be passed along.
 	maxFallbacks = 8
 )
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -35,10 +35,17 @@
 	// API's several hundred.
 	DefaultWritesPerSecond = 8
 
-	writeBurst       = 5
-	forwardTimeout   = time.Second
-	callTimeout      = 2 * time.Second
-	outageBackoff    = 500 * time.Millisecond
+	// writeBurst is how many segments a shard may write at once after a pause.
+	writeBurst = 5
+	// forwardTimeout bounds a call to the owner of a shard. After it, this daemon
+	// writes the segment itself.
+	forwardTimeout = time.Second
+	// callTimeout bounds a call to the object API.
+	callTimeout = 2 * time.Second
+	// outageBackoff is how long claims are refused after the object API failed.
+	outageBackoff = 500 * time.Millisecond
+	// idleIndexTimeout is how long a daemon that does not own a shard keeps its
+	// index.
 	idleIndexTimeout = time.Minute
 )
 
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -30,8 +30,12 @@
 	// never reports a result.
 	TrialDuration = 2 * time.Minute
 
+	// forwardTimeout bounds a call to the owner of a shard. After it, this daemon
+	// decides itself.
 	forwardTimeout = time.Second
-	refreshEvery   = 10 * time.Second
+	// refreshEvery is the interval of reads of the stored blocks by their owner,
+	// and so the longest time until a block that an operator lifts is lifted.
+	refreshEvery = 10 * time.Second
 )
 
 // Isolator knows the suspects and blocks of this entry daemon and owns those
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -16,6 +16,8 @@
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
+// callTimeout bounds a call to the object API. Callers wait for the evidence of
+// a crash to be stored.
 const callTimeout = time.Second
 
 // blocksKey is the object that operators list and edit.
--- a/pkg/router/settings.go
+++ b/pkg/router/settings.go
@@ -18,6 +18,10 @@
 	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 )
 
+// maxBodyLimit leaves room for the other fields of an attempt: agents accept
+// messages of at most 16 MiB.
+const maxBodyLimit = 15 << 20
+
 // settings are the checked settings of an entry daemon.
 type settings struct {
 	VM               string
@@ -86,7 +90,7 @@
 	flags.DurationVar(&cfg.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` that a stop waits for requests in progress, after --entries-valid and 3s")
 	flags.DurationVar(&cfg.EntriesValid, "entries-valid", accepter.DefaultEntriesValid, "`time` that callers may use an answer of /v1/entries, 1s to 1h")
 	flags.StringVar(&cfg.LogLevel, "log-level", "info", "lowest `level` of log lines: debug, info, warn or error; decisions are logged at info")
-	flags.Int64Var(&cfg.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in `bytes`, 1 to 33554432")
+	flags.Int64Var(&cfg.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in `bytes`, 1 to 15728640")
 	flags.Uint64Var(&cfg.MaxTransferBytes, "max-transfer-bytes", 0, "weight transfer limit for each VM in `bytes/s`; 0 leaves it to the agents")
 	flags.StringVar(&cfg.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit entry; without the three --tls flags connections between daemons are not protected")
 	flags.StringVar(&cfg.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert (PEM)")
@@ -166,11 +170,10 @@
 	if err := cfg.TLS.Check(); err != nil {
 		return &SettingError{Flag: "tls-cert", Value: cfg.TLS.CertFile, Advice: err.Error()}
 	}
-	if cfg.MaxBodyBytes < 1 || cfg.MaxBodyBytes > accepter.DefaultMaxBodies {
-		// A body above the bound of all bodies in progress would always be refused.
+	if cfg.MaxBodyBytes < 1 || cfg.MaxBodyBytes > maxBodyLimit {
 		return &SettingError{
 			Flag: "max-body-bytes", Value: fmt.Sprint(cfg.MaxBodyBytes),
-			Advice: fmt.Sprintf("give 1 to %d", accepter.DefaultMaxBodies),
+			Advice: fmt.Sprintf("give 1 to %d", maxBodyLimit),
 		}
 	}
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, cfg.LogLevel) {
