--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -29,6 +29,7 @@
 	{"claims", "writes to the object API of non-idempotent calls", benchClaims},
 	{"rollout-latency", "first tokens of live requests during a weight transfer", benchRolloutLatency},
 	{"configuration", "time until a change is in force and calls to the object API", benchConfiguration},
+	{"limits", "share of its limit that a team gets over several daemons", benchLimits},
 }
 
 func main() {
