Show coordination in metrics; name failed rollouts, blocked teams and bounds

A newcomer's read of the code against the manual found: no expvar for revision, leases and membership; the key vm twice in lines of entry daemons; a rollout that cannot go on stayed in the phase transferring for ever; the team of a blocked request was not shown; weights in memory had no bound in bytes; the gRPC listener of entry daemons had no limit on headers and handshakes.

--- a/pkg/agent/main.go
+++ b/pkg/agent/main.go
@@ -89,7 +89,7 @@
 		UploadPolicy:        limiter.Adaptive{MaxBytesPerSecond: float64(s.UploadRate)},
 		AcrossRegionsPolicy: limiter.Adaptive{MaxBytesPerSecond: float64(s.RegionRate)},
 	}
-	store := &storer.Storer{Limiter: limits}
+	store := &storer.Storer{Limiter: limits, MaxBytes: s.MaxWeightsBytes}
 	w := &transferWeights{
 		Self:    &messenger.Peer{Vm: s.VM, Address: s.advertised(), Region: s.Region, FailureDomain: s.FailureDomain},
 		Engine:  a.Engine,
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -50,6 +50,8 @@
 	UploadRate   int64
 	DownloadRate int64
 	RegionRate   int64
+	// MaxWeightsBytes bounds the weights in memory; 0 has no bound.
+	MaxWeightsBytes int64
 	// TLS protects the connections between daemons.
 	TLS *authenticator.Authenticator
 }
@@ -86,6 +88,7 @@
 	flags.Int64Var(&s.UploadRate, "upload-rate", 0, "highest rate to peers in `bytes/s`; 0 stands for 1.25e9, lowered while first tokens are late")
 	flags.Int64Var(&s.DownloadRate, "download-rate", 0, "highest rate of reading weights in `bytes/s`; 0 as for --upload-rate")
 	flags.Int64Var(&s.RegionRate, "region-rate", 0, "highest rate of reading weights from other regions in `bytes/s`; 0 as for --upload-rate")
+	flags.Int64Var(&s.MaxWeightsBytes, "max-weights-bytes", 0, "`bytes` of weights that are held in memory, all versions together; 0 has no bound")
 	flags.StringVar(&s.TLS.CertFile, "tls-cert", "", "`file` with this daemon's certificate, organizational unit agent; without the three --tls flags connections between daemons are not protected")
 	flags.StringVar(&s.TLS.KeyFile, "tls-key", "", "`file` with the key of --tls-cert (PEM)")
 	flags.StringVar(&s.TLS.CAFile, "tls-ca", "", "`file` with the certificates of the CA of all daemons (PEM)")
@@ -211,6 +214,7 @@
 		{"--upload-rate", s.UploadRate},
 		{"--download-rate", s.DownloadRate},
 		{"--region-rate", s.RegionRate},
+		{"--max-weights-bytes", s.MaxWeightsBytes},
 	}
 	for _, r := range rates {
 		if r.rate < 0 {
--- a/pkg/controller/status.go
+++ b/pkg/controller/status.go
@@ -111,6 +111,7 @@
 		status.StartedMillis = last.StartedMillis
 		status.DoneMillis = last.DoneMillis
 	}
+	failed := 0
 	for _, m := range in.members {
 		t := transferOf(m, in.target.Digest)
 		status.BytesFromOrigin += t.GetBytesFromOrigin()
@@ -121,26 +122,34 @@
 		if isActive || t.GetComplete() {
 			status.Transferred++
 		}
+		if m.LastOrderError != "" && !isActive && t.GetComplete() {
+			failed++
+		}
 		if t.GetError() != "" {
 			status.Message = m.Replica.GetVm() + ": " + t.GetError()
 		} else if m.LastOrderError != "" && !isActive {
 			status.Message = m.Replica.GetVm() + ": " + m.LastOrderError
 		}
 	}
-	status.Phase = phaseOf(in, status)
+	status.Phase = phaseOf(in, status, failed)
 	if status.Phase == parser.PhaseDone && status.DoneMillis == 0 {
 		status.DoneMillis = now.UnixMilli()
 	}
 	return status
 }
 
-func phaseOf(in input, status parser.RolloutStatus) string {
+// phaseOf returns the phase of a rollout. It has failed when as many replicas
+// as may be away at once could not activate the version, because no further
+// one is ordered to then.
+func phaseOf(in input, status parser.RolloutStatus, failed int) string {
 	enough := len(in.members) > 0 && len(in.members) >= in.fleet.Replicas-in.maxUnavailable()
 	switch {
 	case in.rollout.State == parser.RolloutAborted:
 		return parser.PhaseAborted
 	case in.rollout.State == parser.RolloutPaused:
 		return parser.PhasePaused
+	case failed >= in.maxUnavailable():
+		return parser.PhaseFailed
 	case enough && status.Active == status.Replicas:
 		return parser.PhaseDone
 	case status.Active > 0:
--- a/pkg/identifier/digest.go
+++ b/pkg/identifier/digest.go
@@ -37,9 +37,13 @@
 	return max(xxhash.Sum64String(prompt[:n]), 1)
 }
 
+// fingerprint identifies a request by its content. It begins with the team,
+// so that a list of blocked requests shows whose they are:
+//
+//	presses/5f1c…
 func fingerprint(team string, t Target, parts ...[]byte) string {
 	all := append([][]byte{[]byte(team), []byte(t.Model), []byte(t.Adapter), []byte(t.Service)}, parts...)
-	return hex.EncodeToString(digest(all...))
+	return team + "/" + hex.EncodeToString(digest(all...))
 }
 
 // digest hashes the parts with their lengths, so that moving a byte from one
--- a/pkg/isolator/store.go
+++ b/pkg/isolator/store.go
@@ -214,6 +214,7 @@
 		}
 		blocks = append(blocks, parser.Block{
 			Fingerprint: fingerprint,
+			Team:        teamOf(fingerprint),
 			VMs:         known.vms,
 			UntilMillis: known.blockedUntil.UnixMilli(),
 		})
@@ -222,6 +223,12 @@
 	return blocks
 }
 
+// teamOf returns the team that a fingerprint begins with.
+func teamOf(fingerprint string) string {
+	team, _, _ := strings.Cut(fingerprint, "/")
+	return team
+}
+
 func compareFingerprint(a, b parser.Block) int {
 	return strings.Compare(a.Fingerprint, b.Fingerprint)
 }
--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -38,6 +38,9 @@
 	maxRPCConnections    = 8192
 	maxRPCMessageBytes   = 16 << 20
 	maxRPCStreams        = 1024
+	maxHeaderListBytes   = 16 << 10
+	// connectionTimeout bounds the handshake of a new connection.
+	connectionTimeout = 5 * time.Second
 	// updateInterval bounds how often a changed directory reaches the picker.
 	updateInterval = 50 * time.Millisecond
 )
@@ -75,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	d.log = log.With(zap.String("vm", d.cfg.VM))
+	d.log = log.With(zap.String("entry", d.cfg.VM))
 	d.failed = make(chan error, 1)
 	d.connectPlatform()
 	d.connectMembership(time.Now())
@@ -128,6 +131,7 @@
 	d.configuration = &broadcaster.Broadcaster{
 		API: d.api, Load: d.loadRevision, Encode: encodeRevision, Decode: decodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: d.log,
+		LowerRevisions: daemonMetrics().lowerRevisions, PullFailures: daemonMetrics().pullFailures,
 	}
 	d.leases = &leaser.Leaser{
 		API: d.api, VM: d.cfg.VM, Shards: shardsOf(d.cfg.Region), Candidates: d.membership.EntryVMs, Log: d.log,
@@ -189,6 +193,7 @@
 		{"status", d.statuses.Run},
 		{"clean-up", d.cleanUp},
 		{"directory", d.updatePicker},
+		{"metrics", d.showMetrics},
 	} {
 		d.running.Add(1)
 		go p.run(ctx, d)
@@ -243,6 +248,8 @@
 
 func (d *daemon) rpcServer() *grpc.Server {
 	options := append(connector.ServerOptions(),
+		grpc.ConnectionTimeout(connectionTimeout),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.MaxRecvMsgSize(maxRPCMessageBytes),
 		grpc.MaxConcurrentStreams(maxRPCStreams),
 	)
--- /dev/null
+++ b/pkg/router/metrics.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/kit/metrics"
+	"github.com/go-kit/kit/metrics/expvar"
+
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// metricsInterval is the interval at which the gauges are set.
+const metricsInterval = time.Second
+
+// coordinationMetrics show configuration, membership and leases.
+type coordinationMetrics struct {
+	lowerRevisions metrics.Counter
+	pullFailures   metrics.Counter
+	revision       metrics.Gauge
+	revisionAge    metrics.Gauge
+	entries        metrics.Gauge
+	replicas       metrics.Gauge
+	suspects       metrics.Gauge
+	leases         metrics.Gauge
+	relay          metrics.Gauge
+}
+
+// daemonMetrics returns the metrics of this process, which expvar lets a
+// process publish once.
+var daemonMetrics = sync.OnceValue(newCoordinationMetrics)
+
+func newCoordinationMetrics() *coordinationMetrics {
+	return &coordinationMetrics{
+		lowerRevisions: expvar.NewCounter("configuration.lower-revisions"),
+		pullFailures:   expvar.NewCounter("configuration.pull-failures"),
+		revision:       expvar.NewGauge("configuration.revision"),
+		revisionAge:    expvar.NewGauge("configuration.seconds-since-confirmed"),
+		entries:        expvar.NewGauge("membership.entries"),
+		replicas:       expvar.NewGauge("membership.replicas"),
+		suspects:       expvar.NewGauge("membership.suspect-replicas"),
+		leases:         expvar.NewGauge("leases.held"),
+		relay:          expvar.NewGauge("membership.is-relay"),
+	}
+}
+
+// showMetrics sets the gauges until ctx ends.
+func (d *daemon) showMetrics(ctx context.Context) error {
+	for {
+		d.setGauges(daemonMetrics(), time.Now())
+		if err := wait(ctx, metricsInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (d *daemon) setGauges(m *coordinationMetrics, now time.Time) {
+	status := d.configuration.Status()
+	m.revision.Set(float64(status.Revision))
+	if !status.Refreshed.IsZero() {
+		m.revisionAge.Set(now.Sub(status.Refreshed).Seconds())
+	}
+	m.entries.Set(float64(len(d.membership.Entries(now))))
+	replicas, suspects := 0, 0
+	for _, v := range d.membership.Replicas(now) {
+		if v.Replica.GetState() == messenger.ReplicaState_REPLICA_STATE_GONE {
+			continue
+		}
+		replicas++
+		if v.Suspect {
+			suspects++
+		}
+	}
+	m.replicas.Set(float64(replicas))
+	m.suspects.Set(float64(suspects))
+	held := 0
+	for _, shard := range shardsOf(d.cfg.Region) {
+		if d.held(shard, now) {
+			held++
+		}
+	}
+	m.leases.Set(float64(held))
+	m.relay.Set(0)
+	if d.membership.IsRelay(now) {
+		m.relay.Set(1)
+	}
+}
