Let crash facts arrive before the answer; see the deadline on each path

Repeated runs with three copies of the system tests at once lost a third service: the caller was answered and sent the request again through an entry daemon that had not heard of the crash. A crash report now waits 250 ms for its facts; TestFactsArriveBeforeTheAnswer fails without it.

--- a/pkg/forwarder/attempt.go
+++ b/pkg/forwarder/attempt.go
@@ -72,8 +72,8 @@
 	dog := newWatchdog(a.startTimeout(), cancel)
 	defer dog.timer.Stop()
 	stream, err := a.client.Attempt(sctx)
-	if err != nil && ctx.Err() != nil {
-		return unwanted{context.Cause(ctx)}
+	if cause := a.over(ctx, time.Now()); err != nil && cause != nil {
+		return unwanted{cause}
 	}
 	if err != nil {
 		return neverSent{err}
@@ -156,9 +156,8 @@
 		a.choice.FirstToken(now.Sub(a.sent), now)
 		return answered{e.Answer}
 	case *messenger.AttemptEvent_Broken:
-		if !e.Broken.GetBackendCrashed() && !now.Before(a.req.Deadline) {
-			// The agent's deadline passed as well and its event came first.
-			return unwanted{errDeadline}
+		if cause := a.over(ctx, now); cause != nil && !e.Broken.GetBackendCrashed() {
+			return unwanted{cause}
 		}
 		return broken{e.Broken}
 	}
@@ -231,9 +230,10 @@
 }
 
 func (a *attempt) interrupted(ctx context.Context, dog *watchdog, err error) ending {
+	if cause := a.over(ctx, time.Now()); cause != nil {
+		return unwanted{cause}
+	}
 	switch {
-	case ctx.Err() != nil:
-		return unwanted{context.Cause(ctx)}
 	case dog.fired.Load():
 		return lost{errSilent.Error()}
 	case errors.Is(err, io.EOF):
@@ -242,6 +242,18 @@
 	return lost{err.Error()}
 }
 
+// over returns why the request has ended, or nil. The agent sees the deadline
+// as well, and what it sends then may arrive before the context here ends.
+func (a *attempt) over(ctx context.Context, now time.Time) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if !now.Before(a.req.Deadline) {
+		return errDeadline
+	}
+	return nil
+}
+
 // cancel asks the agent what became of the attempt; the agent also records
 // that an attempt it has not seen will never start.
 func (a *attempt) cancel(ctx context.Context) messenger.AttemptState {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -34,6 +34,11 @@
 	// another request with the same fingerprint.
 	trialRetryAfter = 500 * time.Millisecond
 
+	// spreadTime is how long a crash report waits for its facts to reach the
+	// other entry daemons: the caller, who is answered after it, may send the
+	// request again through any of them. A fact takes milliseconds.
+	spreadTime = 250 * time.Millisecond
+
 	forwardTimeout = time.Second
 	refreshEvery   = 10 * time.Second
 )
@@ -103,7 +108,8 @@
 }
 
 // Suspect reports a crash or a success, or asks for a trial. Crash evidence
-// about several fingerprints goes to the owner of each.
+// about several fingerprints goes to the owner of each. A crash report returns
+// once the other entry daemons have had time to hear of it.
 func (i *Isolator) Suspect(ctx context.Context, req *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
 	if !req.GetCrashed() {
 		return i.ask(ctx, req)
@@ -124,6 +130,12 @@
 			own = reply
 		}
 	}
+	timer := time.NewTimer(spreadTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 	return own, nil
 }
 
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -24,6 +24,8 @@
 	owner int
 	// cut keeps the daemons from reaching the owner.
 	cut bool
+	// lag is the time that facts take.
+	lag time.Duration
 }
 
 func newNetwork(n int) *network {
@@ -52,6 +54,14 @@
 }
 
 func (n *network) spread(facts []*messenger.Suspicion) {
+	if n.lag > 0 {
+		time.AfterFunc(n.lag, func() { n.observe(facts) })
+		return
+	}
+	n.observe(facts)
+}
+
+func (n *network) observe(facts []*messenger.Suspicion) {
 	for _, node := range n.nodes {
 		node.Observe(facts)
 	}
@@ -212,6 +222,19 @@
 	})
 }
 
+// Guards against a caller that is answered and sends its request again through
+// another entry daemon before that one has heard of the crash.
+func TestFactsArriveBeforeTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		net := newNetwork(3)
+		net.lag = 100 * time.Millisecond
+		net.send(c, 1, "mill/bad", "vm-0", true, "mill/beside")
+		_, _, suspected := net.nodes[2].Blocked("mill/bad", time.Now())
+		c.Assert(suspected, qt.IsTrue)
+	})
+}
+
 // Guards against a trial's crash that does not count because it hit the VM of
 // the first one and its permit came from a former owner.
 func TestTrialCrashAfterOwnerChange(t *testing.T) {
