Leave room on the link for live requests; do not take chance for lateness

Cause: the adaptive limiter learns the first-token delay on the VM, which does not contain the wait for the VM's link, so transfers grew to the whole link. At the same time the mean of a few delays of different prompts is above the tolerance by chance several times a minute, and each time costs 30% of the rate. Change: while live requests arrive transfers get at most 0.6 of the largest rate, and the recent mean has to be above the tolerance by half of the spread of single delays.

--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -62,12 +63,22 @@
 	// would react several times to one delayed batch.
 	controlInterval = 200 * time.Millisecond
 	// idleAfter is the time without transferred bytes after which first-token
-	// delays count towards the baseline.
+	// delays count towards the baseline, and the time without live requests
+	// after which transfers may fill the link.
 	idleAfter = 2 * time.Second
 	// baselineWeight and recentWeight are the weights of a new observation in
 	// the two moving averages.
 	baselineWeight = 1.0 / 32
 	recentWeight   = 1.0 / 16
+	// liveShare of the largest rate is left to transfers while live requests
+	// arrive. The first-token delay is measured on the VM and does not show a
+	// full link, so the delay alone would let transfers fill it.
+	liveShare = 0.6
+	// noiseMargin is how many times the spread of single delays the recent mean
+	// may lie above the tolerance. Prompts differ in length, and the mean of
+	// about 31 samples, as many as recentWeight stands for, has a standard
+	// deviation of a fifth of the spread.
+	noiseMargin = 0.5
 )
 
 // Defaults of Adaptive.
@@ -99,6 +110,9 @@
 	// measured is set once the baseline was learnt without a transfer.
 	measured bool
 	recent   float64
+	// spread is the mean distance of single delays from the baseline.
+	spread   float64
+	lastLive time.Time
 	lastMove time.Time
 	lastStep time.Time
 }
@@ -147,12 +161,14 @@
 	l.once.Do(l.start)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastLive = now
 	seconds := d.Seconds()
 	if l.lastMove.IsZero() || now.Sub(l.lastMove) > idleAfter {
 		if !l.measured {
 			l.baseline = 0
 		}
 		l.baseline = average(l.baseline, seconds, baselineWeight)
+		l.spread = average(l.spread, math.Abs(seconds-l.baseline), baselineWeight)
 		l.measured = true
 		l.recent = l.baseline
 		return
@@ -194,11 +210,15 @@
 			continue
 		}
 		current := float64(l.buckets[link].Limit())
-		if l.baseline > 0 && l.recent > l.baseline*p.Tolerance {
+		if l.baseline > 0 && l.recent > l.baseline*p.Tolerance+noiseMargin*l.spread {
 			l.setRate(link, max(p.MinBytesPerSecond, current*p.Decrease))
 			continue
 		}
-		l.setRate(link, min(p.MaxBytesPerSecond, current+p.Increase*elapsed.Seconds()))
+		most := p.MaxBytesPerSecond
+		if !l.lastLive.IsZero() && now.Sub(l.lastLive) < idleAfter {
+			most *= liveShare
+		}
+		l.setRate(link, min(most, current+p.Increase*elapsed.Seconds()))
 	}
 }
 
