Fuzz the decoders that face the object API and other processes

Cause: claims, blocks, rollout status, leases, entry registration, status, the revision on the wire, engine state and cache events were decoded without a fuzz test.

- claimer: an answer stayed in the list of answers after its key had expired, unless 16 MiB were held at once, so the memory of an owner grew without end.
Answers now leave the list with their record.
- claimer: headers of an answer did not count towards the 16 KiB and 16 MiB.
- claimer: "claims/3/ 7" was taken for segment 7.
A key now has to be the one that is written.
- leaser: a lease object could count for another shard than its key names, had an epoch after which there is none, or a duration that holds off a takeover for ever.
Such an object is now a RecordError.
- adapter: an engine state with a negative or an impossible number of requests was passed on.
It is now an EngineError.
- monitor: a registered list could add any number of daemons.
Not more than 4,096 are known from lists.

Ruled out: a bound on the time of a block, since operators edit the list.

--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -28,6 +28,7 @@
 	maxControlReply    = 4 << 20
 	maxErrorBodyBytes  = 4 << 10
 	maxTokenCount      = 1 << 30
+	maxEngineRequests  = 1 << 24
 	contentDigestField = "Content-Digest"
 )
 
@@ -333,6 +334,11 @@
 	if err := decodeReply(resp, &body); err != nil {
 		return nil, err
 	}
+	for _, n := range []int{body.Running, body.Queued} {
+		if n < 0 || n > maxEngineRequests {
+			return nil, &EngineError{Operation: "state", Started: true, Cause: fmt.Errorf("state has the number %d of requests", n)}
+		}
+	}
 	return EngineState(body), nil
 }
 
--- a/pkg/adapter/engine_http_test.go
+++ b/pkg/adapter/engine_http_test.go
@@ -1,6 +1,10 @@
 package adapter
 
 import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -35,3 +39,45 @@
 	c.Assert(PrefixHashes(prefix+"x"), qt.DeepEquals, PrefixHashes(prefix))
 	c.Assert(PrefixHashes(prefix[1:]), qt.DeepEquals, PrefixHashes(prefix)[:1])
 }
+
+func answerOf(body []byte) *http.Response {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}
+}
+
+// Guards against engine states that crash the agent or give a load that no
+// engine has.
+func FuzzDecodeState(f *testing.F) {
+	f.Add([]byte(`{"version":"v","instance":"i","adapters":["a"],"running":3,"queued":2,"epoch":9}`))
+	f.Add([]byte(`{"running":-1}`))
+	f.Add([]byte(`{"queued":9000000000}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		resp := answerOf(body)
+		defer resp.Body.Close()
+		decoded, err := decodeState(context.Background(), resp)
+		if err != nil {
+			return
+		}
+		state := decoded.(EngineState)
+		for _, n := range []int{state.Running, state.Queued} {
+			if n < 0 || n > maxEngineRequests {
+				t.Fatalf("%q gave the number %d", body, n)
+			}
+		}
+	})
+}
+
+// Guards against cache events that crash the agent or exceed the bound on a
+// batch.
+func FuzzDecodePrefixEvents(f *testing.F) {
+	f.Add([]byte(`[{"sequence":1,"prefix-hash":2},{"sequence":2,"prefix-hash":2,"removed":true}]`))
+	f.Add([]byte(`[null,{}]`))
+	f.Add([]byte(`[{"sequence":-1}]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		resp := answerOf(body)
+		defer resp.Body.Close()
+		decoded, err := decodePrefixEvents(context.Background(), resp)
+		if err == nil && 2*len(decoded.([]PrefixEvent)) > len(body) {
+			t.Fatalf("%d bytes gave %d events", len(body), len(decoded.([]PrefixEvent)))
+		}
+	})
+}
--- a/pkg/claimer/index.go
+++ b/pkg/claimer/index.go
@@ -16,13 +16,16 @@
 type index struct {
 	keys map[string]*record
 	// order holds the keys by claim time, oldest first, for expiry.
-	order       *list.List
+	order *list.List
+	// answers holds the records with an answer, oldest first, and held their
+	// elements by key.
 	answers     *list.List
+	held        map[string]*list.Element
 	answerBytes int
 }
 
 func newIndex() *index {
-	return &index{keys: map[string]*record{}, order: list.New(), answers: list.New()}
+	return &index{keys: map[string]*record{}, order: list.New(), answers: list.New(), held: map[string]*list.Element{}}
 }
 
 // apply replays one record.
@@ -32,13 +35,13 @@
 		x.order.PushBack(&agedKey{key: r.Key, claimedMS: r.ClaimedMS})
 	}
 	if known != nil {
-		x.answerBytes -= known.answerBytes()
+		x.forgetAnswer(known)
 	}
 	stored := r
 	x.keys[r.Key] = &stored
 	if stored.Answer != nil {
 		x.answerBytes += stored.answerBytes()
-		x.answers.PushBack(&stored)
+		x.held[r.Key] = x.answers.PushBack(&stored)
 	}
 	x.dropOldAnswers()
 }
@@ -53,8 +56,7 @@
 		x.order.Remove(front)
 		r := x.keys[aged.key]
 		if r != nil && r.ClaimedMS == aged.claimedMS {
-			x.answerBytes -= r.answerBytes()
-			r.Answer = nil
+			x.forgetAnswer(r)
 			delete(x.keys, aged.key)
 		}
 	}
@@ -111,13 +113,20 @@
 		if front == nil {
 			return
 		}
-		x.answers.Remove(front)
-		r := front.Value.(*record)
-		if x.keys[r.Key] == r {
-			x.answerBytes -= r.answerBytes()
-		}
-		r.Answer = nil
+		x.forgetAnswer(front.Value.(*record))
+	}
+}
+
+// forgetAnswer drops the answer of a record, but not its outcome.
+func (x *index) forgetAnswer(r *record) {
+	e := x.held[r.Key]
+	if e == nil {
+		return
 	}
+	x.answerBytes -= r.answerBytes()
+	x.answers.Remove(e)
+	delete(x.held, r.Key)
+	r.Answer = nil
 }
 
 type agedKey struct {
@@ -129,7 +138,7 @@
 	if r.Answer == nil {
 		return 0
 	}
-	return len(r.Answer.Body)
+	return r.Answer.size()
 }
 
 func (r *record) reply(state messenger.ClaimState, retention time.Duration) *messenger.ClaimReply {
--- a/pkg/claimer/segment.go
+++ b/pkg/claimer/segment.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
-// MaxAnswerBytes is the largest answer that is kept with an outcome.
+// MaxAnswerBytes is the largest answer that is kept with an outcome, with its
+// headers.
 const MaxAnswerBytes = 16 << 10
 
 // record is one entry of a segment. A claim has no outcome; an outcome
@@ -64,12 +67,8 @@
 
 // sequenceOf parses the sequence number of a segment key.
 func sequenceOf(shard int, key string) (uint64, bool) {
-	var n uint64
-	prefix := segmentPrefix(shard)
-	if len(key) <= len(prefix) {
-		return 0, false
-	}
-	if _, err := fmt.Sscanf(key[len(prefix):], "%d", &n); err != nil {
+	n, err := strconv.ParseUint(strings.TrimPrefix(key, segmentPrefix(shard)), 10, 64)
+	if err != nil || segmentKey(shard, n) != key {
 		return 0, false
 	}
 	return n, true
@@ -100,16 +99,32 @@
 }
 
 func storeAnswer(a *messenger.ServiceAnswer) *storedAnswer {
-	if a == nil || len(a.GetBody()) > MaxAnswerBytes {
+	if a == nil {
 		return nil
 	}
 	stored := &storedAnswer{Status: a.GetStatus(), Body: a.GetBody()}
 	for _, h := range a.GetHeaders() {
 		stored.Headers = append(stored.Headers, storedHeader{Name: h.GetName(), Values: h.GetValues()})
 	}
+	if stored.size() > MaxAnswerBytes {
+		return nil
+	}
 	return stored
 }
 
+// size counts the headers too: those of one answer could otherwise exceed the
+// size of an object.
+func (a *storedAnswer) size() int {
+	n := len(a.Body)
+	for _, h := range a.Headers {
+		n += len(h.Name)
+		for _, value := range h.Values {
+			n += len(value)
+		}
+	}
+	return n
+}
+
 func (a *storedAnswer) message() *messenger.ServiceAnswer {
 	if a == nil {
 		return nil
--- a/pkg/leaser/record.go
+++ b/pkg/leaser/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 )
@@ -10,6 +12,10 @@
 // Prefix is the prefix of the keys of lease objects.
 const Prefix = "leases/"
 
+// maxDuration bounds what a lease object says about its duration. A longer one
+// would hold off a takeover without end.
+const maxDuration = time.Hour
+
 // record is the value of a lease object. Holder is empty after a release.
 type record struct {
 	Shard      string `json:"shard"`
@@ -40,9 +46,26 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return record{}, &RecordError{Key: o.Key, Cause: err}
 	}
+	if err := r.check(o.Key); err != nil {
+		return record{}, &RecordError{Key: o.Key, Cause: err}
+	}
 	return r, nil
 }
 
+// check refuses a record that would count for another shard, after which no
+// epoch is left, or that would hold off a takeover without end.
+func (r record) check(key string) error {
+	switch {
+	case Prefix+r.Shard != key:
+		return fmt.Errorf("belongs to the shard %q", r.Shard)
+	case r.Epoch == math.MaxUint64:
+		return fmt.Errorf("the epoch %d has no next one", r.Epoch)
+	case r.DurationMS < 0 || r.DurationMS > maxDuration.Milliseconds():
+		return fmt.Errorf("the duration of %d ms is not between 0 and %s", r.DurationMS, maxDuration)
+	}
+	return nil
+}
+
 func encodeRecord(r record) []byte {
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/pkg/monitor/registration.go
+++ b/pkg/monitor/registration.go
@@ -28,6 +28,9 @@
 	maxReadPause    = 15 * time.Second
 )
 
+// maxListed bounds the daemons that are known when lists are read.
+const maxListed = 4096
+
 // entriesObject is the value of entries/<failure-domain>.
 type entriesObject struct {
 	FailureDomain string        `json:"failure-domain"`
@@ -126,7 +129,7 @@
 		m.registered = registration{version: o.Version, written: list.Entries}
 	}
 	for _, listed := range list.Entries {
-		if m.entries[listed.VM] != nil || listed.RPCAddress == "" || listed.VM == "" {
+		if len(m.entries) >= maxListed || m.entries[listed.VM] != nil || listed.RPCAddress == "" || listed.VM == "" {
 			continue
 		}
 		m.entries[listed.VM] = &entry{heard: now, changed: now, record: &messenger.EntryVM{
