Hold what a paused entry daemon sends until the start is under way

The link counted any piece as the start, so that the entry daemon could be paused before it had sent it and TestPausedEntryStartsLate waited in vain (once in ten runs with three copies of the tests at a time).

--- a/test/link_test.go
+++ b/test/link_test.go
@@ -18,12 +18,11 @@
 	// pattern and after are the rule of hold.
 	pattern []byte
 	after   bool
-	// caught is the connection that is held; its channel closes when it is.
+	// caught is the connection that is held; holding closes when it is.
 	caught  *linkConn
 	holding chan struct{}
-	release chan struct{}
-	// kept counts the pieces that were kept back.
-	kept int
+	// kept is what it has sent meanwhile.
+	kept []byte
 }
 
 // linkConn is one connection of an entry daemon to the agent.
@@ -57,8 +56,8 @@
 func (l *link) hold(text string, after bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pattern, l.after, l.caught, l.kept = []byte(text), after, nil, 0
-	l.holding, l.release = make(chan struct{}), make(chan struct{})
+	l.pattern, l.after, l.caught, l.kept = []byte(text), after, nil, nil
+	l.holding = make(chan struct{})
 }
 
 // cut breaks the held connection at the entry daemon's side only; what it had
@@ -75,14 +74,15 @@
 func (l *link) deliver() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	close(l.release)
+	_, _ = l.caught.agent.Write(l.kept)
+	l.caught.isHeld = false
 }
 
-// pieces is the number of pieces kept back so far.
-func (l *link) pieces() int {
+// keeps reports whether a text is among what is held back.
+func (l *link) keeps(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.kept
+	return bytes.Contains(l.kept, []byte(text))
 }
 
 func (l *link) run() {
@@ -142,20 +142,18 @@
 func (c *linkConn) pass(piece []byte) bool {
 	l := c.link
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	matches := l.pattern != nil && bytes.Contains(piece, l.pattern)
-	held, release := c.isHeld, l.release
-	if held {
-		l.kept++
-	}
 	if matches {
-		l.pattern, l.caught, c.isHeld = nil, c, true
-		held = !l.after
+		l.pattern, l.caught = nil, c
 		close(l.holding)
 	}
-	l.mu.Unlock()
-	if held {
-		<-release
+	if c.isHeld || matches && !l.after {
+		c.isHeld = true
+		l.kept = append(l.kept, piece...)
+		return true
 	}
+	c.isHeld = matches
 	_, err := c.agent.Write(piece)
 	return err == nil
 }
--- a/test/notrun_test.go
+++ b/test/notrun_test.go
@@ -115,7 +115,7 @@
 	l.hold("mill/records/paused", true)
 	first := s.sendRecord("paused", "paused order")
 	<-l.holding
-	s.waitUntil("the start is on the link", func() bool { return l.pieces() > 0 })
+	s.waitUntil("the start is on the link", func() bool { return l.keeps("paused order") })
 	s.freeze(s.process(entryName(0)))
 	second := s.record(1, "paused", "paused order")
 	c.Assert(second.status, qt.Equals, http.StatusCreated, qt.Commentf("%s", second.body))
