--- a/pkg/broadcaster/watch.go
+++ b/pkg/broadcaster/watch.go
@@ -95,7 +95,7 @@
 func (b *Broadcaster) watchOnce(ctx context.Context, after uint64) ([]adapter.Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	go b.runRole(ctx, cancel)
+	go roleWatcher{b}.run(ctx, cancel)
 	changes, next, err := b.API.Watch(ctx, HeadKey, after)
 	if err != nil && !b.isRelay(time.Now()) {
 		return nil, next, nil
@@ -103,10 +103,14 @@
 	return changes, next, err
 }
 
-// runRole ends a watch once another daemon is the relay. A watch may wait for
+// roleWatcher ends a watch once another daemon is the relay. A watch may wait for
 // half a minute, and every daemon is a relay until it has found the others, so
 // that all daemons would watch for as long after they start together.
-func (b *Broadcaster) runRole(ctx context.Context, endWatch context.CancelFunc) {
+type roleWatcher struct {
+	*Broadcaster
+}
+
+func (b roleWatcher) run(ctx context.Context, endWatch context.CancelFunc) {
 	for ctx.Err() == nil {
 		b.pause(ctx, roleInterval)
 		if !b.isRelay(time.Now()) {
--- a/pkg/leaser/round.go
+++ b/pkg/leaser/round.go
@@ -212,7 +212,11 @@
 		if now.Sub(s.firstSeen) < l.patience(s, rank) {
 			continue
 		}
-		writes = append(writes, l.writeOf(s, max(s.last.Epoch, s.epoch)+1, "not renewed in time"))
+		reason := "not renewed in time"
+		if s.last.Holder == "" {
+			reason = "held by nobody"
+		}
+		writes = append(writes, l.writeOf(s, max(s.last.Epoch, s.epoch)+1, reason))
 	}
 	return writes
 }
--- a/pkg/monitor/hints.go
+++ b/pkg/monitor/hints.go
@@ -26,7 +26,12 @@
 	seen        time.Time
 }
 
-func (m *Monitor) runHints(ctx context.Context, workers *sync.WaitGroup) {
+// hintReader reads the list of VMs while this daemon is a relay.
+type hintReader struct {
+	*Monitor
+}
+
+func (m hintReader) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	if m.VMList == nil {
 		return
--- a/pkg/monitor/link.go
+++ b/pkg/monitor/link.go
@@ -121,7 +121,7 @@
 
 // serveLink sends and receives until one of the two ends.
 func (m *Monitor) serveLink(ctx context.Context, l *link) error {
-	go l.runReceive()
+	go linkReceiver{l}.run()
 	err := l.send(ctx)
 	l.close()
 	m.mu.Lock()
@@ -144,14 +144,19 @@
 	}
 }
 
-func (l *link) runReceive() {
+// linkReceiver takes the frames of the other side.
+type linkReceiver struct {
+	*link
+}
+
+func (l linkReceiver) run() {
 	defer l.close()
 	for {
 		frame, err := l.stream.Recv()
 		if err != nil {
 			return
 		}
-		if !l.monitor.apply(l, frame, time.Now()) {
+		if !l.monitor.apply(l.link, frame, time.Now()) {
 			return
 		}
 	}
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -127,11 +127,11 @@
 	m.init()
 	var workers sync.WaitGroup
 	workers.Add(5)
-	go m.runTicks(ctx, &workers)
-	go m.runFacts(ctx, &workers)
-	go m.runRegistration(ctx, &workers)
-	go m.runHints(ctx, &workers)
-	go m.runUsage(ctx, &workers)
+	go ticker{m}.run(ctx, &workers)
+	go factSender{m}.run(ctx, &workers)
+	go registrar{m}.run(ctx, &workers)
+	go hintReader{m}.run(ctx, &workers)
+	go usageSender{m}.run(ctx, &workers)
 	workers.Wait()
 	m.closeDialers()
 	return ctx.Err()
@@ -258,8 +258,12 @@
 	m.mergeEntry(m.self, nil, now)
 }
 
-// runTicks does the periodic work: links, silence, summaries.
-func (m *Monitor) runTicks(ctx context.Context, workers *sync.WaitGroup) {
+// ticker does the periodic work: links, silence, summaries.
+type ticker struct {
+	*Monitor
+}
+
+func (m ticker) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
@@ -290,8 +294,12 @@
 	}
 }
 
-// runFacts tells links and sessions at once of a new revision or lease.
-func (m *Monitor) runFacts(ctx context.Context, workers *sync.WaitGroup) {
+// factSender tells links and sessions at once of a new revision or lease.
+type factSender struct {
+	*Monitor
+}
+
+func (m factSender) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
--- a/pkg/monitor/registration.go
+++ b/pkg/monitor/registration.go
@@ -51,10 +51,14 @@
 	written []listedEntry
 }
 
-// runRegistration reads the lists of entry daemons at start, now and then as
+// registrar reads the lists of entry daemons at start, now and then as
 // a relay and while no other daemon is known, and writes that of this failure
 // domain as its first relay.
-func (m *Monitor) runRegistration(ctx context.Context, workers *sync.WaitGroup) {
+type registrar struct {
+	*Monitor
+}
+
+func (m registrar) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	if m.API == nil {
 		return
--- a/pkg/monitor/session.go
+++ b/pkg/monitor/session.go
@@ -66,7 +66,7 @@
 	}
 	defer m.dropSession(s)
 	m.report(s, first, time.Now())
-	go s.runReceive()
+	go sessionReceiver{s}.run()
 	return s.send()
 }
 
@@ -100,7 +100,12 @@
 	}
 }
 
-func (s *session) runReceive() {
+// sessionReceiver takes the reports of the agent.
+type sessionReceiver struct {
+	*session
+}
+
+func (s sessionReceiver) run() {
 	defer s.close()
 	for {
 		report, err := s.stream.Recv()
@@ -114,7 +119,7 @@
 			return
 		}
 		s.own = report.GetReplica()
-		s.monitor.report(s, report, time.Now())
+		s.monitor.report(s.session, report, time.Now())
 	}
 }
 
--- a/pkg/monitor/usage.go
+++ b/pkg/monitor/usage.go
@@ -92,7 +92,12 @@
 	return 0
 }
 
-func (m *Monitor) runUsage(ctx context.Context, workers *sync.WaitGroup) {
+// usageSender tells the other daemons the demand of teams here.
+type usageSender struct {
+	*Monitor
+}
+
+func (m usageSender) run(ctx context.Context, workers *sync.WaitGroup) {
 	defer workers.Done()
 	if m.Usage == nil {
 		return
--- a/pkg/router/revision.go
+++ b/pkg/parser/revision.go
@@ -1,10 +1,8 @@
-package router
+package parser
 
 import (
 	"encoding/json"
 	"fmt"
-
-	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 // wireRevision is a revision as daemons pass it on.
@@ -13,22 +11,26 @@
 	Objects json.RawMessage `json:"objects"`
 }
 
-func encodeRevision(revision *parser.Revision) ([]byte, error) {
-	objects, err := parser.Encode(revision.Set)
+// EncodeRevision encodes a revision for another daemon:
+//
+//	{"revision":7,"objects":[…]}
+func EncodeRevision(revision *Revision) ([]byte, error) {
+	objects, err := Encode(revision.Set)
 	if err != nil {
 		return nil, err
 	}
 	return json.Marshal(wireRevision{Number: revision.Number, Objects: objects})
 }
 
-func decodeRevision(data []byte) (*parser.Revision, error) {
+// DecodeRevision reads what EncodeRevision wrote.
+func DecodeRevision(data []byte) (*Revision, error) {
 	var wire wireRevision
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return nil, fmt.Errorf("decode revision: %w", err)
 	}
-	set, err := parser.Decode(wire.Objects)
+	set, err := Decode(wire.Objects)
 	if err != nil {
 		return nil, err
 	}
-	return &parser.Revision{Number: wire.Number, Set: set}, nil
+	return &Revision{Number: wire.Number, Set: set}, nil
 }
--- a/pkg/router/revision_test.go
+++ b/pkg/parser/revision_test.go
@@ -1,4 +1,4 @@
-package router
+package parser
 
 import (
 	"testing"
@@ -13,15 +13,15 @@
 	f.Add([]byte(`{"revision":7}`))
 	f.Add([]byte(`{"objects":null}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		revision, err := decodeRevision(data)
+		revision, err := DecodeRevision(data)
 		if err != nil {
 			return
 		}
-		encoded, err := encodeRevision(revision)
+		encoded, err := EncodeRevision(revision)
 		qt.Assert(t, err, qt.IsNil)
-		again, err := decodeRevision(encoded)
+		again, err := DecodeRevision(encoded)
 		qt.Assert(t, err, qt.IsNil)
-		repeated, err := encodeRevision(again)
+		repeated, err := EncodeRevision(again)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, string(repeated), qt.Equals, string(encoded))
 		qt.Assert(t, again.Number, qt.Equals, revision.Number)
--- a/pkg/router/daemon.go
+++ b/pkg/router/daemon.go
@@ -129,7 +129,7 @@
 		d.membership.VMList = &adapter.HTTPVMList{BaseURL: d.cfg.VMList}
 	}
 	d.configuration = &broadcaster.Broadcaster{
-		API: d.api, Load: d.loadRevision, Encode: encodeRevision, Decode: decodeRevision,
+		API: d.api, Load: d.loadRevision, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: d.log,
 		LowerRevisions: daemonMetrics().lowerRevisions, PullFailures: daemonMetrics().pullFailures,
 	}
--- a/tools/bench/configuration.go
+++ b/tools/bench/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -194,7 +193,7 @@
 	}
 	p := &publisher.Publisher{Objects: r.api}
 	d.configuration = &broadcaster.Broadcaster{
-		API: r.api, Load: loadRevision{p}.load, Encode: encodeRevision, Decode: decodeRevision,
+		API: r.api, Load: loadRevision{p}.load, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: log,
 	}
 	if r.watchEach {
@@ -233,32 +232,6 @@
 	return revision, err
 }
 
-// benchRevision is a revision as daemons pass it on.
-type benchRevision struct {
-	Number  uint64          `json:"revision"`
-	Objects json.RawMessage `json:"objects"`
-}
-
-func encodeRevision(revision *parser.Revision) ([]byte, error) {
-	objects, err := parser.Encode(revision.Set)
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(benchRevision{Number: revision.Number, Objects: objects})
-}
-
-func decodeRevision(data []byte) (*parser.Revision, error) {
-	var wire benchRevision
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return nil, err
-	}
-	set, err := parser.Decode(wire.Objects)
-	if err != nil {
-		return nil, err
-	}
-	return &parser.Revision{Number: wire.Number, Set: set}, nil
-}
-
 // waitFor returns when the last daemon has the revision in force.
 func (r *configurationRun) waitFor(ctx context.Context, revision uint64) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
--- a/tools/bench/controlbaseline.go
+++ b/tools/bench/controlbaseline.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers sync.WaitGroup
 	workers.Add(1)
-	go server.runServer(listener, &workers)
+	go controlServer{server}.run(listener, &workers)
 	var daemons []*baselineDaemon
 	for range baselineDaemons {
 		d := &baselineDaemon{loads: map[string]*messenger.Load{}}
--- a/tools/bench/controlcluster.go
+++ b/tools/bench/controlcluster.go
@@ -108,12 +108,17 @@
 	d.server = grpc.NewServer(connector.ServerOptions()...)
 	messenger.RegisterEntryServer(d.server, d)
 	c.workers.Add(2)
-	go d.runServer(&countedListener{listener, &d.bytes}, &c.workers)
+	go controlServer{d}.run(&countedListener{listener, &d.bytes}, &c.workers)
 	go d.run(ctx, &c.workers)
 	return d, nil
 }
 
-func (d *controlDaemon) runServer(l net.Listener, workers *sync.WaitGroup) {
+// controlServer serves the calls of other daemons and agents.
+type controlServer struct {
+	*controlDaemon
+}
+
+func (d controlServer) run(l net.Listener, workers *sync.WaitGroup) {
 	defer workers.Done()
 	_ = d.server.Serve(l)
 }
@@ -298,7 +303,7 @@
 		return
 	}
 	workers.Add(1)
-	go a.runNotices(stream, workers)
+	go noticeReader{a}.run(stream, workers)
 	started := time.Now()
 	// The agents do not report all at the same moment.
 	time.Sleep(time.Duration(i%100) * 10 * time.Millisecond)
@@ -323,7 +328,12 @@
 	}
 }
 
-func (a *controlAgent) runNotices(stream messenger.Entry_SessionClient, workers *sync.WaitGroup) {
+// noticeReader takes the notices of one session.
+type noticeReader struct {
+	*controlAgent
+}
+
+func (a noticeReader) run(stream messenger.Entry_SessionClient, workers *sync.WaitGroup) {
 	defer workers.Done()
 	for {
 		if _, err := stream.Recv(); err != nil {
--- a/tools/bench/controlrevision.go
+++ b/tools/bench/controlrevision.go
@@ -64,7 +64,7 @@
 	messenger.RegisterEntryServer(server.server, &revisionServer{broadcaster: source})
 	var workers sync.WaitGroup
 	workers.Add(2)
-	go server.runServer(listener, &workers)
+	go controlServer{server}.run(listener, &workers)
 	ctx, cancel := context.WithCancel(context.Background())
 	reader := &revisionReader{}
 	reader.pool.Options = []grpc.DialOption{grpc.WithContextDialer(reader.dial)}
