Share the faulty object API of the tests and the types of status objects

Three packages had the same 120 lines of a fake object API, and the reporter repeated the status types of parser. emulator.FaultyObjects asks a function about each call.

--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/ranker"
@@ -74,7 +75,7 @@
 func TestPausedHolderLosesLapsedLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		vms := ranker.Rank("lease/claims-0", []string{"vm-1", "vm-2"})
 		paused := &pausable{ObjectAPI: objects, pause: make(chan time.Duration, 1)}
 		first := start(t, paused, vms[0], vms, "claims-0")
@@ -111,14 +112,14 @@
 func TestLostAnswerToRenewalIsReadBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		d := start(t, objects, "vm-1", nil, "claims-0")
 		time.Sleep(time.Second)
-		objects.setFault(func(operation, _ string) fault {
+		objects.SetFault(func(operation, _ string) emulator.Fault {
 			if operation == "update" {
-				return answerLost
+				return emulator.FaultAnswerLost
 			}
-			return noFault
+			return emulator.NoFault
 		})
 		for range 300 {
 			time.Sleep(100 * time.Millisecond)
@@ -126,7 +127,7 @@
 			c.Assert(held, qt.IsTrue)
 			c.Assert(lease.Epoch, qt.Equals, uint64(1))
 		}
-		objects.setFault(nil)
+		objects.SetFault(nil)
 		d.stop()
 	})
 }
@@ -136,7 +137,7 @@
 func TestRacingDaemonsNeverHoldTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		// Each daemon believes that it is the preferred one.
 		daemons := []*daemon{
 			start(t, objects, "vm-1", []string{"vm-1"}, "claims-0"),
@@ -164,7 +165,7 @@
 func TestLeasesSpreadAndAreReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		var shards []string
 		for i := range 16 {
 			shards = append(shards, fmt.Sprintf("claims-%d", i))
@@ -198,7 +199,7 @@
 func TestOutageNeitherBurstsNorHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		var shards, vms []string
 		for i := range 25 {
 			shards = append(shards, fmt.Sprintf("shard-%d", i))
@@ -222,20 +223,20 @@
 		}
 		time.Sleep(time.Minute)
 		c.Assert(held(), qt.Equals, 25)
-		objects.setFault(func(string, string) fault { return down })
+		objects.SetFault(func(string, string) emulator.Fault { return emulator.FaultDown })
 		time.Sleep(20 * time.Second)
 		c.Assert(held(), qt.Equals, 0)
-		before := objects.total()
+		before := objects.Total()
 		time.Sleep(time.Hour)
 		// A daemon backs off to one call in five seconds or more.
-		c.Assert(objects.total()-before < 50*3600/5, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+		c.Assert(objects.Total()-before < 50*3600/5, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
 
-		objects.setFault(nil)
+		objects.SetFault(nil)
 		peak := 0
 		for range 60 {
-			before := objects.total()
+			before := objects.Total()
 			time.Sleep(time.Second)
-			peak = max(peak, objects.total()-before)
+			peak = max(peak, objects.Total()-before)
 		}
 		t.Logf("most calls in one second after the outage: %d", peak)
 		c.Assert(peak < 2*50, qt.IsTrue, qt.Commentf("%d calls in a second", peak))
--- a/pkg/monitor/faults_test.go
+++ b/pkg/monitor/faults_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 )
@@ -55,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := newNetwork()
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		_, err := objects.Create(t.Context(), "entries/a1", []byte(`{"failure-domain":"a1","entries":[{"vm":"dead","rpc-address":"dead:1","region":"a"}]}`))
 		c.Assert(err, qt.IsNil)
 		network.setCut(func(from, to string) bool { return strings.HasSuffix(from, "-1:1") != strings.HasSuffix(to, "-1:1") })
@@ -72,13 +73,13 @@
 		list, err := objects.Get(t.Context(), "entries/a1")
 		c.Assert(err, qt.IsNil)
 		c.Assert(strings.Contains(string(list.Value), "dead"), qt.IsFalse)
-		writes := objects.writes()
+		writes := objects.Writes()
 
 		// Nothing changes, so nothing is written, and only relays read.
-		before := objects.total()
+		before := objects.Total()
 		time.Sleep(10 * time.Minute)
-		c.Assert(objects.total()-before <= 5*10*60/20, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
-		c.Assert(objects.writes(), qt.Equals, writes)
+		c.Assert(objects.Total()-before <= 5*10*60/20, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
+		c.Assert(objects.Writes(), qt.Equals, writes)
 		stopAll(nodes)
 	})
 }
@@ -88,8 +89,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := newNetwork()
-		objects := newFakeObjects()
-		objects.setFault(func(string, string) fault { return down })
+		objects := &emulator.FaultyObjects{}
+		objects.SetFault(func(string, string) emulator.Fault { return emulator.FaultDown })
 		var nodes []*node
 		for _, name := range []string{"entry-a1-0", "entry-a1-1", "entry-b1-0"} {
 			nodes = append(nodes, network.start(t, &monitor.Monitor{Self: entryIn(name[6:8], name), API: objects}, "entry-a1-0:1"))
@@ -98,13 +99,13 @@
 		for _, d := range nodes {
 			c.Assert(d.Entries(time.Now()), qt.HasLen, 3)
 		}
-		before := objects.total()
+		before := objects.Total()
 		time.Sleep(time.Hour)
-		c.Assert(objects.total()-before < 3*3600/10, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
-		objects.setFault(nil)
-		before = objects.total()
+		c.Assert(objects.Total()-before < 3*3600/10, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
+		objects.SetFault(nil)
+		before = objects.Total()
 		time.Sleep(30 * time.Second)
-		c.Assert(objects.total()-before < 30, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+		c.Assert(objects.Total()-before < 30, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
 		for _, domain := range []string{"a1", "b1"} {
 			_, err := objects.Get(t.Context(), "entries/"+domain)
 			c.Assert(err, qt.IsNil)
--- a/pkg/reporter/document.go
+++ b/pkg/reporter/document.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 // document is the value of status/<region> and its parts.
@@ -18,43 +19,17 @@
 	Daemons []json.RawMessage `json:"daemons"`
 }
 
-type daemon struct {
-	VM             string     `json:"vm"`
-	Role           string     `json:"role"`
-	Region         string     `json:"region"`
-	Revision       uint64     `json:"revision"`
-	Model          string     `json:"model,omitempty"`
-	Service        string     `json:"service,omitempty"`
-	Fleet          string     `json:"fleet,omitempty"`
-	Version        string     `json:"version,omitempty"`
-	VersionName    string     `json:"version-name,omitempty"`
-	State          string     `json:"state"`
-	Transfers      []transfer `json:"transfers,omitempty"`
-	LastOrderError string     `json:"last-order-error,omitempty"`
-}
-
-type transfer struct {
-	Digest             string `json:"digest"`
-	ChunksHeld         uint32 `json:"chunks-held"`
-	ChunksTotal        uint32 `json:"chunks-total"`
-	BytesFromOrigin    uint64 `json:"bytes-from-origin"`
-	BytesFromPeers     uint64 `json:"bytes-from-peers"`
-	BytesAcrossRegions uint64 `json:"bytes-across-regions"`
-	Complete           bool   `json:"complete"`
-	Error              string `json:"error,omitempty"`
-}
-
 // encodeDaemon returns the JSON of one daemon's status.
 func encodeDaemon(s *messenger.DaemonStatus) json.RawMessage {
 	r := s.GetReplica()
-	d := daemon{
+	d := parser.DaemonStatus{
 		VM: s.GetVm(), Role: s.GetRole(), Region: s.GetRegion(), Revision: s.GetRevision(),
 		Model: r.GetModel(), Service: r.GetService(), Fleet: r.GetFleet(),
 		Version: r.GetVersion(), VersionName: r.GetVersionName(),
 		State: stateName(r), LastOrderError: s.GetLastOrderError(),
 	}
 	for _, t := range s.GetTransfers() {
-		d.Transfers = append(d.Transfers, transfer{
+		d.Transfers = append(d.Transfers, parser.TransferStatus{
 			Digest: t.GetDigest(), ChunksHeld: t.GetChunksHeld(), ChunksTotal: t.GetChunksTotal(),
 			BytesFromOrigin: t.GetBytesFromOrigin(), BytesFromPeers: t.GetBytesFromPeers(),
 			BytesAcrossRegions: t.GetBytesAcrossRegions(), Complete: t.GetComplete(), Error: t.GetError(),
--- a/pkg/reporter/region.go
+++ b/pkg/reporter/region.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 // region holds the latest status of each daemon of one region.
@@ -69,7 +70,7 @@
 // heard here.
 func (g *region) adopt(doc document, now time.Time) {
 	for _, encoded := range doc.Daemons {
-		var d daemon
+		var d parser.DaemonStatus
 		if json.Unmarshal(encoded, &d) != nil || d.VM == "" || g.daemons[d.VM] != nil {
 			continue
 		}
--- a/pkg/reporter/reporter_test.go
+++ b/pkg/reporter/reporter_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/reporter"
@@ -28,7 +29,7 @@
 	_ = h.Run(ctx)
 }
 
-func start(t *testing.T, objects *fakeObjects, held func() (leaser.Lease, bool)) *holder {
+func start(t *testing.T, objects *emulator.FaultyObjects, held func() (leaser.Lease, bool)) *holder {
 	ctx, cancel := context.WithCancel(t.Context())
 	h := &holder{
 		Reporter: &reporter.Reporter{
@@ -60,7 +61,7 @@
 	} `json:"daemons"`
 }
 
-func documents(t *testing.T, objects *fakeObjects) []document {
+func documents(t *testing.T, objects *emulator.FaultyObjects) []document {
 	found, err := objects.List(t.Context(), "status/north")
 	if err != nil {
 		t.Fatal(err)
@@ -76,25 +77,19 @@
 	return all
 }
 
-func (f *fakeObjects) writes() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.calls["create"] + f.calls["update"]
-}
-
 // Guards against a write for each status, and against a status that is older
 // than one that was known at the write.
 func TestOneWriteASecondWithTheLatest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		h := start(t, objects, always)
 		for i := range 600 {
 			h.Put(status("vm-1", uint64(i), fmt.Sprint(i)))
 			time.Sleep(50 * time.Millisecond)
 		}
 		time.Sleep(2 * time.Second)
-		c.Assert(objects.writes() <= 33, qt.IsTrue, qt.Commentf("%d writes", objects.writes()))
+		c.Assert(objects.Writes() <= 33, qt.IsTrue, qt.Commentf("%d writes", objects.Writes()))
 		docs := documents(t, objects)
 		c.Assert(docs, qt.HasLen, 1)
 		c.Assert(docs[0].Daemons, qt.HasLen, 1)
@@ -110,7 +105,7 @@
 func TestLargeRegionIsSplit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		h := start(t, objects, always)
 		long := strings.Repeat("x", 500)
 		for range 3 {
@@ -129,7 +124,9 @@
 		}
 		c.Assert(len(docs) > 2, qt.IsTrue)
 		c.Assert(vms, qt.HasLen, 5000)
-		for _, o := range objects.objects {
+		stored, err := objects.List(t.Context(), "")
+		c.Assert(err, qt.IsNil)
+		for _, o := range stored {
 			c.Assert(len(o.Value) < 901_000, qt.IsTrue, qt.Commentf("%s: %d", o.Key, len(o.Value)))
 		}
 		for range 12 {
@@ -149,7 +146,7 @@
 func TestSuccessorKeepsStatusAndFormerHolderStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		epoch := make(chan uint64, 1)
 		epoch <- 1
 		current := func(mine uint64) func() (leaser.Lease, bool) {
@@ -186,15 +183,15 @@
 func TestLeaseLostDuringReadBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		var asked atomic.Int32
 		h := start(t, objects, func() (leaser.Lease, bool) {
 			return leaser.Lease{Epoch: 1}, asked.Add(1)%2 == 1
 		})
 		h.Put(status("vm-1", 1, ""))
 		time.Sleep(10 * time.Second)
-		c.Assert(objects.writes(), qt.Equals, 0)
-		c.Assert(objects.total() > 0, qt.IsTrue)
+		c.Assert(objects.Writes(), qt.Equals, 0)
+		c.Assert(objects.Total() > 0, qt.IsTrue)
 		h.stop()
 		<-h.done
 	})
@@ -205,30 +202,30 @@
 func TestOutageAndLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		objects := newFakeObjects()
+		objects := &emulator.FaultyObjects{}
 		h := start(t, objects, always)
 		h.Put(status("vm-1", 1, "before"))
 		time.Sleep(2 * time.Second)
-		objects.setFault(func(string, string) fault { return down })
-		before := objects.total()
+		objects.SetFault(func(string, string) emulator.Fault { return emulator.FaultDown })
+		before := objects.Total()
 		for i := range 3600 {
 			h.Put(status("vm-1", uint64(i+2), fmt.Sprint(i)))
 			time.Sleep(time.Second)
 		}
-		c.Assert(objects.total()-before < 3600/5, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+		c.Assert(objects.Total()-before < 3600/5, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
 
 		var lost atomic.Int32
-		objects.setFault(func(operation, _ string) fault {
+		objects.SetFault(func(operation, _ string) emulator.Fault {
 			if operation == "update" && lost.Load() < 3 {
 				lost.Add(1)
-				return answerLost
+				return emulator.FaultAnswerLost
 			}
-			return noFault
+			return emulator.NoFault
 		})
-		before = objects.total()
+		before = objects.Total()
 		time.Sleep(40 * time.Second)
 		c.Assert(lost.Load(), qt.Equals, int32(3))
-		c.Assert(objects.total()-before < 40, qt.IsTrue, qt.Commentf("%d calls", objects.total()-before))
+		c.Assert(objects.Total()-before < 40, qt.IsTrue, qt.Commentf("%d calls", objects.Total()-before))
 		docs := documents(t, objects)
 		c.Assert(docs[0].Daemons[0].LastOrderError, qt.Equals, "3599")
 		h.stop()
