--- a/pkg/parser/kinds.go
+++ b/pkg/parser/kinds.go
@@ -88,7 +88,8 @@
 	MaxBodyBytes  int64 `json:"max-body-bytes,omitempty"`
 }
 
-// Team is a customer. Its callers identify by API key.
+// Team is a group of callers that is limited and weighted together. Callers
+// identify by one of its API keys.
 type Team struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
