--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -76,6 +76,19 @@
 	return flags
 }
 
+// withSystem runs do on a started system and stops it afterwards.
+func withSystem(ctx context.Context, opts *options, do func(s *system) error) error {
+	s, err := newSystem(opts)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	if err := s.start(ctx); err != nil {
+		return err
+	}
+	return do(s)
+}
+
 func upCommand(opts *options) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "up",
@@ -83,20 +96,14 @@
 		ShortHelp:  "start everything, print the addresses and stay until a signal",
 		FlagSet:    opts.flagSet("demo up"),
 		Exec: func(ctx context.Context, _ []string) error {
-			s, err := newSystem(opts)
-			if err != nil {
-				return err
-			}
-			defer s.stop()
-			if err := s.start(ctx); err != nil {
-				return err
-			}
-			s.printAddresses(os.Stdout)
-			if err := s.apply(ctx, os.Stdout, s.baseObjects()); err != nil {
-				return err
-			}
-			<-ctx.Done()
-			return nil
+			return withSystem(ctx, opts, func(s *system) error {
+				s.printAddresses(os.Stdout)
+				if err := s.apply(ctx, os.Stdout, s.baseObjects()); err != nil {
+					return err
+				}
+				<-ctx.Done()
+				return nil
+			})
 		},
 	}
 }
@@ -108,17 +115,11 @@
 		ShortHelp:  "play one rollout under load and report the outcome",
 		FlagSet:    opts.flagSet("demo run"),
 		Exec: func(ctx context.Context, _ []string) error {
-			s, err := newSystem(opts)
-			if err != nil {
-				return err
-			}
-			defer s.stop()
-			if err := s.start(ctx); err != nil {
-				return err
-			}
-			s.printAddresses(os.Stdout)
-			t := &story{system: s, w: os.Stdout}
-			return t.play(ctx)
+			return withSystem(ctx, opts, func(s *system) error {
+				s.printAddresses(os.Stdout)
+				t := &story{system: s, w: os.Stdout}
+				return t.play(ctx)
+			})
 		},
 	}
 }
--- a/tools/demo/measure.go
+++ b/tools/demo/measure.go
@@ -44,22 +44,16 @@
 		ShortHelp:  "print processor time, memory and object API calls of the daemons under several loads",
 		FlagSet:    opts.flagSet("demo measure"),
 		Exec: func(ctx context.Context, _ []string) error {
-			s, err := newSystem(opts)
-			if err != nil {
-				return err
-			}
-			defer s.stop()
-			for _, team := range s.set.Teams {
-				team.RequestsPerSecond, team.TokensPerSecond = 0, 0
-			}
-			if err := s.start(ctx); err != nil {
-				return err
-			}
-			if err := s.apply(ctx, io.Discard, s.baseObjects()); err != nil {
-				return err
-			}
-			m := &measurement{story: &story{system: s, w: os.Stderr}, w: os.Stdout}
-			return m.run(ctx)
+			return withSystem(ctx, opts, func(s *system) error {
+				for _, team := range s.set.Teams {
+					team.RequestsPerSecond, team.TokensPerSecond = 0, 0
+				}
+				if err := s.apply(ctx, io.Discard, s.baseObjects()); err != nil {
+					return err
+				}
+				m := &measurement{story: &story{system: s, w: os.Stderr}, w: os.Stdout}
+				return m.run(ctx)
+			})
 		},
 	}
 }
