Group the packages by area under internal/

Cause: pkg/ was a flat list of 39 packages that did not show the architecture.

Change: packages move to internal/AREA/PACKAGE (request, weights, coordination, operator, daemon, shared). Packages that docs/library.md offers, with the types that their interfaces name, stay under pkg/.

Ruled out: moving the library packages too, which would make them impossible to import.

--- a/cmd/lentil-agent/main.go
+++ b/cmd/lentil-agent/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/lentilbridge/lentilbridge/pkg/agent"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/agent"
 )
 
 func main() {
--- a/cmd/lentil-entry/main.go
+++ b/cmd/lentil-entry/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/lentilbridge/lentilbridge/pkg/router"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/router"
 )
 
 func main() {
--- a/cmd/lentil/main.go
+++ b/cmd/lentil/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/lentilbridge/lentilbridge/pkg/commander"
+	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
 )
 
 func main() {
--- a/pkg/controller/changes_test.go
+++ b/internal/coordination/controller/changes_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/pkg/controller"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
--- a/pkg/controller/controller_test.go
+++ b/internal/coordination/controller/controller_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lentilbridge/lentilbridge/pkg/controller"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
--- a/pkg/monitor/faults_test.go
+++ b/internal/coordination/monitor/faults_test.go
@@ -10,10 +10,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 )
 
 // Guards against a daemon that is cut off alone: it hears nobody, and must not
--- a/pkg/monitor/monitor.go
+++ b/internal/coordination/monitor/monitor.go
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/notifier"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/notifier"
 )
 
 const (
--- a/pkg/monitor/monitor_test.go
+++ b/internal/coordination/monitor/monitor_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/ranker"
 )
 
--- a/pkg/monitor/network_test.go
+++ b/internal/coordination/monitor/network_test.go
@@ -12,8 +12,8 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 )
 
 // network connects monitors in memory. A cut drops messages without an error,
--- a/pkg/monitor/usage_test.go
+++ b/internal/coordination/monitor/usage_test.go
@@ -10,8 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 )
 
 // asker is what a daemon is asked for, and what it hears of the others.
--- a/pkg/reporter/reporter_test.go
+++ b/internal/coordination/reporter/reporter_test.go
@@ -12,10 +12,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/reporter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/reporter"
 )
 
 type holder struct {
--- a/pkg/agent/agent.go
+++ b/internal/daemon/agent/agent.go
@@ -13,10 +13,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
+	"github.com/lentilbridge/lentilbridge/internal/shared/inspector"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/guard"
-	"github.com/lentilbridge/lentilbridge/pkg/inspector"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/pkg/agent/backend.go
+++ b/internal/daemon/agent/backend.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/pkg/agent/metrics.go
+++ b/internal/daemon/agent/metrics.go
@@ -6,7 +6,7 @@
 	"github.com/go-kit/kit/metrics"
 	kitexpvar "github.com/go-kit/kit/metrics/expvar"
 
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/agent/parts_test.go
+++ b/internal/daemon/agent/parts_test.go
@@ -16,8 +16,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/guard"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/pkg/agent/reports.go
+++ b/internal/daemon/agent/reports.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/guard"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/pkg/agent/rpc.go
+++ b/internal/daemon/agent/rpc.go
@@ -10,8 +10,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/agent/sessions.go
+++ b/internal/daemon/agent/sessions.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
 	"github.com/lentilbridge/lentilbridge/pkg/guard"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
--- a/pkg/agent/settings.go
+++ b/internal/daemon/agent/settings.go
@@ -11,8 +11,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
--- a/pkg/agent/transfers.go
+++ b/internal/daemon/agent/transfers.go
@@ -9,10 +9,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/pkg/activator"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/weights/activator"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
--- a/pkg/agent/weights.go
+++ b/internal/daemon/agent/weights.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/executor/fakes_test.go
+++ b/internal/daemon/executor/fakes_test.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/executor"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/router/directory.go
+++ b/internal/daemon/router/directory.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/controller"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 )
 
 // updatePicker hands each change of the directory to the picker.
--- a/pkg/router/help.go
+++ b/internal/daemon/router/help.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 )
 
 const programName = "lentil-entry"
--- a/pkg/router/owners.go
+++ b/internal/daemon/router/owners.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/reporter"
+	"github.com/lentilbridge/lentilbridge/internal/request/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/claimer"
-	"github.com/lentilbridge/lentilbridge/pkg/controller"
-	"github.com/lentilbridge/lentilbridge/pkg/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/reporter"
 )
 
 // cleanUpShard is the lease for deleting what nothing refers to any more.
--- a/pkg/router/requests.go
+++ b/internal/daemon/router/requests.go
@@ -5,16 +5,16 @@
 	"net/http"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/accepter"
-	"github.com/lentilbridge/lentilbridge/pkg/admitter"
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/accepter"
+	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
+	"github.com/lentilbridge/lentilbridge/internal/request/recorder"
+	"github.com/lentilbridge/lentilbridge/internal/request/relayer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
-	"github.com/lentilbridge/lentilbridge/pkg/recorder"
-	"github.com/lentilbridge/lentilbridge/pkg/relayer"
 )
 
 // Requests is the request path of an entry daemon:
--- a/pkg/router/requests_test.go
+++ b/internal/daemon/router/requests_test.go
@@ -17,10 +17,10 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 // agent is an agent over gRPC. It breaks off streams for prompts with "cut".
--- a/pkg/router/settings.go
+++ b/internal/daemon/router/settings.go
@@ -13,9 +13,9 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/lentilbridge/lentilbridge/pkg/accepter"
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/request/accepter"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 )
 
 // maxBodyLimit leaves room for the other fields of an attempt: agents accept
--- a/pkg/router/startup.go
+++ b/internal/daemon/router/startup.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
-	"github.com/lentilbridge/lentilbridge/pkg/relayer"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/relayer"
 )
 
 // whenConfigured refuses requests until the first configuration is known. A
--- a/pkg/commander/apply.go
+++ b/internal/operator/commander/apply.go
@@ -5,8 +5,8 @@
 	"flag"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 const defaultApplyTimeout = 30 * time.Second
--- a/pkg/commander/check.go
+++ b/internal/operator/commander/check.go
@@ -4,7 +4,7 @@
 	"context"
 	"flag"
 
-	"github.com/lentilbridge/lentilbridge/pkg/checker"
+	"github.com/lentilbridge/lentilbridge/internal/operator/checker"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
--- a/pkg/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -16,8 +16,8 @@
 	"github.com/peterbourgon/ff/v3"
 	"golang.org/x/term"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 )
 
 // Program is one call of lentil.
--- a/pkg/commander/describe.go
+++ b/internal/operator/commander/describe.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"strings"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 var describeVerb = verb{
--- a/pkg/commander/exit.go
+++ b/internal/operator/commander/exit.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"strings"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 // Exit codes of lentil.
--- a/pkg/commander/plan.go
+++ b/internal/operator/commander/plan.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/checker"
+	"github.com/lentilbridge/lentilbridge/internal/operator/checker"
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 // Actions of a change.
--- a/pkg/commander/session.go
+++ b/internal/operator/commander/session.go
@@ -8,9 +8,9 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 const (
--- a/pkg/commander/verbs.go
+++ b/internal/operator/commander/verbs.go
@@ -8,7 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
--- a/pkg/commander/watch.go
+++ b/internal/operator/commander/watch.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 // watchRetryDelay is the pause after a watch that the object API did not
--- a/pkg/accepter/accepter.go
+++ b/internal/request/accepter/accepter.go
@@ -16,10 +16,10 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/relayer"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/relayer"
 )
 
 const (
--- a/pkg/accepter/decode.go
+++ b/internal/request/accepter/decode.go
@@ -7,7 +7,7 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 const (
--- a/pkg/accepter/decode_test.go
+++ b/internal/request/accepter/decode_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 const hello = `{"model":"m","messages":[{"role":"user","content":"hello"}]`
--- a/pkg/accepter/endpoints.go
+++ b/internal/request/accepter/endpoints.go
@@ -11,10 +11,10 @@
 	"github.com/go-kit/kit/endpoint"
 	httptransport "github.com/go-kit/kit/transport/http"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/relayer"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/relayer"
 )
 
 // DefaultEntriesValid is how long a caller may use the list of entry daemons.
--- a/pkg/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
--- a/pkg/forwarder/claim.go
+++ b/internal/request/forwarder/claim.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/forwarder/errors.go
+++ b/internal/request/forwarder/errors.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 // statusClientClosed is the customary status in logs for a caller that has
--- a/pkg/forwarder/fake_test.go
+++ b/internal/request/forwarder/fake_test.go
@@ -14,10 +14,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 var errCut = status.Error(codes.Unavailable, "the connection was cut")
--- a/pkg/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -7,10 +7,10 @@
 	"context"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/pkg/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/forwarder/isolation.go
+++ b/internal/request/forwarder/isolation.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/forwarder/once.go
+++ b/internal/request/forwarder/once.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/pkg/forwarder/repeatable.go
+++ b/internal/request/forwarder/repeatable.go
@@ -8,10 +8,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 // repeatable is the state of a request that may be run again: a model request
--- a/pkg/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
-	"github.com/lentilbridge/lentilbridge/pkg/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/pkg/picker/server.go
+++ b/internal/request/picker/server.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/admitter"
+	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/recorder/recorder.go
+++ b/internal/request/recorder/recorder.go
@@ -10,8 +10,8 @@
 	"github.com/go-kit/kit/metrics/expvar"
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
--- a/pkg/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 // Response headers.
--- a/pkg/relayer/stream.go
+++ b/internal/request/relayer/stream.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 // stream writes a model answer as server-sent events. Tokens go through a
--- a/pkg/relayer/stream_test.go
+++ b/internal/request/relayer/stream_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 // slowWriter blocks each write until it is released.
--- a/pkg/relayer/whole.go
+++ b/internal/request/relayer/whole.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
 )
 
 // sinkless is the sink of answers without tokens.
--- a/pkg/relayer/wire.go
+++ b/internal/request/relayer/wire.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 )
 
 // The types of this file are the OpenAI response formats.
--- a/pkg/authenticator/authenticator_test.go
+++ b/internal/shared/authenticator/authenticator_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/pkg/explainer/explainer_test.go
+++ b/internal/shared/explainer/explainer_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 )
 
 // Guards against errors of the flag parser that reach users as they are: they
--- a/pkg/activator/activator_test.go
+++ b/internal/weights/activator/activator_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/pkg/activator"
+	"github.com/lentilbridge/lentilbridge/internal/weights/activator"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/storer"
--- a/pkg/planner/planner_test.go
+++ b/internal/weights/planner/planner_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -16,10 +16,10 @@
 	"github.com/go-kit/kit/metrics/discard"
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/notifier"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/notifier"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -14,7 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
--- a/pkg/emulator/help.go
+++ b/pkg/emulator/help.go
@@ -6,7 +6,7 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/lentilbridge/lentilbridge/pkg/explainer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/explainer"
 )
 
 func writeHelp(w io.Writer) {
--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -11,11 +11,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/storer"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
--- a/pkg/fetcher/fetcher_test.go
+++ b/pkg/fetcher/fetcher_test.go
@@ -10,8 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/storer"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
--- a/pkg/fetcher/manifest.go
+++ b/pkg/fetcher/manifest.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
 
--- a/pkg/fetcher/request.go
+++ b/pkg/fetcher/request.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
 
--- a/pkg/fetcher/watch.go
+++ b/pkg/fetcher/watch.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lentilbridge/lentilbridge/internal/weights/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/planner"
 	"github.com/lentilbridge/lentilbridge/pkg/storer"
 )
 
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -16,10 +16,10 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/notifier"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/notifier"
 	"github.com/lentilbridge/lentilbridge/pkg/ranker"
 )
 
--- a/test/cases_test.go
+++ b/test/cases_test.go
@@ -13,11 +13,11 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/agent"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/router"
+	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/agent"
-	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
-	"github.com/lentilbridge/lentilbridge/pkg/router"
 )
 
 func TestMain(m *testing.M) {
--- a/test/fencing_test.go
+++ b/test/fencing_test.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/lentilbridge/lentilbridge/pkg/controller"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
 	"github.com/lentilbridge/lentilbridge/pkg/leaser"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
--- a/test/outage_test.go
+++ b/test/outage_test.go
@@ -17,12 +17,12 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 // revisions watches the revision that each entry daemon has in force.
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -14,13 +14,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/daemon/agent"
+	"github.com/lentilbridge/lentilbridge/internal/daemon/router"
+	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/agent"
-	"github.com/lentilbridge/lentilbridge/pkg/commander"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
-	"github.com/lentilbridge/lentilbridge/pkg/router"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
 
--- a/tools/bench/configuration.go
+++ b/tools/bench/configuration.go
@@ -12,13 +12,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
-	"github.com/lentilbridge/lentilbridge/pkg/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/publisher"
 )
 
 const (
--- a/tools/bench/controlbaseline.go
+++ b/tools/bench/controlbaseline.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/lentilbridge/lentilbridge/pkg/connector"
+	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
--- a/tools/bench/controlcluster.go
+++ b/tools/bench/controlcluster.go
@@ -14,9 +14,9 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lentilbridge/lentilbridge/pkg/connector"
+	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
+	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/monitor"
 )
 
 const homeDomain = "home"
--- a/tools/bench/controlrevision.go
+++ b/tools/bench/controlrevision.go
@@ -12,8 +12,8 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
-	"github.com/lentilbridge/lentilbridge/pkg/connector"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
--- a/tools/bench/limits.go
+++ b/tools/bench/limits.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/admitter"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
--- a/tools/bench/overload.go
+++ b/tools/bench/overload.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/admitter"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/tools/bench/pick.go
+++ b/tools/bench/pick.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/tools/bench/prefix.go
+++ b/tools/bench/prefix.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/tools/bench/retries.go
+++ b/tools/bench/retries.go
@@ -15,11 +15,11 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/lentilbridge/lentilbridge/pkg/forwarder"
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
 )
 
 const (
--- a/tools/bench/routing.go
+++ b/tools/bench/routing.go
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/lentilbridge/lentilbridge/pkg/identifier"
-	"github.com/lentilbridge/lentilbridge/pkg/picker"
+	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 )
 
 const (
--- a/tools/demo/system.go
+++ b/tools/demo/system.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/authenticator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
