--- /dev/null
+++ b/internal/coordination/cataloger/cataloger.go
@@ -0,0 +1,141 @@
+// Package cataloger decides which replicas may be used, from registrations that
+// lag and from what the agents beside the replicas say.
+package cataloger
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/placer"
+)
+
+const (
+	// agentAge is how long the word of an agent goes before the registration.
+	// Agents speak each half second; registrations lag by more than a second.
+	agentAge = 1800 * time.Millisecond
+	// returnTime is how long registrations that vanished in an outage of the
+	// store are waited for: living replicas are registered again within about
+	// two seconds of its return.
+	returnTime = 2200 * time.Millisecond
+	// massShare is the share of a service's replicas whose registrations do not
+	// vanish at once unless the store lost them.
+	massShare = 0.34
+	// minMass is the least number for which the share is looked at.
+	minMass = 3
+)
+
+// Registration is a replica as it registered itself.
+type Registration struct {
+	placer.Replica
+}
+
+// agentWord is what the agent beside a replica said last.
+type agentWord struct {
+	up       bool
+	loading  bool
+	versions map[string]int
+	at       time.Time
+}
+
+type entry struct {
+	replica placer.Replica
+	// missing is when the registration vanished; zero while it is there.
+	missing time.Time
+	// keep is until when a vanished registration is waited for.
+	keep time.Time
+}
+
+// Catalog is the list of replicas. The zero value is ready for use.
+type Catalog struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	agents  map[string]agentWord
+	// outage is when the store was last out of reach.
+	outage time.Time
+}
+
+// Outage records that the store is out of reach at a time.
+func (c *Catalog) Outage(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = now
+}
+
+// Register replaces the registrations.
+func (c *Catalog) Register(list []Registration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.entries == nil {
+		c.entries = map[string]*entry{}
+	}
+	present := map[string]bool{}
+	for _, r := range list {
+		present[r.ID] = true
+		c.entries[r.ID] = &entry{replica: r.Replica}
+	}
+	vanished, total := map[string]int{}, map[string]int{}
+	for id, e := range c.entries {
+		total[e.replica.Service]++
+		if !present[id] && e.missing.IsZero() {
+			vanished[e.replica.Service]++
+		}
+	}
+	afterOutage := !c.outage.IsZero() && now.Sub(c.outage) < returnTime
+	for id, e := range c.entries {
+		if present[id] {
+			continue
+		}
+		if e.missing.IsZero() {
+			e.missing = now
+			service := e.replica.Service
+			mass := vanished[service] >= minMass && float64(vanished[service]) >= massShare*float64(total[service])
+			// A replica that announced its end is gone whatever the cause.
+			if (afterOutage || mass) && !e.replica.Draining {
+				e.keep = now.Add(returnTime)
+			}
+		}
+		if !now.Before(e.keep) {
+			delete(c.entries, id)
+		}
+	}
+}
+
+// Hear takes the word of the agent beside the replica at an address.
+func (c *Catalog) Hear(address string, up, loading bool, versions map[string]int, now time.Time) (changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.agents == nil {
+		c.agents = map[string]agentWord{}
+	}
+	old := c.agents[address]
+	c.agents[address] = agentWord{up: up, loading: loading, versions: versions, at: now}
+	return old.up != up || old.loading != loading || !maps.Equal(old.versions, versions) || now.Sub(old.at) > agentAge
+}
+
+// Replicas returns the replicas for placing.
+func (c *Catalog) Replicas(now time.Time) []placer.Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []placer.Replica
+	for id, e := range c.entries {
+		if !e.missing.IsZero() && !now.Before(e.keep) {
+			delete(c.entries, id)
+			continue
+		}
+		r := e.replica
+		if word, ok := c.agents[r.Address]; ok && now.Sub(word.at) <= agentAge {
+			if r.Engine {
+				r.Versions = word.versions
+			}
+			r.Draining = r.Draining || !word.up || word.loading
+		}
+		out = append(out, r)
+	}
+	for address, word := range c.agents {
+		if now.Sub(word.at) > time.Minute {
+			delete(c.agents, address)
+		}
+	}
+	return out
+}
--- a/internal/daemon/router/requests.go
+++ b/internal/daemon/router/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/request/accepter"
 	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
+	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
@@ -58,7 +59,7 @@
 	r.Picker.Changed = r.admitter.Wake
 	r.forwarder = &forwarder.Forwarder{
 		Picker: r.Picker, Dial: r.Dial, Claims: r.Claims, Isolation: r.Isolation,
-		Budget: forwarder.NewBudget(), Counters: r.Counters, Log: r.Log,
+		Budget: budgeter.New(), Counters: r.Counters, Log: r.Log,
 	}
 	r.relayer = &relayer.Relayer{}
 	r.recorder = &recorder.Recorder{Log: r.Log, Metrics: r.Metrics}
--- a/internal/request/forwarder/fake_test.go
+++ b/internal/request/forwarder/fake_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -230,7 +231,7 @@
 	p.Update(all, time.Now())
 	r.Forwarder = &Forwarder{
 		Picker: p, Dial: r.dial, Claims: r.claims, Isolation: r.crimes,
-		Budget: NewBudget(), Counters: NewCounters(r.counter),
+		Budget: budgeter.New(), Counters: NewCounters(r.counter),
 	}
 	return r
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
@@ -61,7 +62,7 @@
 	Dial      Dialer
 	Claims    Claims
 	Isolation Isolation
-	Budget    *Budget
+	Budget    *budgeter.Budget
 	Counters  *Counters
 	Log       *logger.Logger
 
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
@@ -212,7 +213,7 @@
 		for range requests {
 			attempts += r.Run(t.Context(), modelRequest(), &sink{}).Attempts
 		}
-		qt.Assert(t, attempts-requests <= requests/10+maxSavedRetries, qt.IsTrue, qt.Commentf("%d retries", attempts-requests))
+		qt.Assert(t, attempts-requests <= requests/10+budgeter.DefaultMaxSaved, qt.IsTrue, qt.Commentf("%d retries", attempts-requests))
 	})
 }
 
--- a/internal/request/forwarder/once.go
+++ b/internal/request/forwarder/once.go
@@ -34,7 +34,7 @@
 func (o *once) run(ctx context.Context, suspected bool) Result {
 	ctx, cancel := context.WithDeadlineCause(ctx, o.req.Deadline, errDeadline)
 	defer cancel()
-	o.Budget.First()
+	o.Budget.First(time.Now())
 	var err *identifier.RequestError
 	if suspected {
 		o.trial, err = o.askTrial(ctx, o.req)
@@ -103,7 +103,7 @@
 			return false
 		}
 	}
-	return o.Budget.Take()
+	return o.Budget.Take(time.Now())
 }
 
 // unreserved gives the place back on a server that gave no reservation.
--- a/internal/request/forwarder/repeatable.go
+++ b/internal/request/forwarder/repeatable.go
@@ -37,7 +37,7 @@
 func (m *repeatable) run(ctx context.Context, suspected bool) Result {
 	ctx, cancel := context.WithDeadlineCause(ctx, m.req.Deadline, errDeadline)
 	defer cancel()
-	m.Budget.First()
+	m.Budget.First(time.Now())
 	var err *identifier.RequestError
 	if suspected {
 		m.trial, err = m.askTrial(ctx, m.req)
@@ -208,7 +208,7 @@
 			return overloadError(time.Duration(e.GetRetryAfterMs()) * time.Millisecond)
 		}
 		m.loadRetries++
-		if !m.Budget.Take() {
+		if !m.Budget.Take(time.Now()) {
 			return overloadError(time.Duration(e.GetRetryAfterMs()) * time.Millisecond)
 		}
 		m.decide(a, "refused for load")
@@ -224,7 +224,7 @@
 	if m.offset > 0 && m.version == "" {
 		return serverError(http.StatusBadGateway, "stream-broken", "the stream broke and the version that began it is not known")
 	}
-	if !m.Budget.Take() {
+	if !m.Budget.Take(time.Now()) {
 		m.Counters.add(m.Counters.retriesDenied)
 		return serverError(http.StatusBadGateway, code, message+" and the retry budget is used up")
 	}
--- /dev/null
+++ b/internal/weights/loader/loader.go
@@ -0,0 +1,399 @@
+// Package loader keeps an engine on the newest named version of its model: it
+// transfers the version, stages it at the engine, verifies what is staged and
+// orders the engine to load it.
+package loader
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
+	"github.com/lentilbridge/lentilbridge/pkg/limiter"
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
+	"github.com/lentilbridge/lentilbridge/pkg/verifier"
+)
+
+const (
+	// tick is how often the engine is looked at. Its state is fresh and free
+	// from the VM it runs on.
+	tick = 100 * time.Millisecond
+	// transferTime bounds one transfer. A copy takes two seconds on the VM's
+	// link; a transfer that does not end may have a spoilt manifest.
+	transferTime = 12 * time.Second
+	// drainNotice is the time between the notice to entry daemons and the order
+	// to load. It covers messages on their way.
+	drainNotice = 60 * time.Millisecond
+	// loadingTime is how long an order counts as in progress before the engine
+	// says so.
+	loadingTime = 400 * time.Millisecond
+	// keptVersions are held for other agents: the served one and the next.
+	keptVersions = 2
+	// errorPause is the time after a failed step.
+	errorPause = 250 * time.Millisecond
+	// stageRounds bounds how often what is staged is read back and mended.
+	stageRounds = 4
+)
+
+// State is what the engine says of itself.
+type State struct {
+	Up bool
+	// Model is the model that the engine is for.
+	Model string
+	// Version is the version that all layers have; 0 when layers are missing.
+	Version int
+	Busy    bool
+	// Orders is the number of orders accepted since the start.
+	Orders  uint64
+	Queued  int
+	Running int
+	// Born identifies the start of the engine.
+	Born int64
+}
+
+// Engine is the engine beside the agent.
+type Engine interface {
+	State(ctx context.Context) (State, error)
+	// Staged returns a staged chunk, and false when there is none.
+	Staged(ctx context.Context, model string, chunk int) ([]byte, bool, error)
+	Stage(ctx context.Context, model string, chunk int, data []byte) error
+	// Load orders the engine to load what is staged as a version.
+	Load(ctx context.Context, model string, version int, orders uint64) error
+}
+
+// Origin is the origin of weights.
+type Origin interface {
+	adapter.WeightSource
+	// Describe returns the manifest of a version.
+	Describe(ctx context.Context, model string, version int) (*verifier.Manifest, error)
+	// Region returns the region of the origin and whether copies for each
+	// region from the origin would take longer than copies between regions.
+	Region() (region string, slow bool)
+}
+
+// Peers returns the other agents of the service and this agent's turn to load.
+type Peers func(ctx context.Context) ([]*messenger.Peer, selector.Turn)
+
+// Loader runs beside one engine. Fields are set before Run.
+type Loader struct {
+	Engine  Engine
+	Origin  Origin
+	Peers   Peers
+	Self    *messenger.Peer
+	Store   *storer.Storer
+	Limiter *limiter.Limiter
+	Named   *selector.Named
+	// Changed is called when entry daemons should hear of a new state.
+	Changed func()
+	Log     *logger.Logger
+
+	mu    sync.Mutex
+	state State
+	// loading is until when an order counts as in progress.
+	loading time.Time
+	// announced is set while entry daemons are told to send nothing.
+	announced bool
+	held      map[int]*verifier.Manifest
+	turn      selector.Turn
+}
+
+func (l *Loader) setTurn(t selector.Turn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.Replicas > 0 {
+		l.turn = t
+	}
+}
+
+func (l *Loader) getTurn() selector.Turn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.turn
+}
+
+// Snapshot returns the engine's state and whether entry daemons should leave it
+// alone.
+func (l *Loader) Snapshot() (State, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state, l.announced
+}
+
+// Run keeps the engine on the newest version until ctx ends.
+func (l *Loader) Run(ctx context.Context) {
+	l.held = map[int]*verifier.Manifest{}
+	l.turn = selector.Turn{Replicas: 1}
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.observe(ctx)
+			if err := l.step(ctx, now); err != nil && ctx.Err() == nil {
+				l.Log.Warn("step failed", zap.Error(err))
+				wait(ctx, errorPause)
+			}
+		}
+	}
+}
+
+// observe reads the state of the engine.
+func (l *Loader) observe(ctx context.Context) {
+	s, err := l.Engine.State(ctx)
+	now := time.Now()
+	if err != nil {
+		s = State{}
+	}
+	l.mu.Lock()
+	old := l.state
+	if s.Model == "" {
+		s.Model = old.Model
+	}
+	l.state = s
+	if l.announced && !s.Busy && now.After(l.loading) {
+		l.announced = false
+	}
+	l.mu.Unlock()
+	if old.Up != s.Up {
+		event := "dependency regained"
+		if !s.Up {
+			event = "dependency lost"
+		}
+		l.Log.Info(event, zap.String("dependency", "engine"), zap.Error(err))
+	}
+	if old.Up != s.Up || old.Version != s.Version || old.Busy != s.Busy || old.Born != s.Born {
+		l.Log.Info("engine changed", zap.Bool("up", s.Up), zap.Int("version", s.Version), zap.Bool("busy", s.Busy),
+			zap.Uint64("orders", s.Orders), zap.Int64("born", s.Born))
+		l.Changed()
+	}
+}
+
+// step does what the selector decides.
+func (l *Loader) step(ctx context.Context, now time.Time) error {
+	s, _ := l.Snapshot()
+	if !s.Up || s.Model == "" {
+		return nil
+	}
+	action := l.Named.Next(s.Model, selector.Engine{Version: s.Version, Busy: s.Busy || now.Before(l.loading)}, l.holds, l.getTurn(), now)
+	switch action := action.(type) {
+	case selector.Nothing:
+		return l.keepServed(ctx, s)
+	case selector.Fetch:
+		return l.fetch(ctx, s.Model, action.Version)
+	case selector.Load:
+		if now.Before(action.At) {
+			return nil
+		}
+		return l.load(ctx, s, action.Version)
+	}
+	return nil
+}
+
+func (l *Loader) holds(version int) bool {
+	m := l.held[version]
+	if m == nil {
+		return false
+	}
+	_, progress, err := l.Store.Held(m.Digest())
+	return err == nil && progress.Complete()
+}
+
+// keepServed holds the version that the engine serves, so that other agents can
+// read it here. What is staged at the engine spares the transfer.
+func (l *Loader) keepServed(ctx context.Context, s State) error {
+	if s.Version == 0 || l.held[s.Version] != nil {
+		return nil
+	}
+	_, err := l.begin(ctx, s.Model, s.Version)
+	return err
+}
+
+// begin makes a version known to the store, with the chunks that are staged at
+// the engine.
+func (l *Loader) begin(ctx context.Context, model string, version int) (*verifier.Manifest, error) {
+	if m := l.held[version]; m != nil {
+		return m, nil
+	}
+	m, err := l.Origin.Describe(ctx, model, version)
+	if err != nil {
+		return nil, err
+	}
+	l.dropOld(version)
+	digest, err := l.Store.Begin(m)
+	if err != nil {
+		return nil, err
+	}
+	l.held[version] = m
+	found := 0
+	for i := range m.Chunks {
+		data, ok, err := l.Engine.Staged(ctx, model, i)
+		if err != nil {
+			// The engine is down; its chunks come from elsewhere.
+			l.Log.Info("staged chunks not read", zap.Error(err))
+			break
+		}
+		if !ok {
+			continue
+		}
+		chunk, err := verifier.Check(m, i, data)
+		if err != nil {
+			continue
+		}
+		if _, err := l.Store.Add(digest, chunk); err != nil {
+			return nil, err
+		}
+		found++
+	}
+	l.Log.Info("version begun", zap.String("model", model), zap.Int("version", version), zap.String("digest", digest),
+		zap.Int("staged", found), zap.Int("chunks", len(m.Chunks)))
+	return m, nil
+}
+
+// dropOld frees the oldest versions, so that the new one finds room.
+func (l *Loader) dropOld(newest int) {
+	for len(l.held) >= keptVersions {
+		oldest := newest
+		for version := range l.held {
+			oldest = min(oldest, version)
+		}
+		if oldest == newest {
+			return
+		}
+		l.Store.Drop(l.held[oldest].Digest())
+		delete(l.held, oldest)
+	}
+}
+
+// fetch transfers a version. It returns early when a newer one is named.
+func (l *Loader) fetch(ctx context.Context, model string, version int) error {
+	m, err := l.begin(ctx, model, version)
+	if err != nil {
+		return err
+	}
+	region, slow := l.Origin.Region()
+	policy := "time"
+	if slow {
+		policy = "origin-bytes"
+	}
+	t := &fetcher.Transfer{
+		Version: &messenger.VersionRef{
+			Model: model, Name: strconv.Itoa(version), Digest: m.Digest(), Source: Source(model, version), SizeBytes: uint64(m.SizeBytes),
+		},
+		Self: l.Self, Policy: policy, OriginRegion: region, Source: l.Origin,
+		Dial: fetcher.DialGRPC(), Store: l.Store, Limiter: l.Limiter, Log: l.Log,
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferTime)
+	defer cancel()
+	w := &transferWatch{loader: l, transfer: t, cancel: cancel, model: model, version: version}
+	w.refresh(ctx)
+	go w.run(ctx)
+	started := time.Now()
+	err = t.Run(ctx)
+	if err == nil {
+		l.Log.Info("version transferred", zap.Int("version", version), zap.Duration("took", time.Since(started)))
+		return nil
+	}
+	if !w.superseded.Load() {
+		// The manifest may be at fault, so it is read anew.
+		l.Store.Drop(m.Digest())
+		delete(l.held, version)
+	}
+	return &transferError{Model: model, Version: version, Cause: err}
+}
+
+// Source is the path of a version in the weight source.
+func Source(model string, version int) string { return model + "@" + strconv.Itoa(version) }
+
+// load stages a version, verifies what is staged and gives the order.
+func (l *Loader) load(ctx context.Context, s State, version int) error {
+	m := l.held[version]
+	if err := l.stage(ctx, s.Model, m); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.announced = true
+	l.loading = time.Now().Add(drainNotice + loadingTime)
+	l.mu.Unlock()
+	l.Changed()
+	if s.Version > 0 {
+		wait(ctx, drainNotice)
+	}
+	err := l.Engine.Load(ctx, s.Model, version, s.Orders)
+	l.Log.Info("decision", zap.String("kind", "load"), zap.String("subject", Source(s.Model, version)),
+		zap.Int("from", s.Version), zap.Uint64("orders", s.Orders), zap.Int("running", s.Running), zap.Error(err))
+	return err
+}
+
+// stage puts a version beside the engine and reads it back until every chunk
+// has its digest: nothing else verifies what is staged.
+func (l *Loader) stage(ctx context.Context, model string, m *verifier.Manifest) error {
+	digest := m.Digest()
+	for round := range stageRounds {
+		spoilt := 0
+		for i := range m.Chunks {
+			data, ok, err := l.Engine.Staged(ctx, model, i)
+			if err != nil {
+				return err
+			}
+			if ok {
+				if _, err := verifier.Check(m, i, data); err == nil {
+					continue
+				}
+			}
+			spoilt++
+			held, ok := l.Store.Chunk(digest, i)
+			if !ok {
+				return &transferError{Model: model, Cause: &storer.IncompleteError{Digest: digest, Total: len(m.Chunks)}}
+			}
+			if err := l.Engine.Stage(ctx, model, i, held); err != nil {
+				return err
+			}
+		}
+		if spoilt == 0 {
+			return nil
+		}
+		l.Log.Info("chunks staged", zap.String("digest", digest), zap.Int("round", round), zap.Int("chunks", spoilt))
+	}
+	return &transferError{Model: model, Cause: &stagingError{Rounds: stageRounds}}
+}
+
+// stagingError reports chunks that were spoilt each time they were read back.
+type stagingError struct {
+	Rounds int
+}
+
+func (e *stagingError) Error() string {
+	return fmt.Sprintf("staged chunks were spoilt in each of %d rounds", e.Rounds)
+}
+
+// transferError reports a version that was not transferred or staged.
+type transferError struct {
+	Model   string
+	Version int
+	Cause   error
+}
+
+func (e *transferError) Error() string {
+	return fmt.Sprintf("weights of %s version %d: %v", e.Model, e.Version, e.Cause)
+}
+
+func (e *transferError) Unwrap() error { return e.Cause }
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -231,6 +231,18 @@
 	return &reader{chunks: append([][]byte(nil), v.chunks...)}, v.manifest.SizeBytes, nil
 }
 
+// Chunk returns one chunk of a version, which must not be changed, and whether
+// it is held.
+func (s *Storer) Chunk(digest string, index int) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.versions[digest]
+	if v == nil || !v.bitmap.Has(index) {
+		return nil, false
+	}
+	return v.chunks[index], true
+}
+
 func (v *version) notify() {
 	close(v.changed)
 	v.changed = make(chan struct{})
--- a/pkg/verifier/chunk.go
+++ b/pkg/verifier/chunk.go
@@ -1,7 +1,5 @@
 package verifier
 
-import "github.com/zeebo/blake3"
-
 // Chunk is a chunk whose digest was checked. Only Check makes one, so a stage
 // that takes a Chunk cannot be given unverified bytes.
 type Chunk struct {
@@ -32,7 +30,7 @@
 	if index < 0 || index >= len(m.Chunks) {
 		return Chunk{}, &RangeError{Chunk: index, Chunks: len(m.Chunks)}
 	}
-	found := Digest(blake3.Sum256(data))
+	found := m.sum(data)
 	if found != m.Chunks[index] {
 		return Chunk{}, &DigestError{Chunk: index, Expected: m.Chunks[index].String(), Found: found.String()}
 	}
--- a/pkg/verifier/manifest.go
+++ b/pkg/verifier/manifest.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -28,7 +29,7 @@
 	maxNameBytes = 256
 )
 
-// Digest is a BLAKE3 digest.
+// Digest is a BLAKE3 or SHA-256 digest.
 type Digest [32]byte
 
 // String returns the digest in lower-case hexadecimal.
@@ -48,13 +49,20 @@
 	return err
 }
 
+// AlgorithmSHA256 is the algorithm of chunk digests of origins that publish
+// SHA-256 digests.
+const AlgorithmSHA256 = "sha-256"
+
 // Manifest lists the chunks of one version of a model or adapter.
 type Manifest struct {
-	Model          string   `json:"model"`
-	Name           string   `json:"name"`
-	SizeBytes      int64    `json:"size-bytes"`
-	ChunkSizeBytes int64    `json:"chunk-size-bytes"`
-	Chunks         []Digest `json:"chunks"`
+	Model          string `json:"model"`
+	Name           string `json:"name"`
+	SizeBytes      int64  `json:"size-bytes"`
+	ChunkSizeBytes int64  `json:"chunk-size-bytes"`
+	// Algorithm is that of the chunk digests: AlgorithmSHA256, or empty for
+	// BLAKE3.
+	Algorithm string   `json:"algorithm,omitempty"`
+	Chunks    []Digest `json:"chunks"`
 }
 
 // ManifestError reports a manifest that is not well formed.
@@ -110,6 +118,14 @@
 // ChunkOffset returns where a chunk begins.
 func (m *Manifest) ChunkOffset(index int) int64 { return int64(index) * m.ChunkSizeBytes }
 
+// sum returns the digest of a chunk.
+func (m *Manifest) sum(data []byte) Digest {
+	if m.Algorithm == AlgorithmSHA256 {
+		return sha256.Sum256(data)
+	}
+	return blake3.Sum256(data)
+}
+
 // Sum returns the digest of data in lower-case hexadecimal.
 func Sum(data []byte) string { return Digest(blake3.Sum256(data)).String() }
 
--- a/tools/bench/retries.go
+++ b/tools/bench/retries.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
@@ -109,7 +110,7 @@
 	}
 	p.Update(all, time.Now())
 	r.forwarder = &forwarder.Forwarder{
-		Picker: p, Dial: r.dial, Budget: forwarder.NewBudget(),
+		Picker: p, Dial: r.dial, Budget: budgeter.New(),
 		Counters: forwarder.NewCounters(func(string) metrics.Counter { return discard.NewCounter() }),
 	}
 }
