--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -90,7 +90,11 @@
 	Self    *messenger.Peer
 	Store   *storer.Storer
 	Limiter *limiter.Limiter
-	Named   *selector.Named
+	// InFlight bounds the chunks that are requested from other agents at once.
+	InFlight int
+	// Importers bounds the agents of a region that read from the origin at once.
+	Importers int
+	Named     *selector.Named
 	// Changed is called when entry daemons should hear of a new state.
 	Changed func()
 	Log     *logger.Logger
@@ -290,7 +294,7 @@
 			Model: model, Name: strconv.Itoa(version), Digest: m.Digest(), Source: Source(model, version), SizeBytes: uint64(m.SizeBytes),
 		},
 		Self: l.Self, Policy: policy, OriginRegion: region, Source: l.Origin,
-		Dial: fetcher.DialGRPC(), Store: l.Store, Limiter: l.Limiter, Log: l.Log,
+		Dial: fetcher.DialGRPC(), Store: l.Store, Limiter: l.Limiter, InFlight: l.InFlight, Importers: l.Importers, Log: l.Log,
 	}
 	ctx, cancel := context.WithTimeout(ctx, transferTime)
 	defer cancel()
