Probe the store from one daemon; require named versions at start

Change: one entry daemon probes each kind at short intervals, others hear of newer content by gossip; versions of the first list count as named long ago. Ruled out: short waits on every daemon, a price that grows with the fleet.

--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -33,6 +33,8 @@
 	Incarnation int64 `json:"incarnation"`
 	// Ready is false while the daemon starts or drains.
 	Ready bool `json:"ready"`
+	// ReachesStore is false while the object store does not answer the daemon.
+	ReachesStore bool `json:"reaches-store"`
 }
 
 // Role is what a daemon does.
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -30,7 +30,10 @@
 	peerPause = 250 * time.Millisecond
 	// behindFor is how long another daemon has to be ahead before it is asked.
 	// A watch that works brings the same change within this time.
-	behindFor = 600 * time.Millisecond
+	behindFor = 400 * time.Millisecond
+	// longWait is the wait of a watch: each call has a price, and the store
+	// allows no longer one.
+	longWait = 30 * time.Second
 	// relistAfterOutage is when the list is read again after the store was
 	// lost: registrations that expired meanwhile are back two seconds after
 	// its return, and a missing one then counts as gone.
@@ -78,9 +81,9 @@
 // Source is the object store.
 type Source interface {
 	List(ctx context.Context, kind string, stale bool) (Snapshot, error)
-	// Watch returns when something changed after the revision, or after a
-	// while. It fails with a *CompactedError when the history is gone.
-	Watch(ctx context.Context, kind string, revision uint64) (Changes, error)
+	// Watch returns when something changed after the revision, or after the
+	// wait. It fails with a *CompactedError when the history is gone.
+	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Changes, error)
 }
 
 // Peers are the other daemons that mirror the kind.
@@ -103,6 +106,10 @@
 	Settle time.Duration
 	// Applied is called after each change, if set.
 	Applied func(Snapshot, time.Time)
+	// ProbeInterval is the time between two probes of the daemon that probes.
+	ProbeInterval time.Duration
+	// Found is called when a probe found what the watch did not bring, if set.
+	Found func()
 	// Lost is called at each failed call, if set.
 	Lost func(now time.Time)
 	Log  *logger.Logger
@@ -111,8 +118,10 @@
 	snapshot Snapshot
 	known    bool
 	// fresh is when the store last confirmed the copy.
-	fresh   time.Time
-	changed notifier.Notifier
+	fresh time.Time
+	// unreachable is set while calls fail.
+	unreachable bool
+	changed     notifier.Notifier
 }
 
 // Get returns the copy and whether there is one. The snapshot must not be
@@ -166,6 +175,7 @@
 		var compacted *CompactedError
 		switch {
 		case err == nil:
+			m.setReachable(true)
 			if !reachable {
 				m.Log.Info("dependency regained", zap.String("dependency", "object store"), zap.String("kind", m.Kind))
 				reachable = true
@@ -189,7 +199,21 @@
 	}
 }
 
+// Reaches tells whether the store answered the last call.
+func (m *Mirror) Reaches() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.unreachable
+}
+
+func (m *Mirror) setReachable(ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unreachable = !ok
+}
+
 func (m *Mirror) lost(ctx context.Context, reachable *bool) {
+	m.setReachable(false)
 	if m.Lost != nil && ctx.Err() == nil {
 		m.Lost(time.Now())
 	}
@@ -233,6 +257,34 @@
 	}
 }
 
+// Probe asks the store at short intervals while active reports true. A watch
+// may miss changes without an error when the store drops its history, and then
+// returns only at the next change. One daemon probes for all: the others hear
+// from it that their copies are old.
+func (m *Mirror) Probe(ctx context.Context, active func() bool) {
+	for ctx.Err() == nil {
+		sleep(ctx, m.ProbeInterval)
+		if !active() {
+			continue
+		}
+		before := m.ContentRevision()
+		changes, err := m.Source.Watch(ctx, m.Kind, m.Revision(), 0)
+		var compacted *CompactedError
+		switch {
+		case err == nil:
+			m.apply(changes, time.Now())
+		case errors.As(err, &compacted):
+			m.Log.Info("history is gone, reading the list again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
+			m.list(ctx)
+		case ctx.Err() == nil:
+			m.setReachable(false)
+		}
+		if m.ContentRevision() != before && m.Found != nil {
+			m.Found()
+		}
+	}
+}
+
 func (m *Mirror) list(ctx context.Context) bool {
 	s, err := m.Source.List(ctx, m.Kind, false)
 	now := time.Now()
@@ -256,7 +308,7 @@
 		defer cancel()
 	}
 	from := m.Revision()
-	changes, err := m.Source.Watch(ctx, m.Kind, from)
+	changes, err := m.Source.Watch(ctx, m.Kind, from, longWait)
 	if err != nil {
 		return err
 	}
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -185,7 +185,7 @@
 // step does what the selector decides.
 func (l *Loader) step(ctx context.Context, now time.Time) error {
 	s, _ := l.Snapshot()
-	if !s.Up || s.Model == "" {
+	if !s.Up || s.Model == "" || !l.Named.Known() {
 		return nil
 	}
 	action := l.Named.Next(s.Model, selector.Engine{Version: s.Version, Busy: s.Busy || now.Before(l.loading)}, l.holds, l.getTurn(), now)
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -36,13 +36,34 @@
 // maxHistory bounds the versions that are remembered of a model.
 const maxHistory = 16
 
-// Name records a version and reports whether it is newer than those known.
-func (n *Named) Name(model string, version int, now time.Time) bool {
+// Learn records the newest named versions and returns the models that have a
+// new one. Versions of the first call count as named long ago: a daemon that has
+// just started does not know when they were named.
+func (n *Named) Learn(versions map[string]int, now time.Time) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	at := now
 	if n.models == nil {
 		n.models = map[string]*naming{}
+		at = now.Add(-n.Window)
 	}
+	var news []string
+	for model, version := range versions {
+		if n.name(model, version, at) {
+			news = append(news, model)
+		}
+	}
+	return news
+}
+
+// Known tells whether Learn was called.
+func (n *Named) Known() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.models != nil
+}
+
+func (n *Named) name(model string, version int, at time.Time) bool {
 	m := n.models[model]
 	if m == nil {
 		m = &naming{}
@@ -52,7 +73,7 @@
 		return false
 	}
 	m.newest = version
-	m.history = append(m.history, learned{version: version, at: now})
+	m.history = append(m.history, learned{version: version, at: at})
 	if len(m.history) > maxHistory {
 		m.history = m.history[1:]
 	}
