--- /dev/null
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -0,0 +1,90 @@
+package cataloger
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/placer"
+)
+
+func registration(id string) Registration {
+	return Registration{Replica: placer.Replica{
+		ID: id, Address: id + ":1", Service: "s", Places: 4, Engine: true, Versions: map[string]int{"m": 1},
+	}}
+}
+
+func registrations(n int) []Registration {
+	var out []Registration
+	for i := range n {
+		out = append(out, registration("r"+strconv.Itoa(i)))
+	}
+	return out
+}
+
+// usable returns the ids of the replicas that take requests.
+func usable(c *Catalog, now time.Time) []string {
+	var out []string
+	for _, r := range c.Replicas(now) {
+		if !r.Draining {
+			out = append(out, r.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestVanishing guards against requests to a replica that is gone, and against
+// dropping replicas whose registrations an outage of the store has lost.
+func TestVanishing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	draining := registration("r0")
+	draining.Draining = true
+	tests := []struct {
+		name   string
+		before []Registration
+		after  []Registration
+		outage bool
+		wait   time.Duration
+		want   []string
+	}{
+		{"one is gone", registrations(4), registrations(3), false, 0, []string{"r0", "r1", "r2"}},
+		{"most vanish at once", registrations(4), registrations(1), false, 0, []string{"r0", "r1", "r2", "r3"}},
+		{"most vanish and do not return", registrations(4), registrations(1), false, returnTime, []string{"r0"}},
+		{"one vanishes after an outage", registrations(4), registrations(3), true, 0, []string{"r0", "r1", "r2", "r3"}},
+		{"one vanishes after an outage and does not return", registrations(4), registrations(3), true, returnTime, []string{"r0", "r1", "r2"}},
+		{"a draining one vanishes after an outage", []Registration{draining}, nil, true, 0, nil},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Catalog
+			c.Register(tc.before, start)
+			if tc.outage {
+				c.Outage(start.Add(time.Second))
+			}
+			at := start.Add(2 * time.Second)
+			c.Register(tc.after, at)
+			qt.Assert(t, usable(&c, at.Add(tc.wait)), qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+// TestAgentsWord guards against requests to an engine that its agent knows to
+// be down or loading, and against a silent agent that keeps an engine out.
+func TestAgentsWord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var c Catalog
+	c.Register(registrations(1), now)
+	c.Hear("r0:1", true, false, map[string]int{"m": 2}, now)
+	qt.Assert(t, c.Replicas(now)[0].Versions, qt.DeepEquals, map[string]int{"m": 2})
+	c.Hear("r0:1", true, true, nil, now)
+	qt.Assert(t, usable(&c, now), qt.HasLen, 0)
+	c.Hear("r0:1", false, false, nil, now)
+	qt.Assert(t, usable(&c, now), qt.HasLen, 0)
+	later := now.Add(agentAge + time.Second)
+	qt.Assert(t, usable(&c, later), qt.DeepEquals, []string{"r0"})
+	qt.Assert(t, c.Replicas(later)[0].Versions, qt.DeepEquals, map[string]int{"m": 1})
+}
