--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -14,7 +13,6 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
-	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -27,8 +25,11 @@
 	// from the VM it runs on.
 	tick = 100 * time.Millisecond
 	// transferTime bounds one transfer. A copy takes two seconds on the VM's
-	// link; a transfer that does not end may have a spoilt manifest.
+	// link; one that does not end is begun again with the chunks that are there.
 	transferTime = 12 * time.Second
+	// corruptLimit is the number of corrupt chunks in a transfer without any
+	// good one after which its manifest is read anew.
+	corruptLimit = 3
 	// drainNotice is the time between the notice to entry daemons and the order
 	// to load. It covers messages on their way.
 	drainNotice = 60 * time.Millisecond
@@ -94,7 +95,10 @@
 	InFlight int
 	// Importers bounds the agents of a region that read from the origin at once.
 	Importers int
-	Named     *selector.Named
+	// MaxImportBackoff bounds the pause between two reads of a chunk that the
+	// origin does not deliver; 0 is the planner's default.
+	MaxImportBackoff time.Duration
+	Named            *selector.Named
 	// Changed is called when entry daemons should hear of a new state.
 	Changed func()
 	Log     *logger.Logger
@@ -107,6 +111,8 @@
 	announced bool
 	held      map[int]*verifier.Manifest
 	turn      selector.Turn
+	// running is the newest transfer; only Run uses it.
+	running *transferRun
 }
 
 func (l *Loader) setTurn(t selector.Turn) {
@@ -188,23 +194,28 @@
 	if !s.Up || s.Model == "" || !l.Named.Known() {
 		return nil
 	}
-	action := l.Named.Next(s.Model, selector.Engine{Version: s.Version, Busy: s.Busy || now.Before(l.loading)}, l.holds, l.getTurn(), now)
-	switch action := action.(type) {
-	case selector.Nothing:
+	engine := selector.Engine{Version: s.Version, Busy: s.Busy || now.Before(l.loading)}
+	plan := l.Named.Next(s.Model, engine, l.holds, l.getTurn(), now)
+	if plan.Fetch > 0 {
+		l.fetch(ctx, s.Model, plan.Fetch)
+	}
+	if plan.Load > 0 {
+		return l.load(ctx, s, plan.Load)
+	}
+	if plan.Fetch == 0 {
 		return l.keepServed(ctx, s)
-	case selector.Fetch:
-		return l.fetch(ctx, s.Model, action.Version)
-	case selector.Load:
-		if now.Before(action.At) {
-			return nil
-		}
-		return l.load(ctx, s, action.Version)
 	}
 	return nil
 }
 
+func (l *Loader) manifest(version int) *verifier.Manifest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held[version]
+}
+
 func (l *Loader) holds(version int) bool {
-	m := l.held[version]
+	m := l.manifest(version)
 	if m == nil {
 		return false
 	}
@@ -215,7 +226,7 @@
 // keepServed holds the version that the engine serves, so that other agents can
 // read it here. What is staged at the engine spares the transfer.
 func (l *Loader) keepServed(ctx context.Context, s State) error {
-	if s.Version == 0 || l.held[s.Version] != nil {
+	if s.Version == 0 || l.manifest(s.Version) != nil {
 		return nil
 	}
 	_, err := l.begin(ctx, s.Model, s.Version)
@@ -225,7 +236,7 @@
 // begin makes a version known to the store, with the chunks that are staged at
 // the engine.
 func (l *Loader) begin(ctx context.Context, model string, version int) (*verifier.Manifest, error) {
-	if m := l.held[version]; m != nil {
+	if m := l.manifest(version); m != nil {
 		return m, nil
 	}
 	m, err := l.Origin.Describe(ctx, model, version)
@@ -237,7 +248,9 @@
 	if err != nil {
 		return nil, err
 	}
+	l.mu.Lock()
 	l.held[version] = m
+	l.mu.Unlock()
 	found := 0
 	for i := range m.Chunks {
 		data, ok, err := l.Engine.Staged(ctx, model, i)
@@ -265,6 +278,8 @@
 
 // dropOld frees the oldest versions, so that the new one finds room.
 func (l *Loader) dropOld(newest int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for len(l.held) >= keptVersions {
 		oldest := newest
 		for version := range l.held {
@@ -278,49 +293,27 @@
 	}
 }
 
-// fetch transfers a version. It returns early when a newer one is named.
-func (l *Loader) fetch(ctx context.Context, model string, version int) error {
-	m, err := l.begin(ctx, model, version)
-	if err != nil {
-		return err
-	}
-	region, slow := l.Origin.Region()
-	policy := "time"
-	if slow {
-		policy = "origin-bytes"
-	}
-	t := &fetcher.Transfer{
-		Version: &messenger.VersionRef{
-			Model: model, Name: strconv.Itoa(version), Digest: m.Digest(), Source: Source(model, version), SizeBytes: uint64(m.SizeBytes),
-		},
-		Self: l.Self, Policy: policy, OriginRegion: region, Source: l.Origin,
-		Dial: fetcher.DialGRPC(), Store: l.Store, Limiter: l.Limiter, InFlight: l.InFlight, Importers: l.Importers, Log: l.Log,
+// fetch starts the transfer of a version. A running transfer of an older one is
+// ended, or goes on when much of it is there.
+func (l *Loader) fetch(ctx context.Context, model string, version int) {
+	if t := l.running; t != nil {
+		if !t.ended.Load() && (t.version == version || selector.KeepTransfer(t.progress())) {
+			return
+		}
+		t.cancel()
+		l.running = nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, transferTime)
-	defer cancel()
-	w := &transferWatch{loader: l, transfer: t, cancel: cancel, model: model, version: version}
-	w.refresh(ctx)
-	go w.run(ctx)
-	started := time.Now()
-	err = t.Run(ctx)
-	if err == nil {
-		l.Log.Info("version transferred", zap.Int("version", version), zap.Duration("took", time.Since(started)))
-		return nil
-	}
-	if !w.superseded.Load() {
-		// The manifest may be at fault, so it is read anew.
-		l.Store.Drop(m.Digest())
-		delete(l.held, version)
-	}
-	return &transferError{Model: model, Version: version, Cause: err}
+	l.running = &transferRun{loader: l, model: model, version: version, cancel: cancel}
+	go l.running.run(ctx)
 }
 
 // Source is the path of a version in the weight source.
-func Source(model string, version int) string { return model + "@" + strconv.Itoa(version) }
+func Source(model string, version int) string { return fmt.Sprintf("%s@%d", model, version) }
 
 // load stages a version, verifies what is staged and gives the order.
 func (l *Loader) load(ctx context.Context, s State, version int) error {
-	m := l.held[version]
+	m := l.manifest(version)
 	if err := l.stage(ctx, s.Model, m); err != nil {
 		return err
 	}
--- a/internal/weights/planner/planner.go
+++ b/internal/weights/planner/planner.go
@@ -64,10 +64,10 @@
 	minBusy = 20 * time.Millisecond
 	// failedFor is how long a sender is left alone after a failed request.
 	failedFor = time.Second
-	// maxImportBackoff bounds the time between two reads of a chunk that the
-	// origin does not deliver.
-	maxImportBackoff = 8 * time.Second
-	minImportBackoff = 250 * time.Millisecond
+	// defaultMaxImportBackoff bounds the time between two reads of a chunk that
+	// the origin does not deliver.
+	defaultMaxImportBackoff = 8 * time.Second
+	minImportBackoff        = 250 * time.Millisecond
 )
 
 const (
@@ -151,6 +151,9 @@
 	PerPeer        int
 	ImportInFlight int
 	Importers      int
+	// MaxImportBackoff bounds the time between two reads of a chunk that the
+	// origin does not deliver.
+	MaxImportBackoff time.Duration
 
 	startedAt time.Time
 	region    []Peer
@@ -230,6 +233,9 @@
 	p.PerPeer = orDefault(p.PerPeer, DefaultPerPeer)
 	p.ImportInFlight = orDefault(p.ImportInFlight, DefaultImportInFlight)
 	p.Importers = orDefault(p.Importers, DefaultImporters)
+	if p.MaxImportBackoff <= 0 {
+		p.MaxImportBackoff = defaultMaxImportBackoff
+	}
 	p.startedAt = now
 	p.lastNews = now
 	p.lastOwnImport = now
@@ -343,7 +349,7 @@
 
 func (p *Planner) backOffImport(i int, now time.Time) {
 	b := p.importBackoff[i]
-	b.wait = min(max(minImportBackoff, 2*b.wait), maxImportBackoff)
+	b.wait = min(max(minImportBackoff, 2*b.wait), p.MaxImportBackoff)
 	jitter := time.Duration(p.Random.Int64N(int64(b.wait)/2 + 1))
 	b.until = now.Add(b.wait + jitter)
 	p.importBackoff[i] = b
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -116,29 +116,23 @@
 	Busy bool
 }
 
-// Action is what an agent does next: Nothing, Fetch or Load.
-type Action interface{ action() }
-
-// Nothing means that the engine serves the newest version, or is busy.
-type Nothing struct{}
-
-// Fetch means that a version has to be transferred.
-type Fetch struct{ Version int }
-
-// Load means that the engine is to load a version that is held, not before a
-// time.
-type Load struct {
-	Version int
-	At      time.Time
+// Plan is what an agent does next. Zero versions stand for nothing to do.
+type Plan struct {
+	// Load is the version that the engine is to load now.
+	Load int
+	// Fetch is the version to transfer.
+	Fetch int
 }
 
-func (Nothing) action() {}
-func (Fetch) action()   {}
-func (Load) action()    {}
-
-// loadShare is the part of the window within which replicas begin to load. The
-// rest is for the requests that are running at the last of them.
-const loadShare = 0.5
+const (
+	// loadShare is the part of the window within which replicas begin to load.
+	// The rest is for the requests that are running at the last of them.
+	loadShare = 0.5
+	// keepShare is the part of a version that has to be there for its transfer
+	// to go on when a newer version is named: its window ends earlier, and the
+	// origin may fail before the newer one is there.
+	keepShare = 0.25
+)
 
 // Turn is the place of a replica among those of its service, 0 first.
 type Turn struct {
@@ -150,7 +144,7 @@
 //
 // Replicas load one after the other, because one that loads takes no requests
 // until those that run have ended. A replica that serves nothing loads at once.
-func (n *Named) Next(model string, e Engine, held func(version int) bool, turn Turn, now time.Time) Action {
+func (n *Named) Next(model string, e Engine, held func(version int) bool, turn Turn, now time.Time) Plan {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	newest := 1
@@ -159,31 +153,39 @@
 		newest = m.newest
 	}
 	if e.Version >= newest {
-		return Nothing{}
+		return Plan{}
 	}
-	// A version in between is loaded too if it is there before the newest one,
-	// because its own window ends earlier.
-	for version := newest; version > e.Version; version-- {
-		if !held(version) {
-			continue
-		}
-		if e.Busy {
-			return Nothing{}
+	var plan Plan
+	if !held(newest) {
+		plan.Fetch = newest
+	}
+	if e.Busy || now.Before(n.loadTime(m, e, turn)) {
+		return plan
+	}
+	for version := newest; version > e.Version && version > 0; version-- {
+		if held(version) {
+			plan.Load = version
+			break
 		}
-		return Load{Version: version, At: n.loadTime(m, e, version, turn, now)}
 	}
-	return Fetch{Version: newest}
+	return plan
 }
 
-func (n *Named) loadTime(m *naming, e Engine, version int, turn Turn, now time.Time) time.Time {
+// KeepTransfer tells whether the transfer of an older version goes on. Progress
+// is the part of it that is there.
+func KeepTransfer(progress float64) bool { return progress >= keepShare }
+
+// loadTime returns when the replica's turn comes: that of the first version
+// that the engine lacks, because the window of that one ends first.
+func (n *Named) loadTime(m *naming, e Engine, turn Turn) time.Time {
 	if e.Version == 0 || m == nil || turn.Replicas <= 1 {
-		return now
+		return time.Time{}
 	}
 	for _, l := range m.history {
-		if l.version == version {
+		if l.version > e.Version {
 			share := loadShare * float64(turn.Position+1) / float64(turn.Replicas)
 			return l.at.Add(time.Duration(share * float64(n.Window)))
 		}
 	}
-	return now
+	return time.Time{}
 }
--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -50,6 +50,8 @@
 	Importers  int
 	Neighbours int
 	InFlight   int
+	// MaxImportBackoff overrides the planner's when positive.
+	MaxImportBackoff time.Duration
 
 	once     sync.Once
 	events   chan event
@@ -188,6 +190,8 @@
 		Importers:    t.Importers,
 		Neighbours:   t.Neighbours,
 		InFlight:     t.InFlight,
+
+		MaxImportBackoff: t.MaxImportBackoff,
 	}
 	t.plan.Start(held.Has, t.Clock())
 	t.mu.Lock()
