Place by the predicted first token

Cause: after replicas had loaded new weights, up to 16 prompts were sent to one replica at once, by daemons that did not know of each other's sends; first tokens took 0.5 to 1.9 s. Replicas that loaded were chosen again and again because their refusals made them look idle. Change: a request is placed only where the predicted first token, from the prompts that wait and the engine's speed, meets its target; a daemon assumes that others placed as much as itself since their last message; a refusing replica is left alone for a time that doubles; a request that waits past its version's window is taken back; loads are spread over 0.4 to 0.8 of the window. Ruled out: gossip at 100 ms between failure domains, for its bytes.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -12,8 +12,8 @@
 
 const (
 	// agentAge is how long the word of an agent goes before the registration.
-	// Agents speak each half second; registrations lag by more than a second.
-	agentAge = 1800 * time.Millisecond
+	// Agents speak at least each second; registrations lag by more than that.
+	agentAge = 2600 * time.Millisecond
 	// returnTime is how long registrations that vanished in an outage of the
 	// store are waited for: living replicas are registered again within about
 	// two seconds of its return.
@@ -125,7 +125,7 @@
 		}
 		r := e.replica
 		if word, ok := c.agents[r.Address]; ok && now.Sub(word.at) <= agentAge {
-			if r.Engine {
+			if r.Versions != nil {
 				r.Versions = word.versions
 			}
 			r.Draining = r.Draining || !word.up || word.loading
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
+	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
@@ -67,12 +68,12 @@
 
 // message is one datagram.
 type message struct {
-	From      Member            `json:"from"`
-	Revisions map[string]uint64 `json:"revisions,omitempty"`
-	Load      map[string]int    `json:"load,omitempty"`
-	Replica   *ReplicaState     `json:"replica,omitempty"`
-	Crashes   []blocker.Crash   `json:"crashes,omitempty"`
-	Members   []Member          `json:"members,omitempty"`
+	From      Member                 `json:"from"`
+	Revisions map[string]uint64      `json:"revisions,omitempty"`
+	Load      map[string]placer.Load `json:"load,omitempty"`
+	Replica   *ReplicaState          `json:"replica,omitempty"`
+	Crashes   []blocker.Crash        `json:"crashes,omitempty"`
+	Members   []Member               `json:"members,omitempty"`
 	// Introduce asks for the members.
 	Introduce bool `json:"introduce,omitempty"`
 }
@@ -90,12 +91,12 @@
 	Self func() Member
 	// Revisions returns the revision of each mirrored kind, if set.
 	Revisions func() map[string]uint64
-	// Load returns the requests in progress by replica, if set.
-	Load func() map[string]int
+	// Load returns the load of this daemon by replica, if set.
+	Load func() map[string]placer.Load
 	// Replica returns the state of the replica beside an agent, if set.
 	Replica func() *ReplicaState
 	// HeardLoad, HeardReplica and HeardCrash take what others say, if set.
-	HeardLoad    func(vm string, load map[string]int, now time.Time)
+	HeardLoad    func(from Member, load map[string]placer.Load, now time.Time)
 	HeardReplica func(s ReplicaState, now time.Time)
 	HeardCrash   func(c blocker.Crash, now time.Time)
 	Log          *logger.Logger
@@ -327,7 +328,7 @@
 	}
 	g.Members.Tell(m.Members, now)
 	if m.Load != nil && g.HeardLoad != nil {
-		g.HeardLoad(m.From.VM, m.Load, now)
+		g.HeardLoad(m.From, m.Load, now)
 	}
 	if m.Replica != nil && g.HeardReplica != nil {
 		g.HeardReplica(*m.Replica, now)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -34,7 +34,7 @@
 	minRemaining = 20 * time.Millisecond
 	// silenceFactor times the target is how long a replica may stay silent
 	// before a repeatable request is sent to another.
-	silenceFactor = 3
+	silenceFactor = 4.5
 	// minSilence is the least of that time.
 	minSilence = 700 * time.Millisecond
 	// retryExcess is the number of requests above its places that a replica may
@@ -120,7 +120,7 @@
 	remaining := x.request.Deadline.Sub(now)
 	a := Attempt{
 		Request: x.request, Number: x.sends, Replica: placed.Replica, Version: placed.Version,
-		Remaining: remaining, Resume: x.resume, FirstByte: x.silence(remaining),
+		Remaining: remaining, Resume: x.resume, FirstByte: x.firstByte(placed.Version, remaining, now),
 	}
 	out := x.Sender.Send(ctx, a)
 	x.logAttempt(a, placed, out)
@@ -148,17 +148,34 @@
 	q := placer.Query{
 		Service: r.Service, Model: r.Model, Exclude: x.tried, Returning: r.Returning, Priority: r.Priority,
 		MaxWait: time.Duration(waitShare * float64(r.Route.Target)),
+		Prompt:  r.Prompt, Target: r.Route.Target,
 	}
 	if r.Model != "" {
 		q.MinVersion = x.Versions.Oldest(r.Model, now)
 	}
 	if x.began || x.runs > 0 {
 		q.Excess = retryExcess
+		q.Target = 0
 		q.MaxWait = min(maxRetryWait, r.Deadline.Sub(now)/2)
 	}
 	return q
 }
 
+// firstByte bounds the wait for the first byte: by the silence that is allowed,
+// and by the time in which the request may begin on the version of its replica.
+// A request that waits at a replica which loads weights would begin too late.
+func (x *run) firstByte(version int, remaining time.Duration, now time.Time) time.Duration {
+	limit := x.silence(remaining)
+	if version == 0 {
+		return limit
+	}
+	left, ends := x.Versions.Expires(x.request.Model, version, now)
+	if ends && left > 0 && (limit == 0 || left < limit) {
+		return left
+	}
+	return limit
+}
+
 // silence bounds the wait for the first byte of a request that may be repeated
 // while another attempt is left.
 func (x *run) silence(remaining time.Duration) time.Duration {
@@ -166,7 +183,7 @@
 	if !r.Route.Repeatable() || x.runs+1 >= r.Route.MaxAttempts {
 		return 0
 	}
-	limit := max(minSilence, silenceFactor*r.Route.Target)
+	limit := max(minSilence, time.Duration(silenceFactor*float64(r.Route.Target)))
 	if limit > remaining*2/3 {
 		return 0
 	}
@@ -193,8 +210,7 @@
 		x.Placer.SetVersion(placed.Replica.Address, x.request.Model, 0, now)
 		placed.Done(placer.Neutral, now)
 	default:
-		placed.Full(now)
-		placed.Done(placer.Neutral, now)
+		placed.Done(placer.Full, now)
 	}
 	if x.sends >= maxSends {
 		return x.stop(out.Proof.Reason())
@@ -350,7 +366,7 @@
 	outcome, detail := describe(out)
 	entry.Write(zap.String("kind", "attempt"), zap.String("subject", x.request.ID), zap.Int("number", a.Number),
 		zap.String("chosen", a.Replica.ID), zap.String("address", a.Replica.Address), zap.Float64("load", placed.Load),
-		zap.Duration("load-age", placed.LoadAge), zap.Int("version", a.Version), zap.Duration("remaining", a.Remaining),
+		zap.Duration("load-age", placed.LoadAge), zap.Duration("predicted", placed.Predicted), zap.Int("version", a.Version), zap.Duration("remaining", a.Remaining),
 		zap.String("outcome", outcome), zap.String("detail", detail))
 }
 
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -16,6 +16,7 @@
 func (x *run) stream(ctx context.Context, placed placer.Placement, out Streaming) bool {
 	defer out.Events.Close()
 	x.runs++
+	placed.Started(time.Now())
 	if !x.began {
 		x.began = true
 		x.sink.Begin(out.Answer)
--- a/internal/request/dispatcher/types.go
+++ b/internal/request/dispatcher/types.go
@@ -17,7 +17,9 @@
 	Service string
 	Team    string
 	// Model is empty for plain services.
-	Model       string
+	Model string
+	// Prompt is the number of prompt tokens; 0 for plain services.
+	Prompt      int
 	Priority    int
 	Fingerprint blocker.Fingerprint
 	Arrived     time.Time
@@ -130,6 +132,9 @@
 type Versions interface {
 	// Oldest returns the oldest version on which a request may begin at a time.
 	Oldest(model string, now time.Time) int
+	// Expires returns how long a request may wait to begin on a version, and
+	// false when there is no bound.
+	Expires(model string, version int, now time.Time) (time.Duration, bool)
 }
 
 // Observer counts the ends of requests.
--- a/internal/request/matcher/matcher.go
+++ b/internal/request/matcher/matcher.go
@@ -102,6 +102,14 @@
 	// WarmUp is the time to load all layers.
 	WarmUp time.Duration
 	Models []string
+	// ReadPerSecond, Step, PerRequest and Stride are the engine's speed: prompt
+	// tokens read in a second, the time of one token of each running answer, what
+	// each running answer adds to it, and the steps between two looks at waiting
+	// prompts.
+	ReadPerSecond float64
+	Step          time.Duration
+	PerRequest    time.Duration
+	Stride        int
 	// RequireFence is set when replicas refuse orders with an old token.
 	RequireFence bool
 }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -1,10 +1,12 @@
 // Package placer decides which replica runs an attempt, whether a request
 // waits for a place, and when it is refused.
 //
-// It answers a load above what the replicas can run: a replica runs a bounded
-// number of requests at once, because one more makes the first token of each
-// later. A request that finds no place waits for a small part of its target and
-// is refused at once when the wait would be longer.
+// It answers a load above what the replicas can run, and requests that arrive
+// together, as they do when replicas return from loading. A model engine reads
+// the prompts that wait before it goes on with any answer, so that the time to
+// the first token grows with the prompts that were sent and have no token yet.
+// A request is placed only where the predicted time meets its target; it waits
+// for a small part of the target, and is refused when no replica fits by then.
 package placer
 
 import (
@@ -36,6 +38,23 @@
 	// peerLoadAge is the age at which the load told by another daemon no longer
 	// counts.
 	peerLoadAge = 2 * time.Second
+	// unreachablePenalty puts an unreachable replica behind all others.
+	unreachablePenalty = 1000
+	// readingPerRequest is the waiting prompt that weighs as much as one request
+	// in progress. A prompt of average length takes twice as long to read.
+	readingPerRequest = 25 * time.Millisecond
+	// placingMargin covers the network and the requests that other daemons have
+	// placed since their last message.
+	placingMargin = 30 * time.Millisecond
+	// minFullFor and maxFullFor bound how long a replica that refused for lack
+	// of room is left alone. The first is about the time in which one of its
+	// requests ends; it doubles while the replica goes on refusing, as one does
+	// that loads weights.
+	minFullFor = 100 * time.Millisecond
+	maxFullFor = 800 * time.Millisecond
+	// farLikeness is how much of what this daemon places is assumed of a daemon
+	// in another failure domain, which prefers other replicas.
+	farLikeness = 0.3
 	// maxWaiting bounds the requests that wait in one daemon.
 	maxWaiting = 512
 )
@@ -52,8 +71,53 @@
 	Draining bool
 	// Versions are the model versions that it serves, by model.
 	Versions map[string]int
-	// Engine tells model engines from plain services.
-	Engine bool
+	// Engine is set for model engines.
+	Engine *Engine
+}
+
+// Engine is the speed of a model engine.
+type Engine struct {
+	// ReadPerSecond is the number of prompt tokens read in a second.
+	ReadPerSecond float64
+	// Step is the time of one token of each running answer, and PerRequest what
+	// each running answer adds to it.
+	Step       time.Duration
+	PerRequest time.Duration
+	// Stride is the number of steps between two looks at waiting prompts.
+	Stride int
+}
+
+// reading is the time in which the engine reads a prompt.
+func (e *Engine) reading(tokens int) time.Duration {
+	if e == nil || e.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
+}
+
+// pass is the time between two looks at waiting prompts without any prompt.
+func (e *Engine) pass(running float64) time.Duration {
+	step := float64(e.Step) + running*float64(e.PerRequest)
+	return time.Duration(float64(max(e.Stride, 1)) * step)
+}
+
+// FirstToken predicts the time to the first token of a request: the rest of the
+// running pass, the prompts that wait, its own prompt and one pass.
+func (e *Engine) FirstToken(running float64, waiting time.Duration, prompt int) time.Duration {
+	if e == nil {
+		return 0
+	}
+	pass := e.pass(running)
+	return pass/2 + waiting + e.reading(prompt) + pass
+}
+
+// Load is the load of one daemon on a replica.
+type Load struct {
+	// Requests are those in progress.
+	Requests int `json:"n"`
+	// ReadingMs is the time in which the replica reads the prompts of those that
+	// have no token yet, in milliseconds.
+	ReadingMs int `json:"r,omitempty"`
 }
 
 // Query is what an attempt needs.
@@ -70,6 +134,11 @@
 	Priority  int
 	// MaxWait bounds the time in the queue.
 	MaxWait time.Duration
+	// Prompt is the number of prompt tokens, for model engines.
+	Prompt int
+	// Target is the time to the first token that a placement has to meet with
+	// the time in the queue; 0 is no bound.
+	Target time.Duration
 	// Excess is the number of requests above its places that a replica may be
 	// given, for attempts that have to be placed although the load is high.
 	Excess int
@@ -99,6 +168,8 @@
 	Failed
 	// Unreachable replicas are avoided at once.
 	Unreachable
+	// Full replicas refused for lack of room.
+	Full
 	// Neutral results say nothing about the replica.
 	Neutral
 )
@@ -110,6 +181,8 @@
 	// oldest part of it.
 	Load    float64
 	LoadAge time.Duration
+	// Predicted is the predicted time to the first token.
+	Predicted time.Duration
 	// Version is the version of the model that the replica is known to serve.
 	Version int
 	// Waited is the time in the queue.
@@ -117,19 +190,35 @@
 
 	owner *Placer
 	state *state
+	// prompt is the reading time of the request until Started.
+	prompt *time.Duration
 }
 
 type state struct {
 	Replica
-	inFlight    int
+	inFlight int
+	// reading is the reading time of the prompts without a token.
+	reading time.Duration
+	// recent are the latest placements, oldest first.
+	recent      []placement
 	failures    float64
 	failuresAt  time.Time
 	unreachable time.Time
-	full        time.Time
+	// full is until when the replica is taken to refuse, and fullFor the length
+	// of that time.
+	full    time.Time
+	fullFor time.Duration
+}
+
+// placement is one placement of this daemon.
+type placement struct {
+	at      time.Time
+	reading time.Duration
 }
 
 type peerLoad struct {
-	inFlight map[string]int
+	replicas map[string]Load
+	near     bool
 	at       time.Time
 }
 
@@ -193,27 +282,27 @@
 	p.admitWaiting(now)
 }
 
-// SetPeerLoad records how many requests another daemon has in progress on each
-// replica.
-func (p *Placer) SetPeerLoad(daemon string, inFlight map[string]int, now time.Time) {
+// SetPeerLoad records the load of another daemon on each replica. Near is set
+// for a daemon of the same failure domain.
+func (p *Placer) SetPeerLoad(daemon string, near bool, replicas map[string]Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
 		p.peers = map[string]peerLoad{}
 	}
-	p.peers[daemon] = peerLoad{inFlight: inFlight, at: now}
+	p.peers[daemon] = peerLoad{replicas: replicas, near: near, at: now}
 	p.admitWaiting(now)
 }
 
-// InFlight returns the requests in progress of this daemon by replica.
-func (p *Placer) InFlight() map[string]int {
+// Loads returns the load of this daemon by replica.
+func (p *Placer) Loads() map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[string]int{}
+	out := map[string]Load{}
 	for _, list := range p.services {
 		for _, s := range list {
 			if s.inFlight > 0 {
-				out[s.ID] = s.inFlight
+				out[s.ID] = Load{Requests: s.inFlight, ReadingMs: int(s.reading.Milliseconds())}
 			}
 		}
 	}
@@ -225,7 +314,7 @@
 func (p *Placer) Place(ctx context.Context, q Query, now time.Time) (Placement, error) {
 	p.mu.Lock()
 	if p.waiting.ahead(q) == 0 {
-		if placed, ok := p.choose(q, now); ok {
+		if placed, ok := p.choose(q, 0, now); ok {
 			p.mu.Unlock()
 			return placed, nil
 		}
@@ -292,7 +381,7 @@
 			return 0, false
 		}
 	}
-	if q.Model == "" || !s.Engine {
+	if q.Model == "" || s.Engine == nil {
 		return 0, true
 	}
 	version = s.Versions[q.Model]
@@ -301,53 +390,99 @@
 
 // choose takes the replica with the lowest score. Equal scores are decided at
 // random, so that daemons with the same view do not all choose the same one.
-func (p *Placer) choose(q Query, now time.Time) (Placement, bool) {
+func (p *Placer) choose(q Query, waited time.Duration, now time.Time) (Placement, bool) {
 	var best *state
 	var placed Placement
 	bestScore := math.Inf(1)
 	for _, s := range p.services[q.Service] {
 		version, ok := s.fits(q)
-		if !ok {
+		if !ok || now.Before(s.full) {
 			continue
 		}
-		load, age := p.load(s, now)
-		if int(load) >= s.Places+q.Excess {
+		load := p.load(s, now)
+		if int(load.requests) >= s.Places+q.Excess {
+			continue
+		}
+		predicted := s.Engine.FirstToken(load.requests, load.reading, q.Prompt)
+		if q.Target > 0 && s.Engine != nil && waited+predicted+placingMargin > q.Target && load.requests > 0 {
 			continue
 		}
 		score := p.score(s, load, now)
 		if score < bestScore {
 			best, bestScore = s, score
-			placed = Placement{Replica: s.Replica, Load: load, LoadAge: age, Version: version, owner: p, state: s}
+			placed = Placement{
+				Replica: s.Replica, Load: load.requests, LoadAge: load.age, Predicted: predicted, Version: version,
+				Waited: waited, owner: p, state: s,
+			}
 		}
 	}
 	if best == nil {
 		return Placement{}, false
 	}
+	prompt := best.Engine.reading(q.Prompt)
+	placed.prompt = &prompt
 	best.inFlight++
+	best.reading += prompt
+	best.remember(prompt, now)
 	return placed, true
 }
 
-// load is the number of requests in progress on a replica, of all daemons.
-func (p *Placer) load(s *state, now time.Time) (load float64, age time.Duration) {
-	load = float64(s.inFlight)
+// seenLoad is the load on a replica, of all daemons.
+type seenLoad struct {
+	requests float64
+	reading  time.Duration
+	age      time.Duration
+}
+
+func (p *Placer) load(s *state, now time.Time) seenLoad {
+	out := seenLoad{requests: float64(s.inFlight), reading: s.reading}
 	for _, peer := range p.peers {
 		since := now.Sub(peer.at)
 		if since > peerLoadAge {
 			continue
 		}
-		load += float64(peer.inFlight[s.ID])
-		age = max(age, since)
+		told := peer.replicas[s.ID]
+		requests, reading := s.placedSince(peer.at)
+		likeness := farLikeness
+		if peer.near {
+			likeness = 1
+		}
+		out.requests += float64(told.Requests) + likeness*float64(requests)
+		out.reading += time.Duration(told.ReadingMs)*time.Millisecond + time.Duration(likeness*float64(reading))
+		out.age = max(out.age, since)
+	}
+	return out
+}
+
+// placedSince sums up what this daemon placed on the replica after a time. The
+// daemon that sent its load at that time has probably placed as much since: all
+// see the same replica become free. On tmfpa scale-1 seven daemons sent 16
+// requests each to the first replica that had loaded new weights.
+func (s *state) placedSince(at time.Time) (requests int, reading time.Duration) {
+	for i := len(s.recent) - 1; i >= 0 && s.recent[i].at.After(at); i-- {
+		requests++
+		reading += s.recent[i].reading
 	}
-	return load, age
+	return requests, reading
 }
 
-func (p *Placer) score(s *state, load float64, now time.Time) float64 {
-	score := load + failurePenalty*s.failureRate(now) + p.random()
+// remember notes a placement and forgets those that no message is older than.
+func (s *state) remember(reading time.Duration, now time.Time) {
+	keep := 0
+	for keep < len(s.recent) && now.Sub(s.recent[keep].at) > peerLoadAge {
+		keep++
+	}
+	s.recent = append(s.recent[keep:], placement{at: now, reading: reading})
+}
+
+func (p *Placer) score(s *state, load seenLoad, now time.Time) float64 {
+	score := load.requests + failurePenalty*s.failureRate(now) + p.random()
+	score += float64(load.reading) / float64(readingPerRequest)
 	if s.FailureDomain != p.FailureDomain {
 		score += distancePenalty
 	}
-	if now.Before(s.unreachable) || now.Before(s.full) {
-		score += 1000
+	if now.Before(s.unreachable) {
+		score += unreachablePenalty
 	}
 	return score
 }
@@ -363,44 +498,53 @@
 	return rand.Float64()
 }
 
+// Started records the first token: the prompt has been read.
+func (pl Placement) Started(now time.Time) {
+	pl.owner.mu.Lock()
+	defer pl.owner.mu.Unlock()
+	pl.state.fullFor = 0
+	pl.read()
+	pl.owner.admitWaiting(now)
+}
+
+// read takes the prompt off the replica's reading time, once.
+func (pl Placement) read() {
+	pl.state.reading -= *pl.prompt
+	*pl.prompt = 0
+}
+
 // Done gives the place back and records the result.
 func (pl Placement) Done(result Result, now time.Time) {
 	p, s := pl.owner, pl.state
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.inFlight--
+	pl.read()
 	switch result {
 	case Succeeded:
 		s.failures = s.failureRate(now) * (1 - failureGain)
 		s.failuresAt = now
 		s.unreachable = time.Time{}
+		s.fullFor = 0
 	case Failed:
 		s.failures = s.failureRate(now)*(1-failureGain) + failureGain
 		s.failuresAt = now
 	case Unreachable:
 		s.unreachable = now.Add(unreachableFor)
+	case Full:
+		s.fullFor = min(max(2*s.fullFor, minFullFor), maxFullFor)
+		s.full = now.Add(s.fullFor)
 	case Neutral:
 	}
 	p.admitWaiting(now)
 }
 
-// fullFor is how long a replica that refused for lack of room is avoided: about
-// the time in which one of its requests ends.
-const fullFor = 100 * time.Millisecond
-
-// Full records that the replica had no room although it was expected to.
-func (pl Placement) Full(now time.Time) {
-	pl.owner.mu.Lock()
-	defer pl.owner.mu.Unlock()
-	pl.state.full = now.Add(fullFor)
-}
-
 // admitWaiting gives free places to waiting requests, in their order.
 func (p *Placer) admitWaiting(now time.Time) {
 	var skipped []*waiter
 	for p.waiting.Len() > 0 {
 		w := heap.Pop(&p.waiting).(*waiter)
-		placed, ok := p.choose(w.query, now)
+		placed, ok := p.choose(w.query, now.Sub(w.since), now)
 		if !ok {
 			skipped = append(skipped, w)
 			// A request for another service or version may still find a place.
@@ -409,7 +553,6 @@
 			}
 			continue
 		}
-		placed.Waited = now.Sub(w.since)
 		w.ready <- placed
 	}
 	for _, w := range skipped {
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -12,6 +12,11 @@
 // version became known a little after it was named.
 const margin = 1200 * time.Millisecond
 
+// beginMargin is how long before the end of the window a request that waits at
+// its replica is taken back. It covers the time in which the naming of the newer
+// version became known.
+const beginMargin = time.Second
+
 // Named knows the versions that were named and when. Window is set before use;
 // the zero value otherwise is ready.
 type Named struct {
@@ -90,6 +95,23 @@
 	return 0
 }
 
+// Expires returns how long a request may still wait to begin on a version, and
+// false when no newer version is named.
+func (n *Named) Expires(model string, version int, now time.Time) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.models[model]
+	if m == nil {
+		return 0, false
+	}
+	for _, l := range m.history {
+		if l.version > version {
+			return l.at.Add(n.Window - beginMargin).Sub(now), true
+		}
+	}
+	return 0, false
+}
+
 // Oldest returns the oldest version on which a request may begin: the newest
 // one whose window has ended.
 func (n *Named) Oldest(model string, now time.Time) int {
@@ -125,9 +147,11 @@
 }
 
 const (
-	// loadShare is the part of the window within which replicas begin to load.
-	// The rest is for the requests that are running at the last of them.
-	loadShare = 0.5
+	// firstLoadShare and lastLoadShare are the parts of the window between which
+	// replicas begin to load. A copy of the weights is there after the first,
+	// and after the last a replica could take no requests on its old version.
+	firstLoadShare = 0.4
+	lastLoadShare  = 0.8
 	// keepShare is the part of a version that has to be there for its transfer
 	// to go on when a newer version is named: its window ends earlier, and the
 	// origin may fail before the newer one is there.
@@ -183,7 +207,7 @@
 	}
 	for _, l := range m.history {
 		if l.version > e.Version {
-			share := loadShare * float64(turn.Position+1) / float64(turn.Replicas)
+			share := firstLoadShare + (lastLoadShare-firstLoadShare)*float64(turn.Position)/float64(turn.Replicas-1)
 			return l.at.Add(time.Duration(share * float64(n.Window)))
 		}
 	}
