Bound the wait for registrations that an outage lost

Change: the wait ends a fixed time after the outage, and is 1.2 s when many vanish without an outage; one line for each change of a replica. Ruled out: a stale copy from another daemon (lines of all nine daemons). The test case fails with the old bound.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
 const (
@@ -18,6 +21,10 @@
 	// store are waited for: living replicas are registered again within about
 	// two seconds of its return.
 	returnTime = 2200 * time.Millisecond
+	// massTime is how long many registrations that vanish together are waited for
+	// when no outage was seen. It is well within the two seconds in which a
+	// replica that left has to be left alone.
+	massTime = 1200 * time.Millisecond
 	// massShare is the share of a service's replicas whose registrations do not
 	// vanish at once unless the store lost them.
 	massShare = 0.34
@@ -46,8 +53,10 @@
 	keep time.Time
 }
 
-// Catalog is the list of replicas. The zero value is ready for use.
+// Catalog is the list of replicas. Log is set before use.
 type Catalog struct {
+	Log *logger.Logger
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	agents  map[string]agentWord
@@ -72,6 +81,9 @@
 	present := map[string]bool{}
 	for _, r := range list {
 		present[r.ID] = true
+		if old := c.entries[r.ID]; old == nil || !old.missing.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address {
+			c.log("registered", r.Replica, now)
+		}
 		c.entries[r.ID] = &entry{replica: r.Replica}
 	}
 	vanished, total := map[string]int{}, map[string]int{}
@@ -91,16 +103,30 @@
 			service := e.replica.Service
 			mass := vanished[service] >= minMass && float64(vanished[service]) >= massShare*float64(total[service])
 			// A replica that announced its end is gone whatever the cause.
-			if (afterOutage || mass) && !e.replica.Draining {
-				e.keep = now.Add(returnTime)
+			switch {
+			case e.replica.Draining:
+			case afterOutage:
+				e.keep = c.outage.Add(returnTime)
+			case mass:
+				e.keep = now.Add(massTime)
+			}
+			if now.Before(e.keep) {
+				c.log("registration vanished, waiting for its return", e.replica, now)
 			}
 		}
 		if !now.Before(e.keep) {
 			delete(c.entries, id)
+			c.log("gone", e.replica, now)
 		}
 	}
 }
 
+// log writes one line for a change of a replica.
+func (c *Catalog) log(event string, r placer.Replica, now time.Time) {
+	c.Log.Info("replica changed", zap.String("event", event), zap.String("replica", r.ID), zap.String("address", r.Address),
+		zap.String("service", r.Service), zap.Bool("draining", r.Draining), zap.Any("versions", r.Versions), zap.Time("at", now))
+}
+
 // Hear takes the word of the agent beside the replica at an address.
 func (c *Catalog) Hear(address string, up, loading bool, versions map[string]int, now time.Time) (changed bool) {
 	c.mu.Lock()
@@ -121,6 +147,7 @@
 	for id, e := range c.entries {
 		if !e.missing.IsZero() && !now.Before(e.keep) {
 			delete(c.entries, id)
+			c.log("did not return", e.replica, now)
 			continue
 		}
 		r := e.replica
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 )
@@ -53,14 +54,17 @@
 	}{
 		{"one is gone", registrations(4), registrations(3), false, 0, []string{"r0", "r1", "r2"}},
 		{"most vanish at once", registrations(4), registrations(1), false, 0, []string{"r0", "r1", "r2", "r3"}},
-		{"most vanish and do not return", registrations(4), registrations(1), false, returnTime, []string{"r0"}},
+		{"most vanish and do not return", registrations(4), registrations(1), false, massTime, []string{"r0"}},
 		{"one vanishes after an outage", registrations(4), registrations(3), true, 0, []string{"r0", "r1", "r2", "r3"}},
 		{"one vanishes after an outage and does not return", registrations(4), registrations(3), true, returnTime, []string{"r0", "r1", "r2"}},
+		// sscf trouble-1, seed 574400536802: a replica left 1.3 s after an outage
+		// and took requests for another 2.2 s.
+		{"one leaves a while after an outage", registrations(4), registrations(3), true, returnTime - time.Second, []string{"r0", "r1", "r2"}},
 		{"a draining one vanishes after an outage", []Registration{draining}, nil, true, 0, nil},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			var c Catalog
+			c := Catalog{Log: zap.NewNop()}
 			c.Register(tc.before, start)
 			if tc.outage {
 				c.Outage(start.Add(time.Second))
@@ -76,7 +80,7 @@
 // be down or loading, and against a silent agent that keeps an engine out.
 func TestAgentsWord(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var c Catalog
+	c := Catalog{Log: zap.NewNop()}
 	c.Register(registrations(1), now)
 	c.Hear("r0:1", true, false, map[string]int{"m": 2}, now)
 	qt.Assert(t, c.Replicas(now)[0].Versions, qt.DeepEquals, map[string]int{"m": 2})
