Unbounded transfers at idle engines; an outage lasts until the store answers

Cause: agents of empty engines kept a tenth of the link free for answers that do not exist; registrations that an outage lost were waited for from the last failed call on, which may be 0.4 s early.

--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -110,7 +110,7 @@
 	ProbeInterval time.Duration
 	// Found is called when a probe found what the watch did not bring, if set.
 	Found func()
-	// Lost is called at each failed call, if set.
+	// Lost is called at each failed call and at the end of an outage, if set.
 	Lost func(now time.Time)
 	Log  *logger.Logger
 
@@ -175,7 +175,6 @@
 		var compacted *CompactedError
 		switch {
 		case err == nil:
-			m.setReachable(true)
 			if !reachable {
 				m.Log.Info("dependency regained", zap.String("dependency", "object store"), zap.String("kind", m.Kind))
 				reachable = true
@@ -272,7 +271,9 @@
 		var compacted *CompactedError
 		switch {
 		case err == nil:
-			m.apply(changes, time.Now())
+			now := time.Now()
+			m.returned(now)
+			m.apply(changes, now)
 		case errors.As(err, &compacted):
 			m.Log.Info("history is gone, reading the list again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
 			m.list(ctx)
@@ -294,9 +295,7 @@
 		}
 		return false
 	}
-	m.mu.Lock()
-	m.fresh = now
-	m.mu.Unlock()
+	m.returned(now)
 	m.replace(s, now, "list")
 	return true
 }
@@ -312,10 +311,25 @@
 	if err != nil {
 		return err
 	}
-	m.apply(changes, time.Now())
+	now := time.Now()
+	m.returned(now)
+	m.apply(changes, now)
 	return nil
 }
 
+// returned notes an answer of the store. The outage that it ends lasted until
+// now, which Lost has to know before the changes are applied.
+func (m *Mirror) returned(now time.Time) {
+	m.mu.Lock()
+	m.fresh = now
+	wasLost := m.unreachable
+	m.unreachable = false
+	m.mu.Unlock()
+	if wasLost && m.Lost != nil {
+		m.Lost(now)
+	}
+}
+
 // replace takes a whole snapshot unless the copy is newer.
 func (m *Mirror) replace(s Snapshot, now time.Time, origin string) {
 	m.mu.Lock()
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -91,6 +91,10 @@
 	Self    *messenger.Peer
 	Store   *storer.Storer
 	Limiter *limiter.Limiter
+	// ServingRate bounds the transfers while the engine serves, in bytes per
+	// second; 0 does not bound them. An engine without weights has no answers
+	// that would wait on the link.
+	ServingRate float64
 	// InFlight bounds the chunks that are requested from other agents at once.
 	InFlight int
 	// Importers bounds the agents of a region that read from the origin at once.
@@ -111,7 +115,8 @@
 	announced bool
 	held      map[int]*verifier.Manifest
 	turn      selector.Turn
-	// running is the newest transfer; only Run uses it.
+	// limited and running, the newest transfer, are used by Run only.
+	limited bool
 	running *transferRun
 }
 
@@ -174,6 +179,7 @@
 		l.announced = false
 	}
 	l.mu.Unlock()
+	l.limit(s.Version > 0)
 	if old.Up != s.Up {
 		event := "dependency regained"
 		if !s.Up {
@@ -188,6 +194,19 @@
 	}
 }
 
+// limit bounds the transfers while the engine serves.
+func (l *Loader) limit(serving bool) {
+	if serving == l.limited {
+		return
+	}
+	l.limited = serving
+	rate := 0.0
+	if serving {
+		rate = l.ServingRate
+	}
+	l.Limiter.SetCeiling(rate)
+}
+
 // step does what the selector decides.
 func (l *Loader) step(ctx context.Context, now time.Time) error {
 	s, _ := l.Snapshot()
