Do not try again a version that a replica refused to run

Change: the placer leaves out a refuted version for 1.5 s, also when the list names it again. The new case of TestChoice fails with the old SetVersion.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -207,7 +207,7 @@
 	case out.Proof.Unreachable(), out.OtherReplica:
 		placed.Done(placer.Unreachable, now)
 	case out.OtherVersion:
-		x.Placer.SetVersion(placed.Replica.Address, x.request.Model, 0, now)
+		x.Placer.Refute(placed.Replica.Address, x.request.Model, placed.Version, now)
 		placed.Done(placer.Neutral, now)
 	default:
 		placed.Done(placer.Full, now)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -67,6 +67,8 @@
 	// strangerPenalty is the load by which a replica that others prefer has to be
 	// less loaded.
 	strangerPenalty = 1.5
+	// refutedFor is the time in which a registration follows its replica.
+	refutedFor = 1500 * time.Millisecond
 	// maxWaiting bounds the requests that wait in one daemon.
 	maxWaiting = 512
 )
@@ -224,6 +226,7 @@
 	// of that time.
 	full    time.Time
 	fullFor time.Duration
+	refuted refuted
 }
 
 // placement is one placement of this daemon.
@@ -276,29 +279,26 @@
 	p.admitWaiting(now)
 }
 
-// SetVersion records the version that the replica at an address serves, as
-// learned from its answers or from the agent beside it; 0 is none.
-func (p *Placer) SetVersion(address, model string, version int, now time.Time) {
+// Refute records that the replica at an address does not serve the version of a
+// model that it is listed with. Registrations lag, so that the list may name the
+// version again for a while.
+func (p *Placer) Refute(address, model string, version int, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, list := range p.services {
 		for _, s := range list {
-			if s.Address != address {
-				continue
+			if s.Address == address {
+				s.refuted = refuted{model: model, version: version, until: now.Add(refutedFor)}
 			}
-			versions := map[string]int{}
-			for m, v := range s.Versions {
-				versions[m] = v
-			}
-			if version == 0 {
-				delete(versions, model)
-			} else {
-				versions[model] = version
-			}
-			s.Versions = versions
 		}
 	}
-	p.admitWaiting(now)
+}
+
+// refuted is a version that a replica was found not to serve.
+type refuted struct {
+	model   string
+	version int
+	until   time.Time
 }
 
 // SetPeerLoad records the load of the daemon on another VM on each replica.
@@ -337,7 +337,7 @@
 			return placed, nil
 		}
 	}
-	usable := p.usable(q)
+	usable := p.usable(q, now)
 	if usable == 0 || q.MaxWait <= 0 || p.waiting.Len() >= maxWaiting {
 		err := &RefusedError{Service: q.Service, Reason: "no free place", Replicas: usable, Waiting: p.waiting.Len()}
 		if usable == 0 {
@@ -368,7 +368,7 @@
 	if w.index >= 0 {
 		heap.Remove(&p.waiting, w.index)
 	}
-	n, usable := p.waiting.Len(), p.usable(w.query)
+	n, usable := p.waiting.Len(), p.usable(w.query, time.Now())
 	p.mu.Unlock()
 	select {
 	case placed := <-w.ready:
@@ -380,17 +380,17 @@
 }
 
 // usable counts the replicas that could run the request if they had room.
-func (p *Placer) usable(q Query) int {
+func (p *Placer) usable(q Query, now time.Time) int {
 	n := 0
 	for _, s := range p.services[q.Service] {
-		if _, ok := s.fits(q); ok {
+		if _, ok := s.fits(q, now); ok {
 			n++
 		}
 	}
 	return n
 }
 
-func (s *state) fits(q Query) (version int, ok bool) {
+func (s *state) fits(q Query, now time.Time) (version int, ok bool) {
 	if s.Draining {
 		return 0, false
 	}
@@ -403,6 +403,9 @@
 		return 0, true
 	}
 	version = s.Versions[q.Model]
+	if version == s.refuted.version && q.Model == s.refuted.model && now.Before(s.refuted.until) {
+		return 0, false
+	}
 	return version, version > 0 && version >= q.MinVersion
 }
 
@@ -413,7 +416,7 @@
 	var placed Placement
 	bestScore := math.Inf(1)
 	for _, s := range p.services[q.Service] {
-		version, ok := s.fits(q)
+		version, ok := s.fits(q, now)
 		if !ok || now.Before(s.full) {
 			continue
 		}
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -54,7 +54,21 @@
 		{"not an old version", []Replica{replica("r1", "a", 4)}, Query{Model: "m", MinVersion: 2}, nil, ""},
 		{"not another model", []Replica{replica("r1", "a", 4)}, Query{Model: "other"}, nil, ""},
 		{"a version heard from the agent", []Replica{replica("r1", "a", 4)}, Query{Model: "m", MinVersion: 2}, func(p *Placer) {
-			p.SetVersion("r1:1", "m", 2, now)
+			changed := replica("r1", "a", 4)
+			changed.Versions = map[string]int{"m": 2}
+			p.Update([]Replica{changed}, now)
+		}, "r1"},
+		// sscf, recorded day: 348 requests were refused after a restart, because
+		// the list named the versions again that replicas had refused to run.
+		{"not a version that the replica refused to run", []Replica{replica("r1", "a", 4)}, Query{Model: "m"}, func(p *Placer) {
+			p.Refute("r1:1", "m", 1, now)
+			p.Update([]Replica{replica("r1", "a", 4)}, now)
+		}, ""},
+		{"another version than the refused one", []Replica{replica("r1", "a", 4)}, Query{Model: "m"}, func(p *Placer) {
+			p.Refute("r1:1", "m", 2, now)
+		}, "r1"},
+		{"the refused version after a while", []Replica{replica("r1", "a", 4)}, Query{Model: "m"}, func(p *Placer) {
+			p.Refute("r1:1", "m", 1, now.Add(-refutedFor))
 		}, "r1"},
 		{"not an unreachable one", []Replica{replica("r1", "a", 4), replica("r2", "b", 4)}, Query{}, func(p *Placer) {
 			pl, _ := p.choose(Query{Service: "llm"}, 0, now)
