--- a/internal/request/recognizer/recognizer.go
+++ b/internal/request/recognizer/recognizer.go
@@ -1,39 +1,59 @@
-// Package recognizer tells the first try of a caller from a later one. Callers
-// state the time they have left, which is the same for each first try on a route
-// and shorter for a try after a refusal.
+// Package recognizer tells the first try of a caller from one after a refusal.
+// It knows the refusals of its own daemon only: a caller that comes back to
+// another daemon counts as new there. The time that callers state does not tell,
+// because callers of one route state different times.
 package recognizer
 
 import (
 	"sync"
 	"time"
-)
 
-// maxRoutes bounds the memory.
-const maxRoutes = 8192
+	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
+)
 
-// firstShare of the longest deadline of a route is the least that a first try
-// states. A try after a refusal has lost at least a round trip and the pause.
-const firstShare = 0.99
+const (
+	// rememberFor is how long a refusal is remembered. Callers come back within
+	// a third of the time they have, which is two seconds in the deployments.
+	rememberFor = 3 * time.Second
+	// maxRefusals bounds the memory.
+	maxRefusals = 4096
+)
 
-// Recognizer knows the longest deadline of each route. The zero value is ready
-// for use.
+// Recognizer remembers refusals. The zero value is ready for use.
 type Recognizer struct {
 	mu      sync.Mutex
-	longest map[string]time.Duration
+	refused map[blocker.Fingerprint]time.Time
 }
 
-// Returning takes the deadline of a request and tells whether its caller
-// probably tried before.
-func (r *Recognizer) Returning(route string, left time.Duration) bool {
+// Refused records that a caller was refused.
+func (r *Recognizer) Refused(f blocker.Fingerprint, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.longest == nil || len(r.longest) >= maxRoutes {
-		r.longest = map[string]time.Duration{}
+	if r.refused == nil {
+		r.refused = map[blocker.Fingerprint]time.Time{}
 	}
-	longest := r.longest[route]
-	if left >= longest {
-		r.longest[route] = left
-		return false
+	if len(r.refused) >= maxRefusals {
+		r.forget(now)
+	}
+	if len(r.refused) < maxRefusals {
+		r.refused[f] = now
+	}
+}
+
+// Returning tells whether the same request was refused a short while ago. It
+// forgets the refusal, because the caller may send the request anew later.
+func (r *Recognizer) Returning(f blocker.Fingerprint, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.refused[f]
+	delete(r.refused, f)
+	return ok && now.Sub(at) <= rememberFor
+}
+
+func (r *Recognizer) forget(now time.Time) {
+	for f, at := range r.refused {
+		if now.Sub(at) > rememberFor {
+			delete(r.refused, f)
+		}
 	}
-	return float64(left) < firstShare*float64(longest)
 }
--- a/internal/request/recognizer/recognizer_test.go
+++ b/internal/request/recognizer/recognizer_test.go
@@ -5,26 +5,32 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
 )
 
 // TestReturning guards against new requests that are queued behind as if their
 // callers had been refused, and the other way round.
 func TestReturning(t *testing.T) {
+	now := time.Unix(1000, 0)
 	tests := []struct {
-		name  string
-		route string
-		left  time.Duration
-		want  bool
+		name    string
+		refused []blocker.Fingerprint
+		ask     blocker.Fingerprint
+		after   time.Duration
+		want    bool
 	}{
-		{"first of a route", "a", 6 * time.Second, false},
-		{"same deadline", "a", 6 * time.Second, false},
-		{"after a refusal", "a", 5500 * time.Millisecond, true},
-		{"another route", "b", time.Second, false},
-		{"a longer deadline becomes the measure", "b", 2 * time.Second, false},
-		{"the earlier one is now short", "b", time.Second, true},
+		{"never refused", nil, 1, 0, false},
+		{"refused", []blocker.Fingerprint{1}, 1, time.Second, true},
+		{"another was refused", []blocker.Fingerprint{2}, 1, time.Second, false},
+		{"long ago", []blocker.Fingerprint{1}, 1, rememberFor + time.Second, false},
 	}
-	var r Recognizer
 	for _, tc := range tests {
-		qt.Check(t, r.Returning(tc.route, tc.left), qt.Equals, tc.want, qt.Commentf(tc.name))
+		var r Recognizer
+		for _, f := range tc.refused {
+			r.Refused(f, now)
+		}
+		qt.Check(t, r.Returning(tc.ask, now.Add(tc.after)), qt.Equals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, r.Returning(tc.ask, now.Add(tc.after)), qt.IsFalse)
 	}
 }
