--- /dev/null
+++ b/internal/weights/loader/loader_test.go
@@ -0,0 +1,201 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
+	"github.com/lentilbridge/lentilbridge/pkg/limiter"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/storer"
+	"github.com/lentilbridge/lentilbridge/pkg/verifier"
+)
+
+const (
+	chunkCount = 4
+	chunkBytes = 16
+)
+
+// fakeEngine holds staged chunks and spoils some of them. It implements Engine.
+type fakeEngine struct {
+	state  State
+	staged map[int][]byte
+	// spoils is how many times a chunk is spoilt when it is staged.
+	spoils map[int]int
+	// loaded is what lay staged at each order.
+	loaded []map[int][]byte
+	orders []uint64
+}
+
+func (e *fakeEngine) State(context.Context) (State, error) { return e.state, nil }
+
+func (e *fakeEngine) Staged(_ context.Context, _ string, chunk int) ([]byte, bool, error) {
+	data, ok := e.staged[chunk]
+	return data, ok, nil
+}
+
+func (e *fakeEngine) Stage(_ context.Context, _ string, chunk int, data []byte) error {
+	data = bytes.Clone(data)
+	if e.spoils[chunk] > 0 {
+		e.spoils[chunk]--
+		data[0]++
+	}
+	e.staged[chunk] = data
+	return nil
+}
+
+func (e *fakeEngine) Load(_ context.Context, _ string, _ int, orders uint64) error {
+	at := map[int][]byte{}
+	for i, data := range e.staged {
+		at[i] = data
+	}
+	e.loaded = append(e.loaded, at)
+	e.orders = append(e.orders, orders)
+	return nil
+}
+
+// fakeOrigin has one manifest for each version. It implements Origin.
+type fakeOrigin struct{}
+
+var errNoOrigin = errors.New("origin is down")
+
+func (fakeOrigin) Manifest(context.Context, string) ([]byte, error) { return nil, errNoOrigin }
+
+func (fakeOrigin) ReadRange(context.Context, string, int64, int64) ([]byte, error) {
+	return nil, errNoOrigin
+}
+
+func (fakeOrigin) Describe(_ context.Context, model string, version int) (*verifier.Manifest, error) {
+	m := &verifier.Manifest{
+		Model: model, Name: strconv.Itoa(version), Algorithm: verifier.AlgorithmSHA256,
+		SizeBytes: chunkCount * chunkBytes, ChunkSizeBytes: chunkBytes,
+	}
+	for i := range chunkCount {
+		m.Chunks = append(m.Chunks, sha256.Sum256(chunk(version, i)))
+	}
+	return m, nil
+}
+
+func (fakeOrigin) Region() (string, bool) { return "r", true }
+
+func chunk(version, index int) []byte {
+	return bytes.Repeat([]byte{byte(16*version + index)}, chunkBytes)
+}
+
+func version(v int) map[int][]byte {
+	out := map[int][]byte{}
+	for i := range chunkCount {
+		out[i] = chunk(v, i)
+	}
+	return out
+}
+
+func newLoader(e *fakeEngine, versions map[string]int, now time.Time) *Loader {
+	l := &Loader{
+		Engine: e, Origin: fakeOrigin{}, Store: &storer.Storer{}, Limiter: &limiter.Limiter{}, Named: &selector.Named{Window: 8 * time.Second},
+		Self:    &messenger.Peer{Vm: "self"},
+		Peers:   func(context.Context) ([]*messenger.Peer, selector.Turn) { return nil, selector.Turn{Replicas: 1} },
+		Changed: func() {}, Log: zap.NewNop(),
+	}
+	l.Named.Learn(versions, now)
+	return l
+}
+
+// TestStaged guards against an order to load chunks that are spoilt or of
+// another version: the engine loads what is staged without looking at it.
+func TestStaged(t *testing.T) {
+	spoilt := version(2)
+	spoilt[1] = []byte("spoilt")
+	mixed := version(2)
+	mixed[3] = chunk(1, 3)
+	tests := []struct {
+		name   string
+		held   bool
+		staged map[int][]byte
+		spoils map[int]int
+		loads  int
+	}{
+		{"nothing staged", true, map[int][]byte{}, nil, 1},
+		{"whole version staged", true, version(2), nil, 1},
+		{"a spoilt chunk", true, spoilt, nil, 1},
+		{"a chunk of another version", true, mixed, nil, 1},
+		{"spoilt again while it is staged", true, map[int][]byte{}, map[int]int{2: 2}, 1},
+		{"spoilt each time", true, map[int][]byte{}, map[int]int{2: 99}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &fakeEngine{state: State{Up: true, Model: "m", Orders: 5}, staged: tc.staged, spoils: tc.spoils}
+				l := newLoader(e, map[string]int{"m": 2}, time.Now())
+				l.held = map[int]*verifier.Manifest{}
+				m, err := l.Origin.Describe(context.Background(), "m", 2)
+				qt.Assert(t, err, qt.IsNil)
+				digest, err := l.Store.Begin(m)
+				qt.Assert(t, err, qt.IsNil)
+				for i := range chunkCount {
+					c, err := verifier.Check(m, i, chunk(2, i))
+					qt.Assert(t, err, qt.IsNil)
+					_, err = l.Store.Add(digest, c)
+					qt.Assert(t, err, qt.IsNil)
+				}
+				l.held[2] = m
+				err = l.load(context.Background(), e.state, 2)
+				qt.Assert(t, e.loaded, qt.HasLen, tc.loads)
+				qt.Assert(t, err == nil, qt.Equals, tc.loads == 1)
+				for i, at := range e.loaded {
+					qt.Assert(t, at, qt.DeepEquals, version(2))
+					qt.Assert(t, e.orders[i], qt.Equals, uint64(5))
+				}
+			})
+		})
+	}
+}
+
+// TestReloadFromStaged guards against a transfer for an engine that crashed and
+// whose chunks are still staged beside it: here the origin is down, too.
+func TestReloadFromStaged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		e := &fakeEngine{state: State{Up: true, Model: "m"}, staged: version(2)}
+		l := newLoader(e, map[string]int{"m": 2}, time.Now())
+		done := &loaderRun{loader: l, ended: make(chan struct{})}
+		go done.run(ctx)
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-done.ended
+		qt.Assert(t, len(e.loaded) > 0, qt.IsTrue)
+		qt.Assert(t, e.loaded[0], qt.DeepEquals, version(2))
+	})
+}
+
+type loaderRun struct {
+	loader *Loader
+	ended  chan struct{}
+}
+
+func (r *loaderRun) run(ctx context.Context) {
+	r.loader.Run(ctx)
+	close(r.ended)
+}
+
+// TestWaitsForVersions guards against an agent that has just started and loads
+// the first version because it does not know which ones were named.
+func TestWaitsForVersions(t *testing.T) {
+	e := &fakeEngine{state: State{Up: true, Model: "m"}, staged: version(1)}
+	l := newLoader(e, nil, time.Now())
+	l.Named = &selector.Named{Window: time.Second}
+	l.held = map[int]*verifier.Manifest{}
+	l.state = e.state
+	qt.Assert(t, l.step(context.Background(), time.Now()), qt.IsNil)
+	qt.Assert(t, l.running, qt.IsNil)
+	qt.Assert(t, e.loaded, qt.HasLen, 0)
+}
--- a/pkg/verifier/verifier_test.go
+++ b/pkg/verifier/verifier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
 	"strings"
 	"testing"
@@ -84,3 +85,25 @@
 		}
 	})
 }
+
+// TestSHA256Chunks guards against chunks of an origin with SHA-256 digests that
+// are compared by another algorithm, and against two manifests that differ in
+// the algorithm only and share an identity.
+func TestSHA256Chunks(t *testing.T) {
+	c := qt.New(t)
+	data := []byte("weights!")
+	m := &verifier.Manifest{Model: "m", Name: "1", SizeBytes: 8, ChunkSizeBytes: 8, Algorithm: verifier.AlgorithmSHA256, Chunks: []verifier.Digest{sha256.Sum256(data)}}
+	_, err := verifier.Check(m, 0, data)
+	c.Assert(err, qt.IsNil)
+	_, err = verifier.Check(m, 0, []byte("spoilt!!"))
+	var wrong *verifier.DigestError
+	c.Assert(errors.As(err, &wrong), qt.IsTrue)
+	plain := *m
+	plain.Algorithm = ""
+	_, err = verifier.Check(&plain, 0, data)
+	c.Assert(errors.As(err, &wrong), qt.IsTrue)
+	c.Assert(plain.Digest(), qt.Not(qt.Equals), m.Digest())
+	parsed, err := verifier.Parse(m.Canonical())
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed, qt.DeepEquals, m)
+}
