--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -1,4 +1,4 @@
-// Package gossiper keeps the daemons in touch: who is there, which revision of
+// Package gossiper exchanges state between daemons: who is there, which revision of
 // the configuration each has, and how many requests each has in progress on
 // which replica.
 //
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilbridge/lentilbridge/internal/shared/notifier"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
@@ -189,7 +190,7 @@
 				relist = time.Now().Add(relistAfterOutage)
 			}
 			pause = minPause
-			sleep(ctx, m.Settle)
+			waiter.Wait(ctx, m.Settle)
 		case errors.As(err, &compacted):
 			m.Log.Info("history is gone, reading the list again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
 			listed = false
@@ -217,7 +218,7 @@
 
 // follow takes newer content of other daemons for one interval.
 func (m *Mirror) follow(ctx context.Context) {
-	sleep(ctx, followPause)
+	waiter.Wait(ctx, followPause)
 	if !m.Peers.HaveNewer(m.Kind, m.ContentRevision()) {
 		return
 	}
@@ -257,7 +258,7 @@
 			m.replace(s, time.Now(), "peer")
 		}
 	}
-	sleep(ctx, pause/2+rand.N(pause))
+	waiter.Wait(ctx, pause/2+rand.N(pause))
 	return min(2*pause, maxPause)
 }
 
@@ -266,7 +267,7 @@
 func (m *Mirror) FollowPeers(ctx context.Context) {
 	var behindSince time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, peerPause)
+		waiter.Wait(ctx, peerPause)
 		now := time.Now()
 		if !m.Peers.HaveNewer(m.Kind, m.ContentRevision()) {
 			behindSince = time.Time{}
@@ -290,7 +291,7 @@
 // from it that their copies are old.
 func (m *Mirror) Probe(ctx context.Context, active func() bool) {
 	for ctx.Err() == nil {
-		sleep(ctx, m.ProbeInterval)
+		waiter.Wait(ctx, m.ProbeInterval)
 		if !active() {
 			continue
 		}
@@ -427,15 +428,3 @@
 
 // Changed returns a channel that is closed at the next change.
 func (m *Mirror) Changed() <-chan struct{} { return m.changed.Changed() }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -13,9 +13,6 @@
 	"container/heap"
 	"context"
 	"fmt"
-	"math"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 )
@@ -92,42 +89,6 @@
 	Sharers []string
 }
 
-// Engine is the speed of a model engine.
-type Engine struct {
-	// ReadPerSecond is the number of prompt tokens read in a second.
-	ReadPerSecond float64
-	// Step is the time of one token of each running answer, and PerRequest what
-	// each running answer adds to it.
-	Step       time.Duration
-	PerRequest time.Duration
-	// Stride is the number of steps between two looks at waiting prompts.
-	Stride int
-}
-
-// reading is the time in which the engine reads a prompt.
-func (e *Engine) reading(tokens int) time.Duration {
-	if e == nil || e.ReadPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
-}
-
-// pass is the time between two looks at waiting prompts without any prompt.
-func (e *Engine) pass(running float64) time.Duration {
-	step := float64(e.Step) + running*float64(e.PerRequest)
-	return time.Duration(float64(max(e.Stride, 1)) * step)
-}
-
-// FirstToken predicts the time to the first token of a request: the rest of the
-// running pass, the prompts that wait, its own prompt and one pass.
-func (e *Engine) FirstToken(running float64, waiting time.Duration, prompt int) time.Duration {
-	if e == nil {
-		return 0
-	}
-	pass := e.pass(running)
-	return pass/2 + waiting + e.reading(prompt) + pass
-}
-
 // Load is the load of one daemon on a replica.
 type Load struct {
 	// Requests are those in progress.
@@ -379,149 +340,6 @@
 	return Placement{}, &RefusedError{Service: w.query.Service, Reason: reason, Replicas: usable, Waiting: n}
 }
 
-// usable counts the replicas that could run the request if they had room.
-func (p *Placer) usable(q Query, now time.Time) int {
-	n := 0
-	for _, s := range p.services[q.Service] {
-		if _, ok := s.fits(q, now); ok {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *state) fits(q Query, now time.Time) (version int, ok bool) {
-	if s.Draining {
-		return 0, false
-	}
-	for _, id := range q.Exclude {
-		if id == s.ID {
-			return 0, false
-		}
-	}
-	if q.Model == "" || s.Engine == nil {
-		return 0, true
-	}
-	version = s.Versions[q.Model]
-	if version == s.refuted.version && q.Model == s.refuted.model && now.Before(s.refuted.until) {
-		return 0, false
-	}
-	return version, version > 0 && version >= q.MinVersion
-}
-
-// choose takes the replica with the lowest score. Equal scores are decided at
-// random, so that daemons with the same view do not all choose the same one.
-func (p *Placer) choose(q Query, waited time.Duration, now time.Time) (Placement, bool) {
-	var best *state
-	var placed Placement
-	bestScore := math.Inf(1)
-	for _, s := range p.services[q.Service] {
-		version, ok := s.fits(q, now)
-		if !ok || now.Before(s.full) {
-			continue
-		}
-		load := p.load(s, now)
-		if int(load.requests) >= s.Places+q.Excess {
-			continue
-		}
-		predicted := p.biased(q.Service, s.Engine.FirstToken(load.requests, load.reading, q.Prompt))
-		if q.Target > 0 && s.Engine != nil && waited+predicted+placingMargin > q.Target && load.requests > 0 {
-			continue
-		}
-		score := p.score(s, load, now)
-		if score < bestScore {
-			best, bestScore = s, score
-			placed = Placement{
-				Replica: s.Replica, Load: load.requests, LoadAge: load.age, Predicted: predicted, Version: version,
-				Waited: waited, placed: now, owner: p, state: s,
-			}
-		}
-	}
-	if best == nil {
-		return Placement{}, false
-	}
-	prompt := best.Engine.reading(q.Prompt)
-	placed.prompt = &prompt
-	best.inFlight++
-	best.reading += prompt
-	best.remember(prompt, now)
-	return placed, true
-}
-
-// seenLoad is the load on a replica, of all daemons.
-type seenLoad struct {
-	requests float64
-	reading  time.Duration
-	age      time.Duration
-}
-
-func (p *Placer) load(s *state, now time.Time) seenLoad {
-	out := seenLoad{requests: float64(s.inFlight), reading: s.reading}
-	stranger := min(strangerLikeness, maxStrangers/float64(max(len(p.peers), 1)))
-	for vm, peer := range p.peers {
-		since := now.Sub(peer.at)
-		if since > peerLoadAge {
-			continue
-		}
-		told := peer.replicas[s.ID]
-		requests, reading := s.placedSince(peer.at)
-		likeness := stranger
-		if slices.Contains(s.Sharers, vm) {
-			likeness = 1
-		}
-		out.requests += float64(told.Requests) + likeness*float64(requests)
-		out.reading += time.Duration(told.ReadingMs)*time.Millisecond + time.Duration(likeness*float64(reading))
-		out.age = max(out.age, since)
-	}
-	return out
-}
-
-// placedSince sums up what this daemon placed on the replica after a time. The
-// daemon that sent its load at that time has probably placed as much since: all
-// see the same replica become free. On tmfpa scale-1 seven daemons sent 16
-// requests each to the first replica that had loaded new weights.
-func (s *state) placedSince(at time.Time) (requests int, reading time.Duration) {
-	for i := len(s.recent) - 1; i >= 0 && s.recent[i].at.After(at); i-- {
-		requests++
-		reading += s.recent[i].reading
-	}
-	return requests, reading
-}
-
-// remember notes a placement and forgets those that no message is older than.
-func (s *state) remember(reading time.Duration, now time.Time) {
-	keep := 0
-	for keep < len(s.recent) && now.Sub(s.recent[keep].at) > peerLoadAge {
-		keep++
-	}
-	s.recent = append(s.recent[keep:], placement{at: now, reading: reading})
-}
-
-func (p *Placer) score(s *state, load seenLoad, now time.Time) float64 {
-	score := load.requests + failurePenalty*s.failureRate(now) + p.random()
-	score += float64(load.reading) / float64(readingPerRequest)
-	if s.FailureDomain != p.FailureDomain {
-		score += distancePenalty
-	} else if len(s.Sharers) > 0 && !slices.Contains(s.Sharers, p.VM) {
-		score += strangerPenalty
-	}
-	if now.Before(s.unreachable) {
-		score += unreachablePenalty
-	}
-	return score
-}
-
-func (s *state) failureRate(now time.Time) float64 {
-	return s.failures * math.Exp2(-float64(now.Sub(s.failuresAt))/float64(failureHalfLife))
-}
-
-func (p *Placer) random() float64 {
-	if p.Random != nil {
-		return p.Random()
-	}
-	return rand.Float64()
-}
-
 // Started records the first token: the prompt has been read.
 func (pl Placement) Started(now time.Time) {
 	pl.owner.mu.Lock()
@@ -532,25 +350,6 @@
 	pl.owner.admitWaiting(now)
 }
 
-// learn corrects predictions by the first tokens that were seen. Daemons do not
-// see what others have just sent, and the more of them there are the more that
-// is: on tmfpa grown first tokens took 0.6 s where 0.35 s were predicted.
-func (p *Placer) learn(pl Placement, took time.Duration) {
-	if pl.Predicted <= 0 || pl.state.Engine == nil {
-		return
-	}
-	if p.bias == nil {
-		p.bias = map[string]float64{}
-	}
-	bias := max(p.bias[pl.state.Service], 1)
-	seen := min(bias*float64(took)/float64(pl.Predicted), maxBias)
-	p.bias[pl.state.Service] = max(bias+biasGain*(seen-bias), 1)
-}
-
-func (p *Placer) biased(service string, predicted time.Duration) time.Duration {
-	return time.Duration(max(p.bias[service], 1) * float64(predicted))
-}
-
 // read takes the prompt off the replica's reading time, once.
 func (pl Placement) read() {
 	pl.state.reading -= *pl.prompt
@@ -582,86 +381,3 @@
 	}
 	p.admitWaiting(now)
 }
-
-// admitWaiting gives free places to waiting requests, in their order.
-func (p *Placer) admitWaiting(now time.Time) {
-	var skipped []*waiter
-	for p.waiting.Len() > 0 {
-		w := heap.Pop(&p.waiting).(*waiter)
-		placed, ok := p.choose(w.query, now.Sub(w.since), now)
-		if !ok {
-			skipped = append(skipped, w)
-			// A request for another service or version may still find a place.
-			if len(skipped) >= maxSkipped {
-				break
-			}
-			continue
-		}
-		w.ready <- placed
-	}
-	for _, w := range skipped {
-		heap.Push(&p.waiting, w)
-	}
-}
-
-// maxSkipped bounds the waiting requests that one change examines.
-const maxSkipped = 8
-
-// waiter is a request in the queue.
-type waiter struct {
-	query    Query
-	since    time.Time
-	sequence uint64
-	ready    chan Placement
-	index    int
-}
-
-// waitQueue orders new requests before returning ones, then by priority, then
-// by arrival.
-type waitQueue []*waiter
-
-func (q waitQueue) Len() int { return len(q) }
-
-func (q waitQueue) Less(i, j int) bool {
-	a, b := q[i], q[j]
-	if a.query.Returning != b.query.Returning {
-		return !a.query.Returning
-	}
-	if a.query.Priority != b.query.Priority {
-		return a.query.Priority < b.query.Priority
-	}
-	return a.sequence < b.sequence
-}
-
-func (q waitQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (q *waitQueue) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*q)
-	*q = append(*q, w)
-}
-
-// Pop implements heap.Interface.
-func (q *waitQueue) Pop() any {
-	last := len(*q) - 1
-	w := (*q)[last]
-	(*q)[last] = nil
-	*q = (*q)[:last]
-	w.index = -1
-	return w
-}
-
-// ahead counts the waiting requests of the service that go before the query.
-func (q waitQueue) ahead(query Query) int {
-	n := 0
-	for _, w := range q {
-		if w.query.Service == query.Service && (query.Returning || !w.query.Returning) && w.query.Priority <= query.Priority {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/internal/request/placer/queue.go
@@ -0,0 +1,89 @@
+package placer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// admitWaiting gives free places to waiting requests, in their order.
+func (p *Placer) admitWaiting(now time.Time) {
+	var skipped []*waiter
+	for p.waiting.Len() > 0 {
+		w := heap.Pop(&p.waiting).(*waiter)
+		placed, ok := p.choose(w.query, now.Sub(w.since), now)
+		if !ok {
+			skipped = append(skipped, w)
+			// A request for another service or version may still find a place.
+			if len(skipped) >= maxSkipped {
+				break
+			}
+			continue
+		}
+		w.ready <- placed
+	}
+	for _, w := range skipped {
+		heap.Push(&p.waiting, w)
+	}
+}
+
+// maxSkipped bounds the waiting requests that one change examines.
+const maxSkipped = 8
+
+// waiter is a request in the queue.
+type waiter struct {
+	query    Query
+	since    time.Time
+	sequence uint64
+	ready    chan Placement
+	index    int
+}
+
+// waitQueue orders new requests before returning ones, then by priority, then
+// by arrival.
+type waitQueue []*waiter
+
+func (q waitQueue) Len() int { return len(q) }
+
+func (q waitQueue) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	if a.query.Returning != b.query.Returning {
+		return !a.query.Returning
+	}
+	if a.query.Priority != b.query.Priority {
+		return a.query.Priority < b.query.Priority
+	}
+	return a.sequence < b.sequence
+}
+
+func (q waitQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *waitQueue) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+
+// Pop implements heap.Interface.
+func (q *waitQueue) Pop() any {
+	last := len(*q) - 1
+	w := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	w.index = -1
+	return w
+}
+
+// ahead counts the waiting requests of the service that go before the query.
+func (q waitQueue) ahead(query Query) int {
+	n := 0
+	for _, w := range q {
+		if w.query.Service == query.Service && (query.Returning || !w.query.Returning) && w.query.Priority <= query.Priority {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
@@ -156,7 +157,7 @@
 			l.observe(ctx)
 			if err := l.step(ctx, now); err != nil && ctx.Err() == nil {
 				l.Log.Warn("step failed", zap.Error(err))
-				wait(ctx, errorPause)
+				waiter.Wait(ctx, errorPause)
 			}
 		}
 	}
@@ -340,7 +341,7 @@
 	l.mu.Unlock()
 	l.Changed()
 	if s.Version > 0 {
-		wait(ctx, drainNotice)
+		waiter.Wait(ctx, drainNotice)
 	}
 	err := l.Engine.Load(ctx, s.Model, version, s.Orders)
 	l.Log.Info("decision", zap.String("kind", "load"), zap.String("subject", Source(s.Model, version)),
@@ -402,12 +403,3 @@
 }
 
 func (e *transferError) Unwrap() error { return e.Cause }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/weights/loader/watch.go
+++ b/internal/weights/loader/watch.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/fetcher"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
@@ -44,7 +45,7 @@
 	started := time.Now()
 	if err := r.transferAll(ctx); err != nil {
 		r.loader.Log.Warn("transfer ended", zap.String("model", r.model), zap.Int("version", r.version), zap.Error(err))
-		wait(ctx, errorPause)
+		waiter.Wait(ctx, errorPause)
 		return
 	}
 	r.loader.Log.Info("version transferred", zap.Int("version", r.version), zap.Duration("took", time.Since(started)))
