--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -200,8 +200,8 @@
 			// The wait ended for the list that is due.
 		default:
 			m.lost(ctx, &reachable)
-			// The answer of a watch may have been lost with its connection, so
-			// the list tells whether something is missing.
+			// The next watch begins at the same revision, so that an answer that
+			// was lost with its connection is repeated.
 			pause = m.waitForStore(ctx, pause)
 		}
 	}
