--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -22,8 +22,9 @@
 	// two seconds of its return.
 	returnTime = 2200 * time.Millisecond
 	// maxWait bounds the wait for one registration: a replica that left has to be
-	// left alone two seconds later, and its end became known a little late.
-	maxWait = 1600 * time.Millisecond
+	// left alone two seconds later, its end became known a little late, and the
+	// list for placing is rebuilt each half second.
+	maxWait = 1200 * time.Millisecond
 	// massTime is how long many registrations that vanish together are waited for
 	// when no outage was seen. It is well within the two seconds in which a
 	// replica that left has to be left alone.
