Bound the wait for vanished registrations by the drain time

Cause: the wait was three constants fitted to a drain time of 2 s; deployments with 3 s waited too short after an outage, one with 1 s would have broken the drain. Now it is the drain time of the settings less 0.8 s, and one rule for single and mass losses. Also removed what nothing read: Mirror.Fresh and Changed, Blocker.Suspects, decoded fields of services, the Registration wrapper. Ruled out: a fence with orders, as these deployments do not ask for one.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -21,14 +21,10 @@
 	// store are waited for: living replicas are registered again within about
 	// two seconds of its return.
 	returnTime = 2200 * time.Millisecond
-	// maxWait bounds the wait for one registration: a replica that left has to be
-	// left alone two seconds later, its end became known a little late, and the
-	// list for placing is rebuilt each half second.
-	maxWait = 1200 * time.Millisecond
-	// massTime is how long many registrations that vanish together are waited for
-	// when no outage was seen. It is well within the two seconds in which a
-	// replica that left has to be left alone.
-	massTime = 1200 * time.Millisecond
+	// noticeTime is the part of the drain time that is not available for waiting:
+	// the end of a replica becomes known a little late, and the list for placing
+	// is rebuilt each half second.
+	noticeTime = 800 * time.Millisecond
 	// massShare is the share of a service's replicas whose registrations do not
 	// vanish at once unless the store lost them.
 	massShare = 0.34
@@ -36,11 +32,6 @@
 	minMass = 3
 )
 
-// Registration is a replica as it registered itself.
-type Registration struct {
-	placer.Replica
-}
-
 // agentWord is what the agent beside a replica said last.
 type agentWord struct {
 	up       bool
@@ -57,9 +48,12 @@
 	keep time.Time
 }
 
-// Catalog is the list of replicas. Log is set before use.
+// Catalog is the list of replicas. Fields are set before use.
 type Catalog struct {
-	Log *logger.Logger
+	// DrainTime is within which a replica that left has to be left alone. It
+	// bounds the wait for a registration that vanished.
+	DrainTime time.Duration
+	Log       *logger.Logger
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -76,7 +70,7 @@
 }
 
 // Register replaces the registrations.
-func (c *Catalog) Register(list []Registration, now time.Time) {
+func (c *Catalog) Register(list []placer.Replica, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.entries == nil {
@@ -86,9 +80,9 @@
 	for _, r := range list {
 		present[r.ID] = true
 		if old := c.entries[r.ID]; old == nil || !old.missing.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address {
-			c.log("registered", r.Replica, now)
+			c.log("registered", r, now)
 		}
-		c.entries[r.ID] = &entry{replica: r.Replica}
+		c.entries[r.ID] = &entry{replica: r}
 	}
 	vanished, total := map[string]int{}, map[string]int{}
 	for id, e := range c.entries {
@@ -110,9 +104,9 @@
 			switch {
 			case e.replica.Draining:
 			case afterOutage:
-				e.keep = earlier(c.outage.Add(returnTime), now.Add(maxWait))
+				e.keep = earlier(c.outage.Add(returnTime), now.Add(c.maxWait()))
 			case mass:
-				e.keep = now.Add(massTime)
+				e.keep = now.Add(c.maxWait())
 			}
 			if now.Before(e.keep) {
 				c.log("registration vanished, waiting for its return", e.replica, now)
@@ -125,6 +119,9 @@
 	}
 }
 
+// maxWait is the longest wait for a registration that vanished.
+func (c *Catalog) maxWait() time.Duration { return max(0, c.DrainTime-noticeTime) }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -12,14 +12,15 @@
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 )
 
-func registration(id string) Registration {
-	return Registration{Replica: placer.Replica{
-		ID: id, Address: id + ":1", Service: "s", Places: 4, Versions: map[string]int{"m": 1},
-	}}
+// drainTime is that of the milestone's deployments.
+const drainTime = 2 * time.Second
+
+func registration(id string) placer.Replica {
+	return placer.Replica{ID: id, Address: id + ":1", Service: "s", Places: 4, Versions: map[string]int{"m": 1}}
 }
 
-func registrations(n int) []Registration {
-	var out []Registration
+func registrations(n int) []placer.Replica {
+	var out []placer.Replica
 	for i := range n {
 		out = append(out, registration("r"+strconv.Itoa(i)))
 	}
@@ -46,8 +47,8 @@
 	draining.Draining = true
 	tests := []struct {
 		name   string
-		before []Registration
-		after  []Registration
+		before []placer.Replica
+		after  []placer.Replica
 		outage bool
 		// outageEnd is counted from the start; the change is seen at 2 s.
 		outageEnd time.Duration
@@ -56,7 +57,7 @@
 	}{
 		{"one is gone", registrations(4), registrations(3), false, time.Second, 0, []string{"r0", "r1", "r2"}},
 		{"most vanish at once", registrations(4), registrations(1), false, time.Second, 0, []string{"r0", "r1", "r2", "r3"}},
-		{"most vanish and do not return", registrations(4), registrations(1), false, time.Second, massTime, []string{"r0"}},
+		{"most vanish and do not return", registrations(4), registrations(1), false, time.Second, drainTime - noticeTime, []string{"r0"}},
 		{"one vanishes after an outage", registrations(4), registrations(3), true, time.Second, 0, []string{"r0", "r1", "r2", "r3"}},
 		{"one vanishes after an outage and does not return", registrations(4), registrations(3), true, time.Second, returnTime, []string{"r0", "r1", "r2"}},
 		// sscf trouble-1, seed 574400536802: a replica left 1.3 s after an outage
@@ -65,11 +66,11 @@
 		// sscf, day drawn as fresh-647f: a daemon noticed the end of an outage as a
 		// replica left, and sent to it for another 2.2 s.
 		{"one leaves at the end of an outage", registrations(4), registrations(3), true, 2 * time.Second, 2*time.Second - 300*time.Millisecond, []string{"r0", "r1", "r2"}},
-		{"a draining one vanishes after an outage", []Registration{draining}, nil, true, time.Second, 0, nil},
+		{"a draining one vanishes after an outage", []placer.Replica{draining}, nil, true, time.Second, 0, nil},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			c := Catalog{Log: zap.NewNop()}
+			c := Catalog{DrainTime: drainTime, Log: zap.NewNop()}
 			c.Register(tc.before, start)
 			if tc.outage {
 				c.Outage(start.Add(tc.outageEnd))
@@ -81,11 +82,35 @@
 	}
 }
 
+// TestWaitFollowsDrainTime guards against a wait beyond the time in which a
+// replica that left has to be left alone, and against one that ends needlessly
+// early where that time is longer.
+func TestWaitFollowsDrainTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		drainTime time.Duration
+		wait      time.Duration
+	}{
+		{0, 0},
+		{time.Second, 200 * time.Millisecond},
+		{3 * time.Second, 2200 * time.Millisecond},
+	}
+	for _, tc := range tests {
+		c := Catalog{DrainTime: tc.drainTime, Log: zap.NewNop()}
+		c.Register(registrations(4), now)
+		c.Register(nil, now)
+		if tc.wait > 0 {
+			qt.Assert(t, usable(&c, now.Add(tc.wait-time.Millisecond)), qt.HasLen, 4, qt.Commentf("%v", tc.drainTime))
+		}
+		qt.Assert(t, usable(&c, now.Add(tc.wait)), qt.HasLen, 0, qt.Commentf("%v", tc.drainTime))
+	}
+}
+
 // TestAgentsWord guards against requests to an engine that its agent knows to
 // be down or loading, and against a silent agent that keeps an engine out.
 func TestAgentsWord(t *testing.T) {
 	now := time.Unix(1000, 0)
-	c := Catalog{Log: zap.NewNop()}
+	c := Catalog{DrainTime: drainTime, Log: zap.NewNop()}
 	c.Register(registrations(1), now)
 	c.Hear("r0:1", true, false, map[string]int{"m": 2}, now)
 	qt.Assert(t, c.Replicas(now)[0].Versions, qt.DeepEquals, map[string]int{"m": 2})
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -16,7 +16,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lentilbridge/lentilbridge/internal/shared/notifier"
 	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
@@ -123,11 +122,8 @@
 	mu       sync.Mutex
 	snapshot Snapshot
 	known    bool
-	// fresh is when the store last confirmed the copy.
-	fresh time.Time
 	// unreachable is set while calls fail.
 	unreachable bool
-	changed     notifier.Notifier
 }
 
 // Get returns the copy and whether there is one. The snapshot must not be
@@ -152,13 +148,6 @@
 	return m.snapshot.Content
 }
 
-// Fresh returns when the store last confirmed the copy.
-func (m *Mirror) Fresh() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fresh
-}
-
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := minPause
@@ -350,7 +339,6 @@
 // now, which Lost has to know before the changes are applied.
 func (m *Mirror) returned(now time.Time) {
 	m.mu.Lock()
-	m.fresh = now
 	wasLost := m.unreachable
 	m.unreachable = false
 	m.mu.Unlock()
@@ -382,7 +370,6 @@
 
 func (m *Mirror) apply(c Changes, now time.Time) {
 	m.mu.Lock()
-	m.fresh = now
 	if c.Revision < m.snapshot.Revision {
 		m.mu.Unlock()
 		return
@@ -419,12 +406,8 @@
 	if m.Applied != nil {
 		m.Applied(s, now)
 	}
-	m.changed.Notify()
 }
 
 func sameObjects(a, b map[string]Object) bool {
 	return maps.EqualFunc(a, b, func(x, y Object) bool { return x.Revision == y.Revision })
 }
-
-// Changed returns a channel that is closed at the next change.
-func (m *Mirror) Changed() <-chan struct{} { return m.changed.Changed() }
--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -93,16 +93,6 @@
 	return s != nil && len(s.replicas) >= crashesToBlock && now.Sub(s.at) < rememberFor
 }
 
-// Suspects counts the replicas that the request broke.
-func (b *Blocker) Suspects(f Fingerprint) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := b.known[f]; s != nil {
-		return len(s.replicas)
-	}
-	return 0
-}
-
 func (b *Blocker) forget(now time.Time) {
 	for f, s := range b.known {
 		if now.Sub(s.at) >= rememberFor {
--- a/internal/request/matcher/matcher.go
+++ b/internal/request/matcher/matcher.go
@@ -95,12 +95,8 @@
 
 // Engine describes the replicas of a model.
 type Engine struct {
-	Slots      int
-	Layers     int
-	Chunks     int
-	ChunkBytes int
-	// WarmUp is the time to load all layers.
-	WarmUp time.Duration
+	Slots  int
+	Layers int
 	Models []string
 	// ReadPerSecond, Step, PerRequest and Stride are the engine's speed: prompt
 	// tokens read in a second, the time of one token of each running answer, what
@@ -110,8 +106,6 @@
 	Step          time.Duration
 	PerRequest    time.Duration
 	Stride        int
-	// RequireFence is set when replicas refuse orders with an old token.
-	RequireFence bool
 }
 
 // Limits bound what a caller may send.
