Add a fault soak of the platform's daemons

tools/soak runs the real daemons as processes between stand-ins for callers, replicas, the object store and the origin, injects faults by signals, proxies and the stand-ins, in series and overlapping, and checks the guarantees from what callers and replicas see. Mechanisms are removed by a build overlay, so that the daemons carry no switch for it. Replica check, drain and version check are still being searched for.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build up demo test bench generate
+.PHONY: build up demo test bench soak soak-mutations generate
 
 build:
 	go build -o bin/ ./cmd/... ./tools/...
@@ -22,5 +22,17 @@
 bench: build
 	go run ./tools/bench
 
+# SEEDS, DURATION and SEED choose the runs; without SEED they are fresh.
+SEEDS ?= 50
+DURATION ?= 20s
+soak: build
+	./bin/soak --seeds $(SEEDS) --duration $(DURATION) $(if $(SEED),--seed $(SEED),)
+
+# soak-mutations shows that the soak reports daemons without a mechanism.
+soak-mutations: build
+	for m in replica-check not-run-proof digest-check drain version-check; do \
+		./bin/soak --without $$m --seed 1 --seeds $(SEEDS) --duration 25s --until-violation || exit 1; \
+	done
+
 generate:
 	buf generate
--- /dev/null
+++ b/tools/soak/mutations.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// mutation removes one mechanism from the daemons, to show that the soak would
+// report its absence. The source in the repository stays as it is: the build
+// reads the changed file in its place.
+type mutation struct {
+	name     string
+	file     string
+	old, new string
+}
+
+var mutations = []mutation{
+	{
+		"replica-check", "platform/sender.go",
+		"h.Set(headerExpectReplica, a.Replica.ID)", "h.Del(headerExpectReplica)",
+	},
+	{
+		"not-run-proof", "platform/sender.go",
+		"return dispatcher.Lost{Cause: err, Broken: true}\n}\n\n// classify",
+		"return dispatcher.Refused{Proof: prover.NeverSent(err.Error())}\n}\n\n// classify",
+	},
+	{
+		"digest-check", "pkg/verifier/chunk.go",
+		"found := m.sum(data)", "found := m.Chunks[index]",
+	},
+	{
+		"drain", "platform/configuration.go",
+		"case \"draining\":\n\t\tr.Draining = true", "case \"draining\":",
+	},
+	{
+		"version-check", "internal/weights/selector/selector.go",
+		"if now.Sub(l.at) >= n.Window-margin {", "if now.Sub(l.at) >= 1000*n.Window {",
+	},
+}
+
+func mutationNames() []string {
+	var names []string
+	for _, m := range mutations {
+		names = append(names, m.name)
+	}
+	return names
+}
+
+// mutationError reports a mutation that cannot be made.
+type mutationError struct{ Name, Reason string }
+
+func (e *mutationError) Error() string { return fmt.Sprintf("mutation %q: %s", e.Name, e.Reason) }
+
+// build builds the daemon, without a mechanism if one is named, and returns the
+// path of the program.
+func build(dir, without string) (string, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	root, err := moduleRoot()
+	if err != nil {
+		return "", err
+	}
+	binary := filepath.Join(dir, "lentil-platform")
+	args := []string{"build", "-o", binary}
+	if without != "" {
+		binary += "-without-" + without
+		overlay, err := mutate(root, dir, without)
+		if err != nil {
+			return "", err
+		}
+		args = []string{"build", "-overlay", overlay, "-o", binary}
+	}
+	cmd := exec.Command("go", append(args, "./cmd/lentil-platform")...)
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build of the daemon: %w: %s", err, out)
+	}
+	return binary, nil
+}
+
+func moduleRoot() (string, error) {
+	out, err := exec.Command("go", "env", "GOMOD").Output()
+	if err != nil {
+		return "", err
+	}
+	return filepath.Dir(strings.TrimSpace(string(out))), nil
+}
+
+// mutate writes the changed file and the overlay that puts it in place of the
+// other.
+func mutate(root, dir, name string) (overlay string, err error) {
+	for _, m := range mutations {
+		if m.name != name {
+			continue
+		}
+		path := filepath.Join(root, m.file)
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return "", err
+		}
+		if strings.Count(string(source), m.old) != 1 {
+			return "", &mutationError{Name: name, Reason: "the text to change does not occur exactly once in " + m.file}
+		}
+		changed := filepath.Join(dir, name+".go")
+		if err := os.WriteFile(changed, []byte(strings.Replace(string(source), m.old, m.new, 1)), 0o600); err != nil {
+			return "", err
+		}
+		raw, err := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+		if err != nil {
+			return "", err
+		}
+		overlay = filepath.Join(dir, name+".json")
+		return overlay, os.WriteFile(overlay, raw, 0o600)
+	}
+	return "", &mutationError{Name: name, Reason: "does not exist; there are " + strings.Join(mutationNames(), ", ")}
+}
