Tell the load of a failure domain in one summary to the others

Now one daemon of a failure domain sums up what the others told it, and agents whose replica stays the same speak to other failure domains half as often. Ruled out: longer intervals for all, as the registry relies on messages to see a daemon end within 1.6 s.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// agentAge is how long the word of an agent goes before the registration.
-	// Agents speak at least each second; registrations lag by more than that.
-	agentAge = 2600 * time.Millisecond
+	// agentAge is how long the word of an agent goes before the registration,
+	// which lags by about a second. Agents speak at least each two seconds, and
+	// at once of a change; one message may be lost.
+	agentAge = 4600 * time.Millisecond
 	// returnTime is how long registrations that vanished in an outage of the
 	// store are waited for: living replicas are registered again within about
 	// two seconds of its return.
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -31,6 +32,9 @@
 	// DefaultFarInterval is the time between messages to other failure domains,
 	// where bytes have a price.
 	DefaultFarInterval = 500 * time.Millisecond
+	// steadyAfter is the number of messages at the short interval after which a
+	// state of a replica counts as steady.
+	steadyAfter = 3
 	// askInterval is how often a daemon that hears no other asks for members.
 	askInterval = time.Second
 	// maxFar bounds the daemons of other failure domains in one round, so that
@@ -62,8 +66,11 @@
 	Versions map[string]int `json:"versions,omitempty"`
 	// Loading is set from the order to load until the new version serves.
 	Loading bool `json:"loading,omitempty"`
-	Queued  int  `json:"queued,omitempty"`
-	Running int  `json:"running,omitempty"`
+}
+
+// steady tells whether the state is one that lasts and was told before.
+func (s *ReplicaState) steady(before *ReplicaState) bool {
+	return s.Up && !s.Loading && before != nil && before.Up && !before.Loading && maps.Equal(s.Versions, before.Versions)
 }
 
 // message is one datagram.
@@ -71,9 +78,11 @@
 	From      Member                 `json:"from"`
 	Revisions map[string]uint64      `json:"revisions,omitempty"`
 	Load      map[string]placer.Load `json:"load,omitempty"`
-	Replica   *ReplicaState          `json:"replica,omitempty"`
-	Crashes   []blocker.Crash        `json:"crashes,omitempty"`
-	Members   []Member               `json:"members,omitempty"`
+	// Summary is set when Load is that of all daemons of the failure domain.
+	Summary bool            `json:"summary,omitempty"`
+	Replica *ReplicaState   `json:"replica,omitempty"`
+	Crashes []blocker.Crash `json:"crashes,omitempty"`
+	Members []Member        `json:"members,omitempty"`
 	// Introduce asks for the members.
 	Introduce bool `json:"introduce,omitempty"`
 }
@@ -85,6 +94,9 @@
 	// and to other failure domains; 0 is the default.
 	NearInterval time.Duration
 	FarInterval  time.Duration
+	// SteadyFarInterval replaces FarInterval while the state of the replica
+	// stays the same, if set.
+	SteadyFarInterval time.Duration
 	// Seeds are addresses to ask when no other daemon is known.
 	Seeds []string
 	// Self returns what this daemon says of itself.
@@ -93,10 +105,13 @@
 	Revisions func() map[string]uint64
 	// Load returns the load of this daemon by replica, if set.
 	Load func() map[string]placer.Load
+	// DomainLoad returns the load of all entry daemons of the failure domain. One
+	// of them tells it to the other failure domains, if set.
+	DomainLoad func(now time.Time) map[string]placer.Load
 	// Replica returns the state of the replica beside an agent, if set.
 	Replica func() *ReplicaState
 	// HeardLoad, HeardReplica and HeardCrash take what others say, if set.
-	HeardLoad    func(from Member, load map[string]placer.Load, now time.Time)
+	HeardLoad    func(from Member, summary bool, load map[string]placer.Load, now time.Time)
 	HeardReplica func(s ReplicaState, now time.Time)
 	HeardCrash   func(c blocker.Crash, now time.Time)
 	Log          *logger.Logger
@@ -106,8 +121,12 @@
 	mu      sync.Mutex
 	crashes []told
 	asked   time.Time
-	urgent  chan struct{}
-	once    sync.Once
+	// toldState is the state of the replica in the last message, and changed when
+	// it last was another one.
+	toldState *ReplicaState
+	changed   time.Time
+	urgent    chan struct{}
+	once      sync.Once
 }
 
 type told struct {
@@ -152,7 +171,7 @@
 			hurry = true
 		}
 		now := time.Now()
-		far := hurry || now.Sub(lastFar) >= orDefault(g.FarInterval, DefaultFarInterval)
+		far := hurry || now.Sub(lastFar) >= g.farInterval(now)
 		if far {
 			lastFar = now
 		}
@@ -168,6 +187,19 @@
 	}
 }
 
+// farInterval is the time between messages to other failure domains. A new state
+// of the replica is told a few times at the short interval, because datagrams
+// may be lost.
+func (g *Gossiper) farInterval(now time.Time) time.Duration {
+	short := orDefault(g.FarInterval, DefaultFarInterval)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.SteadyFarInterval == 0 || g.toldState == nil || now.Sub(g.changed) < steadyAfter*short {
+		return short
+	}
+	return g.SteadyFarInterval
+}
+
 // sendRound sends one message to the near daemons and, if far is set, to those
 // of other failure domains.
 func (g *Gossiper) sendRound(far, introduce bool, now time.Time) {
@@ -186,15 +218,32 @@
 	if !far {
 		return
 	}
+	m.Load = nil
+	if g.DomainLoad != nil && g.summarizes(self, now) {
+		m.Load, m.Summary = g.DomainLoad(now), true
+	}
 	if introduce && self.Role == Entry {
 		m.Members = g.introductions(now)
-		if introduction, err := json.Marshal(m); err == nil {
-			raw = introduction
-		}
+	}
+	if raw, err = json.Marshal(m); err != nil {
+		g.Log.Error("message cannot be encoded", zap.Error(err))
+		return
 	}
 	g.send(raw, distant)
 }
 
+// summarizes tells whether this daemon speaks for its failure domain: the first
+// of the live ones by VM. Without a summary each daemon would tell its load to
+// all others; at 42 entry daemons that was 150 MB a minute between regions.
+func (g *Gossiper) summarizes(self Member, now time.Time) bool {
+	for _, m := range g.Members.Live(Entry, now) {
+		if m.FailureDomain == self.FailureDomain && m.VM < self.VM {
+			return false
+		}
+	}
+	return self.Role == Entry
+}
+
 // targets are the entry daemons to which messages go. Agents hear only from
 // those that they ask.
 func (g *Gossiper) targets(self Member, now time.Time) (near, far []Member) {
@@ -230,6 +279,10 @@
 	}
 	if g.Replica != nil {
 		m.Replica = g.Replica()
+		if !m.Replica.steady(g.toldState) {
+			g.changed = now
+		}
+		g.toldState = m.Replica
 	}
 	if now.Sub(g.asked) >= askInterval && len(g.Members.Live(Entry, now)) == 0 {
 		g.asked = now
@@ -328,7 +381,7 @@
 	}
 	g.Members.Tell(m.Members, now)
 	if m.Load != nil && g.HeardLoad != nil {
-		g.HeardLoad(m.From, m.Load, now)
+		g.HeardLoad(m.From, m.Summary, m.Load, now)
 	}
 	if m.Replica != nil && g.HeardReplica != nil {
 		g.HeardReplica(*m.Replica, now)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -199,6 +199,8 @@
 type peerLoad struct {
 	replicas map[string]Load
 	at       time.Time
+	// summary is set for the load of all daemons of another failure domain.
+	summary bool
 }
 
 // Placer knows the replicas and their load. Fields are set before use.
@@ -264,15 +266,41 @@
 
 // SetPeerLoad records the load of the daemon on another VM on each replica.
 func (p *Placer) SetPeerLoad(vm string, replicas map[string]Load, now time.Time) {
+	p.setLoad(vm, peerLoad{replicas: replicas, at: now}, now)
+}
+
+// SetDomainLoad records the load of all daemons of another failure domain.
+func (p *Placer) SetDomainLoad(domain string, replicas map[string]Load, now time.Time) {
+	p.setLoad("domain "+domain, peerLoad{replicas: replicas, at: now, summary: true}, now)
+}
+
+func (p *Placer) setLoad(name string, load peerLoad, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
 		p.peers = map[string]peerLoad{}
 	}
-	p.peers[vm] = peerLoad{replicas: replicas, at: now}
+	p.peers[name] = load
 	p.admitWaiting(now)
 }
 
+// DomainLoads returns the load of all daemons of this failure domain by replica.
+func (p *Placer) DomainLoads(now time.Time) map[string]Load {
+	out := p.Loads()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		if peer.summary || now.Sub(peer.at) > peerLoadAge {
+			continue
+		}
+		for id, l := range peer.replicas {
+			sum := out[id]
+			out[id] = Load{Requests: sum.Requests + l.Requests, ReadingMs: sum.ReadingMs + l.ReadingMs}
+		}
+	}
+	return out
+}
+
 // Loads returns the load of this daemon by replica.
 func (p *Placer) Loads() map[string]Load {
 	p.mu.Lock()
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -55,7 +55,6 @@
 	Busy    bool
 	// Orders is the number of orders accepted since the start.
 	Orders  uint64
-	Queued  int
 	Running int
 	// Born identifies the start of the engine.
 	Born int64
