--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -35,8 +35,13 @@
 	// steadyAfter is the number of messages at the short interval after which a
 	// state of a replica counts as steady.
 	steadyAfter = 3
-	// askInterval is how often a daemon that hears no other asks for members.
-	askInterval = time.Second
+	// askInterval is how often a daemon that hears no other asks one of those that
+	// it knows for members. Agents hear only answers. Where each of them asked all
+	// entry daemons, the answers took 2 MB a second between regions.
+	askInterval = 5 * time.Second
+	// maxIntroducedTo bounds the daemons of other failure domains that get a list
+	// of members in one round.
+	maxIntroducedTo = 3
 	// maxFar bounds the daemons of other failure domains in one round, so that
 	// the cost does not grow with the fleet.
 	maxFar = 24
@@ -180,6 +185,7 @@
 			lastIntroduction = now
 		}
 		g.sendRound(far, introduce, now)
+		g.ask(now)
 		if now.Sub(lastSeed) >= seedInterval {
 			lastSeed = now
 			g.askSeeds(now)
@@ -209,12 +215,7 @@
 		return
 	}
 	m := g.compose(self, now)
-	raw, err := json.Marshal(m)
-	if err != nil {
-		g.Log.Error("message cannot be encoded", zap.Error(err))
-		return
-	}
-	g.send(raw, near)
+	g.sendMessage(m, near)
 	if !far {
 		return
 	}
@@ -223,13 +224,43 @@
 		m.Load, m.Summary = g.DomainLoad(now), true
 	}
 	if introduce && self.Role == Entry {
-		m.Members = g.introductions(now)
+		rand.Shuffle(len(distant), func(i, j int) { distant[i], distant[j] = distant[j], distant[i] })
+		n := min(maxIntroducedTo, len(distant))
+		introduction := m
+		introduction.Members = g.introductions(now)
+		g.sendMessage(introduction, distant[:n])
+		distant = distant[n:]
 	}
-	if raw, err = json.Marshal(m); err != nil {
+	g.sendMessage(m, distant)
+}
+
+func (g *Gossiper) sendMessage(m message, to []Member) {
+	raw, err := json.Marshal(m)
+	if err != nil {
 		g.Log.Error("message cannot be encoded", zap.Error(err))
 		return
 	}
-	g.send(raw, distant)
+	g.send(raw, to)
+}
+
+// ask asks one of the known daemons for members, a near one if there is one.
+func (g *Gossiper) ask(now time.Time) {
+	self := g.Self()
+	if now.Sub(g.asked) < askInterval || len(g.Members.Live(Entry, now)) > 0 {
+		return
+	}
+	near, far := g.targets(self, now)
+	to := sample(near, 1)
+	if len(to) == 0 {
+		to = sample(far, 1)
+	}
+	if len(to) == 0 {
+		return
+	}
+	g.asked = now
+	m := g.compose(self, now)
+	m.Introduce = true
+	g.sendMessage(m, to)
 }
 
 // summarizes tells whether this daemon speaks for its failure domain: the first
@@ -284,10 +315,6 @@
 		}
 		g.toldState = m.Replica
 	}
-	if now.Sub(g.asked) >= askInterval && len(g.Members.Live(Entry, now)) == 0 {
-		g.asked = now
-		m.Introduce = true
-	}
 	return m
 }
 
@@ -405,7 +432,5 @@
 	m := g.compose(self, now)
 	m.Members = g.introductions(now)
 	m.Introduce = false
-	if raw, err := json.Marshal(m); err == nil {
-		g.send(raw, []Member{to})
-	}
+	g.sendMessage(m, []Member{to})
 }
--- a/internal/coordination/gossiper/gossiper_test.go
+++ b/internal/coordination/gossiper/gossiper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"slices"
 	"strconv"
@@ -86,6 +87,59 @@
 	}
 }
 
+// packets is a connection that counts the messages sent.
+type packets struct {
+	net.PacketConn
+	sent []message
+}
+
+// WriteTo implements net.PacketConn.
+func (p *packets) WriteTo(b []byte, _ net.Addr) (int, error) {
+	var m message
+	if err := json.Unmarshal(b, &m); err != nil {
+		return 0, err
+	}
+	p.sent = append(p.sent, m)
+	return len(b), nil
+}
+
+// TestIntroductionsAreFew guards against answers with lists of members from all
+// entry daemons to all agents, and against such lists to all failure domains: on
+// tmfpa grown they were most of the bytes between regions.
+func TestIntroductionsAreFew(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		role              Role
+		asked, introduced int
+	}{
+		{Agent, 1, 0},
+		{Entry, 1, maxIntroducedTo},
+	}
+	for _, tc := range tests {
+		conn := &packets{}
+		g := &Gossiper{Conn: conn, Log: zap.NewNop(), Self: func() Member { return Member{VM: "self", Role: tc.role, Address: "127.0.0.1:1", FailureDomain: "a"} }}
+		for i := range 10 {
+			g.Members.Tell([]Member{{VM: strconv.Itoa(i), Role: Entry, FailureDomain: "b", Address: "127.0.0.1:" + strconv.Itoa(100+i)}}, now)
+		}
+		for range 3 {
+			g.sendRound(true, true, now)
+			g.ask(now)
+		}
+		asked, introduced := 0, 0
+		for _, m := range conn.sent {
+			if m.Introduce {
+				asked++
+			}
+			if m.Members != nil {
+				introduced++
+			}
+		}
+		c.Check(asked, qt.Equals, tc.asked, qt.Commentf(string(tc.role)))
+		c.Check(introduced <= 3*tc.introduced, qt.IsTrue, qt.Commentf("%s: %d", tc.role, introduced))
+	}
+}
+
 // TestMeshFromOneSeed guards against daemons that do not find each other from
 // one seed, and against loads, crashes and states of engines that do not arrive.
 func TestMeshFromOneSeed(t *testing.T) {
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -114,6 +114,8 @@
 	// announced is set while entry daemons are told to send nothing.
 	announced bool
 	held      map[int]*verifier.Manifest
+	// completed is since when a held version is there whole.
+	completed map[int]time.Time
 	turn      selector.Turn
 	// limited and running, the newest transfer, are used by Run only.
 	limited bool
@@ -212,7 +214,7 @@
 		return nil
 	}
 	engine := selector.Engine{Version: s.Version, Busy: s.Busy || now.Before(l.loading)}
-	plan := l.Named.Next(s.Model, engine, l.holds, l.getTurn(), now)
+	plan := l.Named.Next(s.Model, engine, func(version int) (time.Time, bool) { return l.holds(version, now) }, l.getTurn(), now)
 	if plan.Fetch > 0 {
 		l.fetch(ctx, s.Model, plan.Fetch)
 	}
@@ -231,13 +233,26 @@
 	return l.held[version]
 }
 
-func (l *Loader) holds(version int) bool {
+// holds tells whether a version is there whole, and since when.
+func (l *Loader) holds(version int, now time.Time) (since time.Time, ok bool) {
 	m := l.manifest(version)
 	if m == nil {
-		return false
+		return time.Time{}, false
 	}
 	_, progress, err := l.Store.Held(m.Digest())
-	return err == nil && progress.Complete()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil || !progress.Complete() {
+		delete(l.completed, version)
+		return time.Time{}, false
+	}
+	if _, known := l.completed[version]; !known {
+		if l.completed == nil {
+			l.completed = map[int]time.Time{}
+		}
+		l.completed[version] = now
+	}
+	return l.completed[version], true
 }
 
 // keepServed holds the version that the engine serves, so that other agents can
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -148,10 +148,10 @@
 
 const (
 	// firstLoadShare and lastLoadShare are the parts of the window between which
-	// replicas begin to load. A copy of the weights is there after the first,
-	// and after the last a replica could take no requests on its old version.
+	// replicas begin to load. A copy of the weights is there after the first in a
+	// small fleet, and after the last requests do not begin on the old version.
 	firstLoadShare = 0.4
-	lastLoadShare  = 0.8
+	lastLoadShare  = 0.85
 	// keepShare is the part of a version that has to be there for its transfer
 	// to go on when a newer version is named: its window ends earlier, and the
 	// origin may fail before the newer one is there.
@@ -164,11 +164,12 @@
 	Replicas int
 }
 
-// Next decides what an agent does. Held tells which versions it holds whole.
+// Next decides what an agent does. Held tells which versions it holds whole, and
+// since when.
 //
 // Replicas load one after the other, because one that loads takes no requests
 // until those that run have ended. A replica that serves nothing loads at once.
-func (n *Named) Next(model string, e Engine, held func(version int) bool, turn Turn, now time.Time) Plan {
+func (n *Named) Next(model string, e Engine, held func(version int) (time.Time, bool), turn Turn, now time.Time) Plan {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	newest := 1
@@ -180,17 +181,21 @@
 		return Plan{}
 	}
 	var plan Plan
-	if !held(newest) {
+	if _, ok := held(newest); !ok {
 		plan.Fetch = newest
 	}
-	if e.Busy || now.Before(n.loadTime(m, e, turn)) {
+	if e.Busy {
 		return plan
 	}
 	for version := newest; version > e.Version && version > 0; version-- {
-		if held(version) {
+		since, ok := held(version)
+		if !ok {
+			continue
+		}
+		if !now.Before(n.loadTime(m, e, turn, since)) {
 			plan.Load = version
-			break
 		}
+		break
 	}
 	return plan
 }
@@ -200,15 +205,23 @@
 func KeepTransfer(progress float64) bool { return progress >= keepShare }
 
 // loadTime returns when the replica's turn comes: that of the first version
-// that the engine lacks, because the window of that one ends first.
-func (n *Named) loadTime(m *naming, e Engine, turn Turn) time.Time {
+// that the engine lacks, because the window of that one ends first. Turns are
+// spread over the time that is left once the version is there. All agents hold
+// it at about the same time, and in a large fleet half of the turns would be over
+// by then: on tmfpa grown a failure domain lost all of its replicas for 1.2 s.
+func (n *Named) loadTime(m *naming, e Engine, turn Turn, since time.Time) time.Time {
 	if e.Version == 0 || m == nil || turn.Replicas <= 1 {
 		return time.Time{}
 	}
 	for _, l := range m.history {
 		if l.version > e.Version {
-			share := firstLoadShare + (lastLoadShare-firstLoadShare)*float64(turn.Position)/float64(turn.Replicas-1)
-			return l.at.Add(time.Duration(share * float64(n.Window)))
+			first := l.at.Add(time.Duration(firstLoadShare * float64(n.Window)))
+			last := l.at.Add(time.Duration(lastLoadShare * float64(n.Window)))
+			if since.After(first) {
+				first = since
+			}
+			share := float64(turn.Position) / float64(turn.Replicas-1)
+			return first.Add(time.Duration(share * float64(max(0, last.Sub(first)))))
 		}
 	}
 	return time.Time{}
--- a/tools/soak/process.go
+++ b/tools/soak/process.go
@@ -11,6 +11,9 @@
 // restartPause is the time between the end of a process and its next start.
 const restartPause = 300 * time.Millisecond
 
+// settingsVariable names the settings file to a daemon.
+const settingsVariable = "LENTILBRIDGE_NODE_FILE"
+
 // process is one daemon. Fields are set before its keeper runs.
 type process struct {
 	Binary       string
@@ -60,7 +63,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(p.Binary, p.Role)
-	cmd.Env = append(os.Environ(), "LENTILBRIDGE_NODE_FILE="+p.SettingsPath)
+	cmd.Env = append(os.Environ(), settingsVariable+"="+p.SettingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
 	err = cmd.Start()
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -83,6 +83,7 @@
 	{"cut an agent from the store", 1, func(s *schedule, d time.Duration) func() { return s.disturbing(s.agent(), d, storeLink, s.mode()) }},
 	{"disturb the link of callers", 3, func(s *schedule, d time.Duration) func() { return s.disturbing(s.entry(), d, callerLink, s.mode()) }},
 	{"disturb the link of a replica", 3, func(s *schedule, d time.Duration) func() { return s.disturbingReplica(s.place(), d, s.mode()) }},
+	{"reuse an address while the store is down", 2, func(s *schedule, d time.Duration) func() { return s.reusing(s.plainPlace(), d) }},
 	{"change the configuration", 4, func(s *schedule, _ time.Duration) func() { return s.configuring(s.Rand.IntN(2) == 0) }},
 	{"name a version", 3, func(s *schedule, _ time.Duration) func() { return s.naming() }},
 	{"corrupt answers of the origin", 1, func(s *schedule, d time.Duration) func() { return s.corrupting(d) }},
@@ -95,6 +96,12 @@
 
 func (s *schedule) place() *place { return s.Cluster.places[s.Rand.IntN(len(s.Cluster.places))] }
 
+// plainPlace returns a place of a plain service.
+func (s *schedule) plainPlace() *place {
+	c := s.Cluster
+	return c.places[s.Rand.IntN(len(c.places)-c.Engines)]
+}
+
 func (s *schedule) mode() linkMode {
 	return []linkMode{linkSlow, linkResets, linkOneWay, linkSilent, linkDown}[s.Rand.IntN(5)]
 }
@@ -302,6 +309,26 @@
 	return true
 }
 
+// reusing gives the address of a replica that crashed to the other service while
+// daemons cannot hear of either.
+func (s *schedule) reusing(p *place, d time.Duration) func() {
+	return func() {
+		r, ok := p.take()
+		if !ok {
+			return
+		}
+		defer p.release()
+		defer s.Cluster.Ledger.disturb(subjectReplicas, false)()
+		defer s.Cluster.Ledger.disturb(subjectStore, false)()
+		s.Cluster.store.setMode(storeRefuses)
+		r.crash()
+		s.move(p, true)
+		s.restart(p)
+		time.Sleep(d)
+		s.Cluster.store.setMode(storeUp)
+	}
+}
+
 func (s *schedule) failing(p *place, d time.Duration, set func(r *replica, on bool)) func() {
 	return func() {
 		defer s.Cluster.Ledger.disturb(subjectReplicas, false)()
