--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -85,6 +85,11 @@
 
 func (p *Placer) load(s *state, now time.Time) seenLoad {
 	out := seenLoad{requests: float64(s.inFlight), reading: s.reading}
+	if p.isStranger(s) {
+		requests, reading := s.freshLoad(now)
+		out.requests += requests
+		out.reading += reading
+	}
 	stranger := min(strangerLikeness, maxStrangers/float64(max(len(p.peers), 1)))
 	for vm, peer := range p.peers {
 		since := now.Sub(peer.at)
@@ -130,9 +135,9 @@
 	score += float64(load.reading) / float64(readingPerRequest)
 	switch {
 	case s.FailureDomain != p.FailureDomain:
-		score += distancePenalty + s.freshness(now)
-	case len(s.Sharers) > 0 && !slices.Contains(s.Sharers, p.VM):
-		score += strangerPenalty + s.freshness(now)
+		score += distancePenalty
+	case p.isStranger(s):
+		score += strangerPenalty
 	}
 	if now.Before(s.unreachable) {
 		score += unreachablePenalty
@@ -140,9 +145,15 @@
 	return score
 }
 
-// freshness is the load that is assumed on a replica that has just become usable.
-func (s *state) freshness(now time.Time) float64 {
-	return freshPenalty * max(0, 1-float64(now.Sub(s.usable))/float64(freshFor))
+// isStranger tells whether other daemons prefer the replica.
+func (p *Placer) isStranger(s *state) bool {
+	return s.FailureDomain != p.FailureDomain || len(s.Sharers) > 0 && !slices.Contains(s.Sharers, p.VM)
+}
+
+// freshLoad is the load that is assumed on a replica that has just become usable.
+func (s *state) freshLoad(now time.Time) (requests float64, reading time.Duration) {
+	left := max(0, 1-float64(now.Sub(s.usable))/float64(freshFor))
+	return left * freshRequests, time.Duration(left * freshRequests * float64(freshReading))
 }
 
 func (s *state) failureRate(now time.Time) float64 {
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -65,14 +65,15 @@
 	// strangerPenalty is the load by which a replica that others prefer has to be
 	// less loaded.
 	strangerPenalty = 1.5
-	// freshPenalty is the load that a replica which has just become usable counts
-	// as having for daemons that do not prefer it, and freshFor the time in which
-	// it vanishes. All daemons see the replica idle at once, and those of other
+	// freshRequests are the requests, and freshReading the prompt of each, that a
+	// replica which has just become usable counts as having for daemons that do
+	// not prefer it. They vanish within freshFor. All daemons see the replica idle at once, and those of other
 	// failure domains hear of what it got half a second later: on tmfpa grown,
 	// first tokens took 0.5 s at replicas that were believed to be idle, and 0.2 s
 	// at the usual load of 5.
-	freshPenalty = 8.0
-	freshFor     = 1500 * time.Millisecond
+	freshRequests = 8.0
+	freshReading  = 40 * time.Millisecond
+	freshFor      = 1500 * time.Millisecond
 	// refutedFor is the time in which a registration follows its replica.
 	refutedFor = 1500 * time.Millisecond
 	// maxWaiting bounds the requests that wait in one daemon.
