Choose more at random among replicas

Cause: daemons hear of each other's sends 0.1 s late and all choose the replica that looks least loaded. Ruled out: a weight of 3, measured as well.

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -131,7 +131,7 @@
 }
 
 func (p *Placer) score(s *state, load seenLoad, now time.Time) float64 {
-	score := load.requests + failurePenalty*s.failureRate(now) + p.random()
+	score := load.requests + failurePenalty*s.failureRate(now) + randomWeight*p.random()
 	score += float64(load.reading) / float64(readingPerRequest)
 	switch {
 	case s.FailureDomain != p.FailureDomain:
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -23,6 +23,11 @@
 	// of another failure domain has to be less loaded. Bytes between failure
 	// domains have a price of about a thirtieth of an answer's worth.
 	distancePenalty = 3.0
+	// randomWeight is the load up to which a choice is random. Daemons whose loads
+	// of each other are 0.1 s old would all choose the replica that looked least
+	// loaded: on tmfpa-grown quiet-1 the share of credit earned grew from 0.81 to
+	// 0.86 with a weight of 6 in place of 1.
+	randomWeight = 6.0
 	// failurePenalty is the load that a replica counts as having when all its
 	// recent requests failed.
 	failurePenalty = 12.0
