--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -52,7 +52,7 @@
 	Out      io.Writer
 }
 
-// result of a run.
+// report is the result of a run.
 type report struct {
 	violations []violation
 	dropped    int
--- a/tools/soak/signal_test.go
+++ b/tools/soak/signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,7 +23,9 @@
 	binary, err := build(dir, "")
 	qt.Assert(t, err, qt.IsNil)
 	path := filepath.Join(dir, "settings.toml")
-	settings := "Node = \"n\"\nIp = \"127.9.9.9\"\nZone = \"z\"\nRegion = \"r\"\nPortRange = [7700, 7715]\napp = \"127.0.0.1:1\"\nService = \"s\"\n[Provider]\nAddress = \"127.0.0.1:1\"\n"
+	// The address is not that of a run of this test in another process.
+	ip := fmt.Sprintf("127.9.%d.%d", os.Getpid()%250, os.Getpid()/250%250+1)
+	settings := "Node = \"n\"\nIp = \"" + ip + "\"\nZone = \"z\"\nRegion = \"r\"\nPortRange = [7700, 7715]\napp = \"127.0.0.1:1\"\nService = \"s\"\n[Provider]\nAddress = \"127.0.0.1:1\"\n"
 	qt.Assert(t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	cmd := exec.Command(binary, "agent")
 	cmd.Env = append(os.Environ(), settingsVariable+"="+path)
