Assume no load on a fresh plain replica

Cause: the load that daemons assume on a replica which has just become usable filled the 6 places of a plain replica, so that for 0.4 s those of other failure domains refused callers although it was idle. Found by reading; it answers a herd on engines, where prompts are read one after the other. Ruled out: a smaller assumed load, which is what keeps the herd away. Test: TestFreshPlainReplica fails before the change.

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -85,7 +85,7 @@
 
 func (p *Placer) load(s *state, now time.Time) seenLoad {
 	out := seenLoad{requests: float64(s.inFlight), reading: s.reading}
-	if p.isStranger(s) {
+	if s.Engine != nil && p.isStranger(s) {
 		requests, reading := s.freshLoad(now)
 		out.requests += requests
 		out.reading += reading
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -70,8 +70,8 @@
 	// strangerPenalty is the load by which a replica that others prefer has to be
 	// less loaded.
 	strangerPenalty = 1.5
-	// freshRequests are the requests, and freshReading the prompt of each, that a
-	// replica which has just become usable counts as having for daemons that do
+	// freshRequests are the requests, and freshReading the prompt of each, that an
+	// engine which has just become usable counts as having for daemons that do
 	// not prefer it. They vanish within freshFor. All daemons see the replica idle at once, and those of other
 	// failure domains hear of what it got half a second later: on tmfpa grown,
 	// first tokens took 0.5 s at replicas that were believed to be idle, and 0.2 s
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -226,6 +226,19 @@
 	c.Assert(toFresh <= places+places/2, qt.IsTrue, qt.Commentf("%d requests to a replica with %d places", toFresh, places))
 }
 
+// TestFreshPlainReplica guards against refusing callers while the only replica of
+// a plain service, which has just returned, is idle.
+func TestFreshPlainReplica(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	plain := Replica{ID: "r1", Address: "r1:1", Service: "portal", FailureDomain: "b", Places: 6, Draining: true}
+	p := newPlacer(now, plain)
+	plain.Draining = false
+	p.Update([]Replica{plain}, now)
+	_, err := p.Place(context.Background(), Query{Service: "portal"}, now)
+	c.Assert(err, qt.IsNil)
+}
+
 // TestLearnsFromFirstTokens guards against late first tokens for all callers
 // while predictions are too short, and against predictions that stay long.
 func TestLearnsFromFirstTokens(t *testing.T) {
