--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -36,8 +36,9 @@
 	// state of a replica counts as steady.
 	steadyAfter = 3
 	// askInterval is how often a daemon that hears no other asks one of those that
-	// it knows for members. Agents hear only answers. Where each of them asked all
-	// entry daemons, the answers took 2 MB a second between regions.
+	// it knows for members. Agents hear only answers. With one daemon asked instead
+	// of all, and lists of members for three instead of all, a minute of 42 entry
+	// daemons and 62 agents took 0.109 GB between regions instead of 0.170.
 	askInterval = 5 * time.Second
 	// maxIntroducedTo bounds the daemons of other failure domains that get a list
 	// of members in one round.
@@ -265,7 +266,7 @@
 
 // summarizes tells whether this daemon speaks for its failure domain: the first
 // of the live ones by VM. Without a summary each daemon would tell its load to
-// all others; at 42 entry daemons that was 150 MB a minute between regions.
+// all others, where bytes have a price.
 func (g *Gossiper) summarizes(self Member, now time.Time) bool {
 	for _, m := range g.Members.Live(Entry, now) {
 		if m.FailureDomain == self.FailureDomain && m.VM < self.VM {
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -72,10 +72,10 @@
 	strangerPenalty = 1.5
 	// freshRequests are the requests, and freshReading the prompt of each, that an
 	// engine which has just become usable counts as having for daemons that do
-	// not prefer it. They vanish within freshFor. All daemons see the replica idle at once, and those of other
-	// failure domains hear of what it got half a second later: on tmfpa grown,
-	// first tokens took 0.5 s at replicas that were believed to be idle, and 0.2 s
-	// at the usual load of 5.
+	// not prefer it. They vanish within freshFor. All daemons see the replica idle
+	// at once, and those of other failure domains hear half a second later of what
+	// it got: on tmfpa grown, first tokens took 0.5 s at replicas that were believed
+	// to be idle, and 0.2 s at the usual load of 5.
 	freshRequests = 8.0
 	freshReading  = 40 * time.Millisecond
 	freshFor      = 1500 * time.Millisecond
