--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -103,7 +103,8 @@
 	l := c.Ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out.violations, out.dropped, out.counts, out.served = l.violations, l.dropped, l.counts, share
+	// The callers go on until the cluster stops.
+	out.violations, out.dropped, out.counts, out.served = slices.Clone(l.violations), l.dropped, maps.Clone(l.counts), share
 	return out, nil
 }
 
