Soak: count a replica as leaving once the store took the notice

Cause: a notice that the store did not take counted as taken when the store answered the next question, so that DRAIN could have been reported up to one heartbeat too early. Also removed a field that nothing read.

--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -59,7 +59,6 @@
 
 	replicas []string
 	runs     int
-	lastRun  *replica
 	// refused is set once the caller was told that it has not run.
 	refused bool
 }
@@ -210,7 +209,6 @@
 		return
 	}
 	r.runs++
-	r.lastRun = on
 	r.replicas = append(r.replicas, on.ID)
 	l.checkContent(r, on, q, body)
 	if r.Route.Kind == "non_idempotent" && r.runs > 1 {
--- a/tools/soak/replica.go
+++ b/tools/soak/replica.go
@@ -21,6 +21,8 @@
 	replicaQueue    = 8
 	queueWait       = time.Second
 	registryRelease = "1"
+	// replicaIdle is above the time for which daemons keep connections.
+	replicaIdle = 5 * time.Second
 )
 
 // replica is a stand-in for one start of a replica. Fields are set before
@@ -72,7 +74,7 @@
 	r.born = time.Now().UnixMilli()
 	r.slots = make(chan struct{}, replicaSlots)
 	r.done = make(chan struct{})
-	r.server = &http.Server{Handler: r, IdleTimeout: 5 * time.Second}
+	r.server = &http.Server{Handler: r, IdleTimeout: replicaIdle}
 	go r.run(l)
 	go r.loop()
 	return nil
@@ -88,7 +90,8 @@
 	}
 }
 
-func (r *replica) register(now time.Time) {
+// register reports whether the store took the registration.
+func (r *replica) register(now time.Time) bool {
 	r.mu.Lock()
 	state, hidden := "ready", r.hidden
 	if r.draining {
@@ -96,13 +99,13 @@
 	}
 	r.mu.Unlock()
 	if hidden {
-		return
+		return false
 	}
 	reg := registration{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: registryRelease, Slots: replicaSlots, State: state, Born: r.born}
 	if r.Engine != nil {
 		reg.Models, reg.Layers = r.Engine.held()
 	}
-	r.Store.beat(r.ID, reg, now)
+	return r.Store.beat(r.ID, reg, now)
 }
 
 // crash ends the replica at once.
@@ -117,15 +120,7 @@
 	r.mu.Lock()
 	r.draining, r.hidden = notice, !notice
 	r.mu.Unlock()
-	for {
-		if notice {
-			r.register(time.Now())
-		} else if r.Store.remove(kindReplicas, r.ID) {
-			break
-		}
-		if notice && r.Store.reachable() {
-			break
-		}
+	for !r.announceEnd(notice) {
 		time.Sleep(heartbeat / 4)
 	}
 	r.Ledger.left(r.ID, time.Now())
@@ -134,6 +129,14 @@
 	r.Store.remove(kindReplicas, r.ID)
 }
 
+// announceEnd reports whether the store took the notice, or the removal.
+func (r *replica) announceEnd(notice bool) bool {
+	if notice {
+		return r.register(time.Now())
+	}
+	return r.Store.remove(kindReplicas, r.ID)
+}
+
 func (r *replica) set(change func(*replica)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/tools/soak/store.go
+++ b/tools/soak/store.go
@@ -159,14 +159,15 @@
 	s.history, s.compacted = nil, s.rev
 }
 
-// beat registers a replica.
-func (s *store) beat(name string, spec any, now time.Time) {
+// beat registers a replica and reports whether the store took it.
+func (s *store) beat(name string, spec any, now time.Time) bool {
 	if !s.write(kindReplicas, name, spec) {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beats[name] = now
+	return true
 }
 
 // run removes the registrations that have ended, also while the store answers
