Wait for a time or the end of a context in one place

Wait now says whether the context goes on and serves all of them; Each is the loop. A transfer gives peers to itself in one place instead of two. The emulator's type waiter is renamed for the import. No behaviour changes; the tests are as they were. Checks: build, vet, lint, tests of internal, pkg and platform.

--- a/internal/daemon/router/directory.go
+++ b/internal/daemon/router/directory.go
@@ -6,6 +6,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/coordination/controller"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 )
 
 // updatePicker hands each change of the directory to the picker.
@@ -13,8 +14,8 @@
 	for {
 		changed := d.membership.Changed()
 		d.updateOnce(time.Now())
-		if err := wait(ctx, updateInterval); err != nil {
-			return err
+		if !waiter.Wait(ctx, updateInterval) {
+			return ctx.Err()
 		}
 		select {
 		case <-ctx.Done():
@@ -49,14 +50,3 @@
 	}
 	return replicas
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/daemon/router/metrics.go
+++ b/internal/daemon/router/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/kit/metrics"
 	"github.com/go-kit/kit/metrics/expvar"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -49,8 +50,8 @@
 func (d *daemon) showMetrics(ctx context.Context) error {
 	for {
 		d.setGauges(daemonMetrics(), time.Now())
-		if err := wait(ctx, metricsInterval); err != nil {
-			return err
+		if !waiter.Wait(ctx, metricsInterval) {
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/daemon/router/status.go
+++ b/internal/daemon/router/status.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -29,8 +30,8 @@
 // daemon that holds the lease for it.
 func (d *daemon) cleanUp(ctx context.Context) error {
 	for {
-		if err := wait(ctx, cleanUpInterval); err != nil {
-			return err
+		if !waiter.Wait(ctx, cleanUpInterval) {
+			return ctx.Err()
 		}
 		now := time.Now()
 		if !d.held(cleanUpShard, now) {
--- a/internal/operator/commander/rollout_status.go
+++ b/internal/operator/commander/rollout_status.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -141,7 +142,7 @@
 				return rolloutError(*status)
 			}
 		}
-		pause(ctx, followInterval)
+		waiter.Wait(ctx, followInterval)
 	}
 }
 
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
@@ -160,6 +161,6 @@
 		if ctx.Err() != nil {
 			return inForce, daemons, &NotInForceError{Revision: revision, InForce: inForce, Daemons: daemons}
 		}
-		pause(ctx, inForceInterval)
+		waiter.Wait(ctx, inForceInterval)
 	}
 }
--- a/internal/operator/commander/watch.go
+++ b/internal/operator/commander/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 )
 
@@ -88,7 +89,7 @@
 			return publisher.Head{}, after, err
 		}
 		fmt.Fprintf(s.program.Stderr, "lentil watch: %v; trying again\n", err)
-		pause(ctx, watchRetryDelay)
+		waiter.Wait(ctx, watchRetryDelay)
 	}
 }
 
@@ -134,13 +135,3 @@
 	}
 	return strings.Join(words, ", ")
 }
-
-// pause waits for the duration or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/request/forwarder/claim.go
+++ b/internal/request/forwarder/claim.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -61,7 +62,7 @@
 			if isRunning {
 				polls = 0
 			}
-			if polls >= forgottenPolls || sleep(ctx, statusPoll) != nil {
+			if polls >= forgottenPolls || !waiter.Wait(ctx, statusPoll) {
 				return false, unresolvedError()
 			}
 		default:
--- a/internal/request/forwarder/isolation.go
+++ b/internal/request/forwarder/isolation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -95,7 +96,7 @@
 			return &trial{id: reply.GetTrial()}, nil
 		}
 		wait := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
-		if sleep(ctx, orDefault(wait, trialPoll)) != nil {
+		if !waiter.Wait(ctx, orDefault(wait, trialPoll)) {
 			return nil, unwantedError(context.Cause(ctx))
 		}
 	}
@@ -110,14 +111,3 @@
 		f.Log.Warn("the end of a trial run was not recorded: " + err.Error())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/request/forwarder/once.go
+++ b/internal/request/forwarder/once.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -239,7 +240,7 @@
 		case messenger.AttemptState_ATTEMPT_STATE_FINISHED, messenger.AttemptState_ATTEMPT_STATE_BROKEN:
 			return o.settled(ctx, a, status.GetState())
 		case messenger.AttemptState_ATTEMPT_STATE_RUNNING:
-			_ = sleep(ctx, statusPoll)
+			waiter.Wait(ctx, statusPoll)
 			continue
 		}
 		break
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -148,20 +148,13 @@
 func (l *Loader) Run(ctx context.Context) {
 	l.held = map[int]*verifier.Manifest{}
 	l.turn = selector.Turn{Replicas: 1}
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			l.observe(ctx)
-			if err := l.step(ctx, now); err != nil && ctx.Err() == nil {
-				l.Log.Warn("step failed", zap.Error(err))
-				waiter.Wait(ctx, errorPause)
-			}
+	waiter.Each(ctx, tick, func(now time.Time) {
+		l.observe(ctx)
+		if err := l.step(ctx, now); err != nil && ctx.Err() == nil {
+			l.Log.Warn("step failed", zap.Error(err))
+			waiter.Wait(ctx, errorPause)
 		}
-	}
+	})
 }
 
 // observe reads the state of the engine.
--- a/internal/weights/loader/watch.go
+++ b/internal/weights/loader/watch.go
@@ -70,9 +70,7 @@
 		Self: l.Self, Policy: policy, OriginRegion: region, Source: l.Origin, Dial: fetcher.DialGRPC(), Store: l.Store,
 		Limiter: l.Limiter, InFlight: l.InFlight, Importers: l.Importers, MaxImportBackoff: l.MaxImportBackoff, Log: l.Log,
 	}
-	peers, turn := l.Peers(ctx)
-	l.setTurn(turn)
-	t.SetPeers(peers)
+	r.givePeers(ctx, t)
 	r.transfer.Store(t)
 	go (&peerRefresher{of: r, transfer: t}).run(ctx)
 	err = t.Run(ctx)
@@ -83,6 +81,13 @@
 	return nil
 }
 
+// givePeers gives the present peers to the transfer, and the turn to the loader.
+func (r *transferRun) givePeers(ctx context.Context, t *fetcher.Transfer) {
+	peers, turn := r.loader.Peers(ctx)
+	r.loader.setTurn(turn)
+	t.SetPeers(peers)
+}
+
 // checkManifest drops a manifest that no chunk matches, so that it is read
 // anew.
 func (r *transferRun) checkManifest(t *fetcher.Transfer, m *verifier.Manifest) {
@@ -105,16 +110,5 @@
 }
 
 func (p *peerRefresher) run(ctx context.Context) {
-	ticker := time.NewTicker(peersInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			peers, turn := p.of.loader.Peers(ctx)
-			p.of.loader.setTurn(turn)
-			p.transfer.SetPeers(peers)
-		}
-	}
+	waiter.Each(ctx, peersInterval, func(time.Time) { p.of.givePeers(ctx, p.transfer) })
 }
--- a/pkg/emulator/engine_orders.go
+++ b/pkg/emulator/engine_orders.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/zeebo/blake3"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 )
 
 var errSwitched = errors.New("the engine switched to another version")
@@ -30,7 +32,7 @@
 		return
 	}
 	digest, ok := readWeights(w, r)
-	if !ok || !sleep(r.Context(), e.LoadTime) {
+	if !ok || !waiter.Wait(r.Context(), e.LoadTime) {
 		return
 	}
 	// The epoch may have risen while the weights arrived.
@@ -142,14 +144,3 @@
 	}
 	return digest, true
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/emulator/service.go
+++ b/pkg/emulator/service.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 )
 
 const maxRecordBytes = 1 << 20
@@ -77,7 +79,7 @@
 	s.records = append(s.records, added)
 	s.bodies[added.Body]++
 	s.mu.Unlock()
-	if !sleep(r.Context(), s.Latency) {
+	if !waiter.Wait(r.Context(), s.Latency) {
 		return
 	}
 	w.Header().Set("Location", "/records/"+strconv.Itoa(added.Number))
@@ -85,7 +87,7 @@
 }
 
 func (s *Service) list(w http.ResponseWriter, r *http.Request) {
-	if !sleep(r.Context(), s.Latency) {
+	if !waiter.Wait(r.Context(), s.Latency) {
 		return
 	}
 	s.mu.Lock()
--- a/pkg/emulator/slots.go
+++ b/pkg/emulator/slots.go
@@ -16,7 +16,7 @@
 	waiting waitHeap
 }
 
-type waiter struct {
+type queued struct {
 	priority int
 	serial   uint64
 	index    int
@@ -34,7 +34,7 @@
 		return nil
 	}
 	s.serial++
-	w := &waiter{priority: priority, serial: s.serial, granted: make(chan struct{})}
+	w := &queued{priority: priority, serial: s.serial, granted: make(chan struct{})}
 	heap.Push(&s.waiting, w)
 	s.mu.Unlock()
 	select {
@@ -48,7 +48,7 @@
 
 // abandon leaves the queue, or gives the place back when it was granted at
 // the same moment.
-func (s *slots) abandon(w *waiter) {
+func (s *slots) abandon(w *queued) {
 	s.mu.Lock()
 	granted := w.index < 0
 	if !granted {
@@ -64,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.waiting.Len() > 0 {
-		w := heap.Pop(&s.waiting).(*waiter)
+		w := heap.Pop(&s.waiting).(*queued)
 		close(w.granted)
 		return
 	}
@@ -78,7 +78,7 @@
 	return s.taken, s.waiting.Len()
 }
 
-type waitHeap []*waiter
+type waitHeap []*queued
 
 func (h waitHeap) Len() int { return len(h) }
 
@@ -95,7 +95,7 @@
 }
 
 func (h *waitHeap) Push(x any) {
-	w := x.(*waiter)
+	w := x.(*queued)
 	w.index = len(*h)
 	*h = append(*h, w)
 }
--- a/pkg/logger/async.go
+++ b/pkg/logger/async.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 )
 
 const (
@@ -47,17 +49,8 @@
 
 // Run writes until ctx ends.
 func (a *Async) Run(ctx context.Context) {
-	ticker := time.NewTicker(asyncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			a.Flush()
-			return
-		case <-ticker.C:
-			a.Flush()
-		}
-	}
+	waiter.Each(ctx, asyncInterval, func(time.Time) { a.Flush() })
+	a.Flush()
 }
 
 // Flush writes what is pending.
--- a/tools/bench/configuration.go
+++ b/tools/bench/configuration.go
@@ -15,6 +15,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/coordination/monitor"
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -274,7 +275,7 @@
 	for sequence := uint64(1); ; sequence++ {
 		r := replica(a.number)
 		err := stream.Send(&messenger.AgentReport{Replica: r, Load: &messenger.Load{Sequence: sequence, Rate: 1}})
-		if err != nil || !pauseFor(ctx, agentReport) {
+		if err != nil || !waiter.Wait(ctx, agentReport) {
 			return err
 		}
 	}
--- a/tools/bench/overload.go
+++ b/tools/bench/overload.go
@@ -12,6 +12,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/request/admitter"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -241,23 +242,11 @@
 		return false
 	}
 	defer func() { <-e.slots }()
-	if !pauseFor(ctx, overloadPrefill) {
+	if !waiter.Wait(ctx, overloadPrefill) {
 		return false
 	}
 	choice.FirstToken(time.Since(sent), time.Now())
-	return pauseFor(ctx, time.Duration(c.tokens)*overloadToken)
-}
-
-// pauseFor reports whether the time passed before the context ended.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return waiter.Wait(ctx, time.Duration(c.tokens)*overloadToken)
 }
 
 // closedWorker sends its next request when the last one has ended.
--- a/tools/bench/rollout.go
+++ b/tools/bench/rollout.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/limiter"
 )
 
@@ -172,7 +173,7 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	if !pauseFor(req.Context(), e.prefill()) {
+	if !waiter.Wait(req.Context(), e.prefill()) {
 		return
 	}
 	if !e.owner.seenByCaller {
@@ -181,7 +182,7 @@
 	flusher := http.NewResponseController(w)
 	token := bytes.Repeat([]byte("t"), liveTokenBytes)
 	for range liveTokens {
-		if _, err := w.Write(token); err != nil || flusher.Flush() != nil || !pauseFor(req.Context(), liveTokenTime) {
+		if _, err := w.Write(token); err != nil || flusher.Flush() != nil || !waiter.Wait(req.Context(), liveTokenTime) {
 			return
 		}
 	}
@@ -206,7 +207,7 @@
 	due := time.Now()
 	for {
 		due = due.Add(time.Duration(s.random.ExpFloat64() / liveRate * float64(time.Second)))
-		if !pauseFor(ctx, time.Until(due)) {
+		if !waiter.Wait(ctx, time.Until(due)) {
 			return
 		}
 		c := &liveCall{source: s, due: due}
--- a/tools/demo/measure.go
+++ b/tools/demo/measure.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 )
 
@@ -100,8 +101,8 @@
 	if l.rate > 0 {
 		l.start(loadCtx)
 	}
-	if err := sleep(ctx, measureSettle); err != nil {
-		return err
+	if !waiter.Wait(ctx, measureSettle) {
+		return ctx.Err()
 	}
 	entries, agents := s.processesOf("lentil-entry"), fleetProcesses(s, l)
 	before := [2]float64{processorTime(entries), processorTime(agents)}
@@ -110,8 +111,8 @@
 		return err
 	}
 	started := time.Now()
-	if err := sleep(ctx, measureTime); err != nil {
-		return err
+	if !waiter.Wait(ctx, measureTime) {
+		return ctx.Err()
 	}
 	elapsed := time.Since(started).Seconds()
 	after := [2]float64{processorTime(entries), processorTime(agents)}
--- a/tools/demo/story.go
+++ b/tools/demo/story.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -179,8 +180,8 @@
 		if time.Since(started) > timeout {
 			return &FailedError{What: fmt.Sprintf("only %d of %d replicas serve %s after %s", serving, fleet.Replicas, version.Name, timeout)}
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
-			return err
+		if !waiter.Wait(ctx, pollInterval) {
+			return ctx.Err()
 		}
 	}
 }
@@ -222,8 +223,8 @@
 	if !s.opts.KillAgent {
 		return nil
 	}
-	if err := sleep(ctx, time.Duration(s.opts.Window/4*float64(time.Second))); err != nil {
-		return err
+	if !waiter.Wait(ctx, time.Duration(s.opts.Window/4*float64(time.Second))) {
+		return ctx.Err()
 	}
 	victim := s.agents[slices.IndexFunc(s.agents, func(a vm) bool { return a.fleet == k.rollout.Fleet })]
 	s.mu.Lock()
@@ -231,8 +232,8 @@
 	s.mu.Unlock()
 	p.kill()
 	fmt.Fprintf(k.story.w, "          killed the agent of %s\n", victim.name)
-	if err := sleep(ctx, restartDelay); err != nil {
-		return err
+	if !waiter.Wait(ctx, restartDelay) {
+		return ctx.Err()
 	}
 	return s.startAgent(victim)
 }
@@ -311,12 +312,3 @@
 	}
 	return records, records - len(distinct), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/tools/load/generator.go
+++ b/tools/load/generator.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 )
 
 const (
@@ -89,7 +91,7 @@
 	due := started
 	for number := 0; ; number++ {
 		due = due.Add(g.interval())
-		if !due.Before(end) || !pauseUntil(ctx, due) {
+		if !due.Before(end) || !waiter.Wait(ctx, time.Until(due)) {
 			break
 		}
 		c := g.next(number, due)
@@ -104,15 +106,3 @@
 	g.pending.Wait()
 	return g.results.print(w, time.Since(started))
 }
-
-// pauseUntil waits for a time and reports whether the run goes on.
-func pauseUntil(ctx context.Context, due time.Time) bool {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
