--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -208,9 +208,13 @@
 // follow takes newer content of other daemons for one interval.
 func (m *Mirror) follow(ctx context.Context) {
 	waiter.Wait(ctx, followPause)
-	if !m.Peers.HaveNewer(m.Kind, m.ContentRevision()) {
-		return
+	if m.Peers.HaveNewer(m.Kind, m.ContentRevision()) {
+		m.takeNewer(ctx)
 	}
+}
+
+// takeNewer replaces the copy by a newer one of another daemon, if there is one.
+func (m *Mirror) takeNewer(ctx context.Context) {
 	if s, ok := m.Peers.Newer(ctx, m.Kind, m.ContentRevision()); ok {
 		m.replace(s, time.Now(), "peer")
 	}
@@ -243,9 +247,7 @@
 // waitForStore asks other daemons for newer copies until the next try.
 func (m *Mirror) waitForStore(ctx context.Context, pause time.Duration) time.Duration {
 	if m.Peers != nil {
-		if s, ok := m.Peers.Newer(ctx, m.Kind, m.ContentRevision()); ok {
-			m.replace(s, time.Now(), "peer")
-		}
+		m.takeNewer(ctx)
 	}
 	waiter.Wait(ctx, pause/2+rand.N(pause))
 	return min(2*pause, maxPause)
@@ -268,9 +270,7 @@
 		if now.Sub(behindSince) < behindFor {
 			continue
 		}
-		if s, ok := m.Peers.Newer(ctx, m.Kind, m.ContentRevision()); ok {
-			m.replace(s, time.Now(), "peer")
-		}
+		m.takeNewer(ctx)
 	}
 }
 
--- a/internal/request/matcher/matcher.go
+++ b/internal/request/matcher/matcher.go
@@ -29,8 +29,6 @@
 	Timeout time.Duration
 	// Target is the time to the answer, or to the first event of a stream.
 	Target time.Duration
-	// GapTarget is the longest pause between events of a stream.
-	GapTarget time.Duration
 	// Priority is the rank, 0 first.
 	Priority int
 	// MaxAttempts bounds the replicas that see one request.
@@ -84,8 +82,6 @@
 // Service is a group of replicas.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of one replica, from all callers.
-	MaxConnections int
 	// Engine is set for model engines.
 	Engine *Engine
 	// OriginAddress is set for the origin of weights, which has no replicas.
@@ -95,7 +91,6 @@
 
 // Engine describes the replicas of a model.
 type Engine struct {
-	Slots  int
 	Layers int
 	Models []string
 	// ReadPerSecond, Step, PerRequest and Stride are the engine's speed: prompt
@@ -110,10 +105,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64
 }
 
 // Configuration is one version of the routes, services and teams.
