--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -18,7 +18,7 @@
 	ended := 0
 	for k := range n {
 		select {
-		case <-s.process(name(k)).exited:
+		case <-s.process(name(k)).Exited():
 			ended++
 		default:
 		}
@@ -87,7 +87,7 @@
 	// A supervisor starts engines of a newer release.
 	s.EngineArgs = nil
 	for k := range s.Engines {
-		s.process(engineName(k)).kill()
+		s.process(engineName(k)).Kill()
 		s.startEngine(k)
 		s.waitReady(k)
 	}
--- a/test/fencing_test.go
+++ b/test/fencing_test.go
@@ -72,7 +72,7 @@
 			entries := []string{entryName(0), entryName(1)}
 			c.Assert(entries, qt.Contains, former.Holder)
 			other := 1 - slices.Index(entries, former.Holder)
-			s.process(former.Holder).signal(syscall.SIGSTOP)
+			s.process(former.Holder).Signal(syscall.SIGSTOP)
 			s.rollOut("v2")
 			s.waitUntil("another daemon took over and rolled out", func() bool { return s.runs(0, "v2") })
 			c.Assert(s.lease(shard).Epoch > former.Epoch, qt.IsTrue)
@@ -81,7 +81,7 @@
 			c.Check(reply.GetAccepted(), qt.IsFalse)
 			c.Check(reply.GetHighestEpoch(), qt.Equals, s.lease(shard).Epoch)
 
-			s.process(former.Holder).signal(syscall.SIGCONT)
+			s.process(former.Holder).Signal(syscall.SIGCONT)
 			s.waitUntil("the former holder routes again", func() bool {
 				text, _ := textOf(s.complete(1-other, "awake", 4, false, 1))
 				return text == s.expectedText("v2", "awake", 4, 1)
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -71,10 +71,10 @@
 // terminate asks a daemon to leave and waits until it has ended by itself.
 func (s *system) terminate(name string) {
 	p := s.process(name)
-	p.signal(syscall.SIGTERM)
+	p.Signal(syscall.SIGTERM)
 	select {
-	case <-p.exited:
-		s.c.Check(p.cmd.ProcessState.ExitCode(), qt.Equals, 0, qt.Commentf("%s", name))
+	case <-p.Exited():
+		s.c.Check(p.ExitCode(), qt.Equals, 0, qt.Commentf("%s", name))
 	case <-time.After(waitLimit):
 		s.dumpLogs()
 		s.t.Fatalf("%s did not end after SIGTERM", name)
@@ -138,7 +138,7 @@
 			c.Check(stream.isWhole("v1"), qt.IsTrue, qt.Commentf("%s", stream.body))
 			c.Check(s.counter(n, "requests.resumes"), qt.Equals, 0.0, qt.Commentf("a drain lets streams end where they run"))
 		}
-		s.process(engineName(k)).kill()
+		s.process(engineName(k)).Kill()
 		s.startEngine(k)
 		s.startAgent(k)
 		s.waitUntil(agentName(k)+" is ready", func() bool { return s.isReady(s.engineIP(k)) && s.runs(k, "v1") })
@@ -190,8 +190,8 @@
 	for n := range 8 {
 		streams = append(streams, (&longStream{System: s, Entry: 1, Prompt: fmt.Sprintf("stream %d", n), Tokens: 4 * longTokens}).open())
 	}
-	s.process(entryName(0)).signal(syscall.SIGSTOP)
-	s.process(agentName(0)).signal(syscall.SIGTERM)
+	s.process(entryName(0)).Signal(syscall.SIGSTOP)
+	s.process(agentName(0)).Signal(syscall.SIGTERM)
 	sent := 0
 	newWork := func(entry, requests int) uint64 {
 		before, ok := s.engine(0)
@@ -208,7 +208,7 @@
 		return after.PromptTokens - before.PromptTokens
 	}
 	s.waitUntil("the reachable entry daemon sends no new work", func() bool { return newWork(1, 10) == 0 })
-	s.process(entryName(0)).signal(syscall.SIGCONT)
+	s.process(entryName(0)).Signal(syscall.SIGCONT)
 	s.waitUntil("the woken entry daemon sends no new work", func() bool { return newWork(0, 10) == 0 })
 	c.Check(newWork(0, 40), qt.Equals, uint64(0))
 	c.Check(newWork(1, 40), qt.Equals, uint64(0))
@@ -222,6 +222,6 @@
 	for _, stream := range streams {
 		c.Check(stream.isWhole("v1"), qt.IsTrue)
 	}
-	<-s.process(agentName(0)).exited
-	c.Check(s.process(agentName(0)).cmd.ProcessState.ExitCode(), qt.Equals, 0)
+	<-s.process(agentName(0)).Exited()
+	c.Check(s.process(agentName(0)).ExitCode(), qt.Equals, 0)
 }
--- a/test/notrun_test.go
+++ b/test/notrun_test.go
@@ -53,7 +53,7 @@
 
 // logged reports whether a process has logged a text.
 func (s *system) logged(name, text string) bool {
-	log, err := os.ReadFile(s.process(name).log)
+	log, err := os.ReadFile(s.process(name).Log)
 	return err == nil && strings.Contains(string(log), text)
 }
 
@@ -124,7 +124,7 @@
 		return s.logged(serviceAgentName(0), "no reservation is held for the attempt") || s.storedRecords("paused order") > 1
 	})
 	c.Assert(s.storedRecords("paused order"), qt.Equals, 1)
-	s.process(entryName(0)).signal(syscall.SIGCONT)
+	s.process(entryName(0)).Signal(syscall.SIGCONT)
 	// The first call did not run itself; it may find the answer of the second.
 	if a := first.wait(); a.outcome == "served" {
 		c.Assert(a.body, qt.Equals, second.body)
@@ -145,7 +145,7 @@
 	s.freeze(s.process(agentName(0)))
 	a := s.complete(0, "frozen prompt", 5, false, 1)
 	c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%s", a.body))
-	s.process(agentName(0)).signal(syscall.SIGCONT)
+	s.process(agentName(0)).Signal(syscall.SIGCONT)
 
 	// The start of a record does.
 	l := s.links[serviceAgentName(0)]
@@ -160,7 +160,7 @@
 	s.fault(7000, `{"down":true}`)
 	a = s.record(1, "frozen", "frozen order")
 	c.Assert(a.status, qt.Not(qt.Equals), http.StatusCreated)
-	s.process(serviceAgentName(0)).signal(syscall.SIGCONT)
+	s.process(serviceAgentName(0)).Signal(syscall.SIGCONT)
 	s.fault(7000, `{"down":false}`)
 	s.waitUntil("the record is filed", func() bool {
 		return s.record(1, "frozen", "frozen order").status == http.StatusCreated
--- a/test/outage_test.go
+++ b/test/outage_test.go
@@ -129,7 +129,7 @@
 // hasTransferred reports whether the agent's log tells of a complete transfer.
 // Statuses do not reach the object API during an outage.
 func (s *system) hasTransferred(vm, version string) bool {
-	text, err := os.ReadFile(s.process(vm).log)
+	text, err := os.ReadFile(s.process(vm).Log)
 	s.c.Assert(err, qt.IsNil)
 	return strings.Contains(string(text), `"transfer is complete","version":"`+s.set.ModelVersions[version].Digest)
 }
@@ -167,7 +167,7 @@
 	s.fault(7000, `{"down":true}`)
 	code, _, errOut := s.lentil("apply", team)
 	c.Check(code, qt.Equals, commander.ExitUnavailable, qt.Commentf("%s", errOut))
-	s.process(agentName(0)).kill()
+	s.process(agentName(0)).Kill()
 	s.startAgent(0)
 	s.waitUntil("the agent serves again", func() bool { return s.isReady(s.engineIP(0)) })
 	s.waitUntil("the transfer is complete", func() bool { return s.hasTransferred(agentName(1), "v2") })
@@ -264,7 +264,7 @@
 		go o.run()
 	}
 	highest := uint64(0)
-	s.process(entryName(2)).kill()
+	s.process(entryName(2)).Kill()
 	s.startEntry(2)
 	for _, o := range operators {
 		<-o.ended
--- a/test/resend_test.go
+++ b/test/resend_test.go
@@ -112,7 +112,7 @@
 	// API is down at that time.
 	first = s.inProgress("killed", "entry killed")
 	s.fault(7000, `{"down":true}`)
-	s.process(entryName(0)).kill()
+	s.process(entryName(0)).Kill()
 	c.Assert(first.wait().err, qt.IsNotNil)
 	s.fault(7000, `{"down":false}`)
 	s.resend("killed", "entry killed")
@@ -133,7 +133,7 @@
 
 	// The agent dies, the service files the record.
 	first := s.inProgress("agent", "agent died")
-	s.process(serviceAgentName(0)).kill()
+	s.process(serviceAgentName(0)).Kill()
 	a := first.wait()
 	c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%s", a.body))
 	a = s.record(1, "agent", "agent died")
@@ -163,7 +163,7 @@
 	if s.recordsAt(0) > atFirst {
 		filedBy = 0
 	}
-	s.process(serviceAgentName(filedBy)).kill()
+	s.process(serviceAgentName(filedBy)).Kill()
 	a = first.wait()
 	c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%s", a.body))
 	c.Assert(s.storedRecords("without a key"), qt.Equals, 1)
@@ -174,8 +174,8 @@
 	s.waitServing("v1")
 	first = s.inProgress("both", "both died")
 	for k := range s.Services {
-		s.process(serviceName(k)).kill()
-		s.process(serviceAgentName(k)).kill()
+		s.process(serviceName(k)).Kill()
+		s.process(serviceAgentName(k)).Kill()
 		s.startService(k)
 		s.startServiceAgent(k)
 	}
--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -75,7 +75,7 @@
 		}
 		return false
 	})
-	s.process(agentName(0)).kill()
+	s.process(agentName(0)).Kill()
 	s.startAgent(0)
 	s.waitServing("v2")
 	close(done)
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -68,13 +68,13 @@
 	s.start(t)
 
 	stream, serving := s.middle("agent dies")
-	s.process(agentName(serving)).kill()
+	s.process(agentName(serving)).Kill()
 	s.checkWhole(stream.wait(), "agent dies", longAnswer)
 	s.startAgent(serving)
 	s.waitReady(serving)
 
 	stream, serving = s.middle("engine dies")
-	s.process(engineName(serving)).kill()
+	s.process(engineName(serving)).Kill()
 	s.checkWhole(stream.wait(), "engine dies", longAnswer)
 	s.startEngine(serving)
 	s.waitReady(serving)
@@ -84,7 +84,7 @@
 	resumed := s.generated(1 - serving)
 	s.freeze(s.process(agentName(serving)))
 	s.waitUntil("the stream goes on elsewhere", func() bool { return s.generated(1-serving) > resumed })
-	s.process(agentName(serving)).signal(syscall.SIGCONT)
+	s.process(agentName(serving)).Signal(syscall.SIGCONT)
 	s.checkWhole(stream.wait(), "agent freezes", longAnswer)
 	s.waitReady(serving)
 
@@ -113,9 +113,9 @@
 	})
 
 	// No other replica has the version.
-	s.process(agentName(1 - serving)).kill()
+	s.process(agentName(1 - serving)).Kill()
 	stream, serving = s.middle("no other replica")
-	s.process(agentName(serving)).kill()
+	s.process(agentName(serving)).Kill()
 	a := stream.wait()
 	text, complete := textOf(a)
 	c.Check(complete, qt.IsFalse)
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -18,6 +18,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/daemon/router"
 	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
@@ -78,7 +79,7 @@
 	set     *parser.Set
 
 	mu        sync.Mutex
-	processes map[string]*process
+	processes map[string]*launcher.Process
 	links     map[string]*link
 }
 
@@ -89,7 +90,7 @@
 	s.c = qt.New(t)
 	s.network = reserveNetwork(t)
 	s.dir = t.TempDir()
-	s.processes = map[string]*process{}
+	s.processes = map[string]*launcher.Process{}
 	s.links = map[string]*link{}
 	s.api = &adapter.HTTPObjectAPI{BaseURL: "http://" + s.platform(7000)}
 	if s.WeightBytes == 0 {
--- a/test/weights_test.go
+++ b/test/weights_test.go
@@ -90,7 +90,7 @@
 
 	s.rollOut("v2")
 	s.waitUntil("60% of a transfer", func() bool { return s.transferShare(agentName(2), "v2") >= 0.6 })
-	s.process(agentName(2)).kill()
+	s.process(agentName(2)).Kill()
 	s.startAgent(2)
 	s.rollOut("v3")
 	s.waitUntil("a transfer of the newer version", func() bool { return s.transferShare(agentName(1), "v3") > 0.2 })
@@ -103,7 +103,7 @@
 	c.Check(peer.corrupted.Load() > 0, qt.IsTrue)
 	c.Check(string(s.get("http://"+s.platform(7001)+"/stats")), qt.Matches, `.*"corrupted":[1-9].*\n?`)
 
-	s.process(engineName(0)).kill()
+	s.process(engineName(0)).Kill()
 	s.startEngine(0)
 	s.waitUntil("the empty engine got the version again", func() bool { return s.runs(0, "v2") })
 	s.waitServing("v2")
@@ -122,7 +122,7 @@
 	s.start(t)
 	// The agent that is away keeps its engine on v1. The rollout is paused
 	// before it returns.
-	s.process(agentName(1)).kill()
+	s.process(agentName(1)).Kill()
 	s.rollOut("v2")
 	s.waitUntil("the other replica switched", func() bool { return s.runs(0, "v2") })
 	s.set.Rollouts["next"].State = parser.RolloutPaused
@@ -144,7 +144,7 @@
 		// Another prompt, because each prompt has its preferred replica.
 		tried++
 		prompt = fmt.Sprintf("long %d", tried)
-		old = s.streamUntil(0, prompt, s.expectedText("v1", prompt, 1, 3), longTokens, func() { s.process(engineName(1)).kill() })
+		old = s.streamUntil(0, prompt, s.expectedText("v1", prompt, 1, 3), longTokens, func() { s.process(engineName(1)).Kill() })
 		return old != ""
 	})
 	text, complete := textOf(answer{header: http.Header{"Content-Type": {"text/event-stream"}}, body: old})
--- a/tools/demo/measure.go
+++ b/tools/demo/measure.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 )
@@ -191,12 +192,12 @@
 	return stats, json.Unmarshal(body, &stats)
 }
 
-func (s *system) processesOf(program string) []*process {
+func (s *system) processesOf(program string) []*launcher.Process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []*process
+	var found []*launcher.Process
 	for _, p := range s.processes {
-		if strings.HasSuffix(p.path, "/"+program) && p.running() {
+		if strings.HasSuffix(p.Path, "/"+program) && p.Running() {
 			found = append(found, p)
 		}
 	}
@@ -214,9 +215,9 @@
 }
 
 // fleetProcesses returns the agents that serve the load.
-func fleetProcesses(s *system, l *load) []*process {
+func fleetProcesses(s *system, l *load) []*launcher.Process {
 	model := s.set.Routes[l.route].Model
-	var found []*process
+	var found []*launcher.Process
 	for _, a := range s.agents {
 		if s.set.Fleets[a.fleet].Model != model {
 			continue
@@ -229,7 +230,7 @@
 }
 
 // processorTime is the processor time of all processes in seconds.
-func processorTime(processes []*process) float64 {
+func processorTime(processes []*launcher.Process) float64 {
 	total := 0.0
 	for _, p := range processes {
 		// Fields 14 and 15 are user and system time; the name in field 2 holds
@@ -247,7 +248,7 @@
 }
 
 // residentMemory is the resident memory of all processes in bytes.
-func residentMemory(processes []*process) float64 {
+func residentMemory(processes []*launcher.Process) float64 {
 	total := 0.0
 	for _, p := range processes {
 		fields := strings.Fields(readProc(p, "statm"))
@@ -260,8 +261,8 @@
 	return total
 }
 
-func readProc(p *process, file string) string {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.cmd.Process.Pid, file))
+func readProc(p *launcher.Process, file string) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.PID(), file))
 	if err != nil {
 		return ""
 	}
--- a/tools/demo/story.go
+++ b/tools/demo/story.go
@@ -230,7 +230,7 @@
 	s.mu.Lock()
 	p := s.byName[victim.name]
 	s.mu.Unlock()
-	p.kill()
+	p.Kill()
 	fmt.Fprintf(k.story.w, "          killed the agent of %s\n", victim.name)
 	if !waiter.Wait(ctx, restartDelay) {
 		return ctx.Err()
--- a/tools/demo/system.go
+++ b/tools/demo/system.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
+	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
@@ -41,8 +42,8 @@
 	agents    []vm
 
 	mu        sync.Mutex
-	processes []*process
-	byName    map[string]*process
+	processes []*launcher.Process
+	byName    map[string]*launcher.Process
 }
 
 // vm is one VM of the deployment.
@@ -56,7 +57,7 @@
 }
 
 func newSystem(opts *options) (*system, error) {
-	s := &system{opts: opts, byName: map[string]*process{}}
+	s := &system{opts: opts, byName: map[string]*launcher.Process{}}
 	dir, err := os.MkdirTemp("", "lentil-demo-")
 	if err != nil {
 		return nil, err
@@ -269,13 +270,10 @@
 
 // run starts a program under a name. A name that ran before is started again.
 func (s *system) run(name, program string, args ...string) error {
-	p := &process{
-		name: name,
-		path: filepath.Join(s.opts.Bin, program),
-		args: args,
-		log:  logFile(s.opts.Logs, name),
+	p := &launcher.Process{
+		Name: name, Path: filepath.Join(s.opts.Bin, program), Args: args, Log: filepath.Join(s.opts.Logs, name+".log"),
 	}
-	if err := p.start(); err != nil {
+	if err := p.Start(); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -289,7 +287,7 @@
 // together.
 func (s *system) stop() {
 	s.mu.Lock()
-	processes := append([]*process{}, s.processes...)
+	processes := append([]*launcher.Process{}, s.processes...)
 	s.mu.Unlock()
 	for _, program := range []string{"lentil-agent", "lentil-entry", "lentil-standin"} {
 		s.stopProgram(processes, program)
@@ -299,10 +297,10 @@
 	}
 }
 
-func (s *system) stopProgram(processes []*process, program string) {
+func (s *system) stopProgram(processes []*launcher.Process, program string) {
 	var wg sync.WaitGroup
 	for _, p := range processes {
-		if filepath.Base(p.path) != program || !p.running() {
+		if filepath.Base(p.Path) != program || !p.Running() {
 			continue
 		}
 		wg.Add(1)
@@ -313,13 +311,13 @@
 }
 
 type stopper struct {
-	process *process
+	process *launcher.Process
 	done    func()
 }
 
 func (s *stopper) run() {
 	defer s.done()
-	s.process.stop(stopTimeout)
+	s.process.Stop(stopTimeout)
 }
 
 func (s *system) seeds() string {
--- a/tools/soak/caller.go
+++ b/tools/soak/caller.go
@@ -1,19 +1,19 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 const (
@@ -24,6 +24,11 @@
 	host           = "api.example"
 )
 
+// team is a team with its key.
+type team struct{ name, key string }
+
+var teams = []team{{"red", "key-red"}, {"blue", "key-blue"}}
+
 // caller sends requests one after the other, as the platform's clients do: it
 // asks where to connect, keeps the answer and its connection. Fields are set
 // before run.
@@ -31,8 +36,7 @@
 	Cluster *cluster
 	Rand    *rand.Rand
 	Name    string
-	Key     string
-	Team    string
+	Team    team
 	// Stays is set for a caller that uses its connection until it ends, whatever
 	// a new answer says.
 	Stays bool
@@ -44,17 +48,16 @@
 	n         int
 }
 
-func (c *caller) run() {
+func (c *caller) run(ctx context.Context) {
 	c.transport = &http.Transport{
 		DisableCompression: true, MaxConnsPerHost: 1, DialContext: c.dial, IdleConnTimeout: 4 * time.Second,
 	}
 	c.entry = -1
-	for range ticks(c.Cluster.done, callerPause) {
-		if !c.locate() {
-			continue
+	waiter.Each(ctx, callerPause, func(time.Time) {
+		if c.locate() {
+			c.request()
 		}
-		c.request()
-	}
+	})
 	c.transport.CloseIdleConnections()
 }
 
@@ -88,29 +91,26 @@
 }
 
 func (c *caller) resolve() ([]string, error) {
-	client := http.Client{Timeout: resolveTimeout}
-	resp, err := client.Get("http://" + c.Cluster.directoryAddress(c.Rand.IntN(c.Cluster.Entries)) + "/-/resolve?Name=" + host + "&Region=r&Zone=z0")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var answer struct{ Addresses []string }
-	return answer.Addresses, errors.Join(json.NewDecoder(resp.Body).Decode(&answer), func() error {
-		if len(answer.Addresses) == 0 {
-			return io.ErrUnexpectedEOF
-		}
-		return nil
-	}())
+	registry := c.Cluster.directoryAddress(c.Rand.IntN(c.Cluster.Entries))
+	return simulator.Resolve(&http.Client{Timeout: resolveTimeout}, registry, host, domain(0))
 }
 
 func (c *caller) next() *request {
 	c.n++
-	id := fmt.Sprintf("%s-%d", c.Name, c.n)
 	rt := []route{routeStream, routeStream, routeOrder, routeLook}[c.Rand.IntN(4)]
-	return &request{
-		ID: id, Route: rt, Path: rt.Prefix + id, Body: strings.Repeat("b", 1+c.Rand.IntN(600)),
-		Key: c.Key, Team: c.Team, Entry: c.entry, Sent: time.Now(),
+	return newRequest(fmt.Sprintf("%s-%d", c.Name, c.n), rt, strings.Repeat("b", 1+c.Rand.IntN(600)), c.Team, c.entry)
+}
+
+// newRequest returns a request of a team to an entry VM.
+func newRequest(id string, rt route, body string, t team, entry int) *request {
+	r := &request{
+		Request: simulator.Request{ID: id, Host: host, Path: rt.Prefix + id, Body: body, Key: t.key, Deadline: callerDeadline},
+		Route:   rt, Team: t.name, Entry: entry, Sent: time.Now(),
 	}
+	if rt.Kind == matcher.Streaming {
+		r.Model = model
+	}
+	return r
 }
 
 // request sends one request and checks its end.
@@ -120,10 +120,13 @@
 	l.send(r)
 	served, err := c.exchange(r)
 	l.ended(served, time.Now())
-	var broken *mixedError
+	var mixed *simulator.MixedError
+	var order *simulator.OrderError
 	switch {
-	case errors.As(err, &broken):
-		l.violate(broken.Rule, "%s: %s", r.ID, broken.Text)
+	case errors.As(err, &mixed):
+		l.violate("MIXED", "%s: %v", r.ID, err)
+	case errors.As(err, &order):
+		l.violate("ORDER", "%s: %v", r.ID, err)
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		l.cut(r)
 	}
@@ -135,28 +138,12 @@
 	}
 }
 
-// mixedError reports an answer that is not the replica's.
-type mixedError struct{ Rule, Text string }
-
-func (e *mixedError) Error() string { return e.Rule + ": " + e.Text }
-
+// exchange sends the request and reads its answer. Some callers leave in the
+// middle of a stream.
 func (c *caller) exchange(r *request) (served bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline+machineSlack)
 	defer cancel()
-	// The type of the body keeps the client from sending the request twice.
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Cluster.entryAddress(r.Entry)+r.Path, io.NopCloser(strings.NewReader(r.Body)))
-	if err != nil {
-		return false, err
-	}
-	q.Host, q.ContentLength = host, int64(len(r.Body))
-	q.Header.Set("X-Attempt-Id", r.ID)
-	q.Header.Set("X-Key", r.Key)
-	q.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	if r.Route.Kind == "streaming" {
-		q.Header.Set("X-Model", model)
-		q.Header.Set("X-Token-Count", "800,60")
-	}
-	resp, err := c.transport.RoundTrip(q)
+	resp, err := simulator.Send(ctx, c.transport, c.Cluster.entryAddress(r.Entry), r.Request)
 	if err != nil {
 		return false, err
 	}
@@ -170,63 +157,16 @@
 		_, err := io.Copy(io.Discard, resp.Body)
 		return false, err
 	}
-	if r.Route.Kind == "streaming" {
-		return c.checkStream(r, resp)
-	}
-	return checkPlain(r, resp)
-}
-
-func checkPlain(r *request, resp *http.Response) (bool, error) {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return false, err
-	}
-	if want := plainBody(r.Route.Service, r.ID); !bytes.Equal(body, want) || resp.Header.Get("X-Replica-Seal") != seal(want) {
-		return false, &mixedError{"MIXED", fmt.Sprintf("answer %q with seal %q", body, resp.Header.Get("X-Replica-Seal"))}
-	}
-	return true, nil
-}
-
-// checkStream checks that each event comes once and in order. Some callers
-// leave in the middle.
-func (c *caller) checkStream(r *request, resp *http.Response) (bool, error) {
-	if resp.Header.Get("X-Replica-Seal") != seal([]byte(r.ID)) {
-		return false, &mixedError{"MIXED", "stream with the seal " + resp.Header.Get("X-Replica-Seal")}
-	}
-	leave := 0
-	if c.Rand.IntN(20) == 0 {
-		leave = 1 + c.Rand.IntN(streamEvents)
-	}
-	in := bufio.NewReader(resp.Body)
-	for n := 1; ; n++ {
-		event, err := readEvent(in)
-		switch {
-		case errors.Is(err, io.EOF) && len(event) == 0 && n == streamEvents+1:
-			return true, nil
-		case errors.Is(err, io.EOF):
-			return false, &mixedError{"ORDER", fmt.Sprintf("stream ends as complete before event %d", n)}
-		case err != nil:
-			return false, err
-		case !bytes.Equal(event, streamEvent(r.ID, n)):
-			return false, &mixedError{"ORDER", fmt.Sprintf("event %d is %q", n, event)}
-		case n == leave:
-			return true, nil
-		}
-	}
-}
-
-func readEvent(in *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := in.ReadBytes('\n')
-		event = append(event, line...)
-		if err != nil {
-			return event, err
-		}
-		if len(line) == 1 {
-			return event, nil
+	if r.Route.Kind == matcher.Streaming {
+		leave := 0
+		if c.Rand.IntN(20) == 0 {
+			leave = 1 + c.Rand.IntN(simulator.StreamEvents)
 		}
+		err = simulator.CheckStream(r.ID, leave, resp)
+	} else {
+		err = simulator.CheckPlain(r.Route.Service, r.ID, resp)
 	}
+	return err == nil, err
 }
 
 // probeInterval is the time between two probes of an entry VM.
@@ -240,26 +180,20 @@
 	Rand    *rand.Rand
 }
 
-func (p *prober) run() {
-	c := &caller{Cluster: p.Cluster, Rand: p.Rand, entry: p.Entry}
+func (p *prober) run(ctx context.Context) {
+	c := &caller{Cluster: p.Cluster, Rand: p.Rand}
 	n := 0
-	for range ticks(p.Cluster.done, probeInterval) {
+	waiter.Each(ctx, probeInterval, func(time.Time) {
 		name, ok := p.Cluster.Ledger.pickRoute(p.Rand.IntN)
 		if !ok {
-			continue
+			return
 		}
 		n++
-		id := fmt.Sprintf("p%d-%d", p.Entry, n)
-		r := &request{
-			ID: id, Route: route{Name: name, Prefix: "/" + name + "/", Kind: "idempotent", Service: routeLook.Service, Attempts: 2},
-			Path: "/" + name + "/" + id, Body: "b", Key: "key-red", Team: "red", Entry: p.Entry, Sent: time.Now(),
-		}
+		r := newRequest(fmt.Sprintf("p%d-%d", p.Entry, n), extraRoute(name), "b", teams[0], p.Entry)
 		p.Cluster.Ledger.send(r)
 		// Each probe has a new connection, so that it does not go to a process
-		// that stops.
+		// that stops. Whether it is answered does not matter.
 		c.transport = &http.Transport{DisableKeepAlives: true, DialContext: c.dial}
-		if _, err := c.exchange(r); err != nil {
-			continue
-		}
-	}
+		_, _ = c.exchange(r)
+	})
 }
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,8 +11,11 @@
 	"slices"
 	"strings"
 	"sync"
-	"text/template"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 // Ports of a VM. Each VM has a loopback address of its own.
@@ -25,6 +28,13 @@
 	storePort     = 8007
 )
 
+// What the routes of the soak have in common.
+const (
+	routeTimeout = 4 * time.Second
+	routeTarget  = 500 * time.Millisecond
+	maxBodyBytes = 64 << 10
+)
+
 // Networks of the loopback addresses: 127.N.K.i with N chosen by the cluster.
 const (
 	netEntries = iota + 10
@@ -37,46 +47,21 @@
 	netServices
 )
 
-const settingsTemplate = `Node = "{{.Name}}"
-Role = "{{.Role}}"
-Ip = "{{.IP}}"
-Zone = "{{.Zone}}"
-Region = "r"
-PortRange = [7700, 7715]
-Seeds = [{{.Seeds}}]
-{{if .App}}app = "{{.App}}"
-Service = "llm"
-{{end}}[Zones]
-z0 = "r"
-z1 = "r"
-[Listen]
-{{if eq .Role "entry"}}Front = "{{.IP}}:8005"
-Ready = "{{.IP}}:8002"
-Control = "{{.IP}}:8000"
-Directory = "{{.IP}}:8009"
-{{end}}[Limits]
-MemoryMb = 284
-MaxFds = 4100
-LinkMbps = 1000.0
-[Bounds]
-DrainMs = {{.DrainMs}}
-GraceS = {{.GraceS}}
-RetryBudgetRatio = 0.2
-RetrySlack = 100
-version_ms = {{.VersionMs}}
-ttl_max_s = 2
-[Provider]
-Address = "{{.Store}}"
-`
-
-var settingsFile = template.Must(template.New("settings").Parse(settingsTemplate))
+// Roles of daemons.
+const (
+	roleEntry = "entry"
+	roleAgent = "agent"
+)
+
+// model is the name of the model of the engines.
+const model = "lentil"
 
 // vm is the place of a daemon with the proxies around it.
 type vm struct {
 	Role    string
 	Index   int
 	IP      string
-	Process *process
+	Process *keeper
 	// Store is the link to the store; Link is the one of callers to an entry VM,
 	// or of everybody to an engine.
 	Store, Link *proxy
@@ -86,13 +71,13 @@
 type place struct {
 	VM      string
 	Service string
-	Zone    string
+	Domain  string
 	Listen  string
 	Link    *proxy
-	Engine  *engine
+	Engine  *simulator.Engine
 
 	mu      sync.Mutex
-	replica *replica
+	replica *simulator.Replica
 	busy    bool
 	starts  int
 }
@@ -111,8 +96,8 @@
 	network int
 	// operator serializes the operator's writes.
 	operator sync.Mutex
-	store    *store
-	origin   *origin
+	store    *simulator.Store
+	origin   *simulator.Origin
 	entries  []*vm
 	agents   []*vm
 	places   []*place
@@ -121,7 +106,6 @@
 	// extras are the routes that come and go; next numbers them.
 	extras  []string
 	next    int
-	done    chan struct{}
 	closers []func()
 	running sync.WaitGroup
 }
@@ -146,12 +130,11 @@
 }
 
 // start starts the stand-ins and the daemons.
-func (c *cluster) start() error {
-	c.done = make(chan struct{})
+func (c *cluster) start(ctx context.Context) error {
 	// The networks of another soak's process are not met.
 	c.network = 16 + os.Getpid()%200
-	c.store, c.origin = newStore(), &origin{}
-	go c.store.run(c.done)
+	c.store, c.origin = simulator.NewStore(), &simulator.Origin{Model: model}
+	go c.store.Run(ctx)
 	if err := c.serve(c.address(netServices, 0, storePort), c.store); err != nil {
 		return err
 	}
@@ -163,7 +146,7 @@
 	if err := c.startReplicas(); err != nil {
 		return err
 	}
-	return c.startDaemons()
+	return c.startDaemons(ctx)
 }
 
 func (c *cluster) serve(address string, h http.Handler) error {
@@ -204,7 +187,7 @@
 		if err != nil {
 			return err
 		}
-		c.places = append(c.places, &place{VM: fmt.Sprintf("plain-%d", i), Service: service, Zone: zone(i), Listen: c.address(netPlain, i, appPort), Link: link})
+		c.places = append(c.places, &place{VM: fmt.Sprintf("plain-%d", i), Service: service, Domain: domain(i), Listen: c.address(netPlain, i, appPort), Link: link})
 	}
 	for i := range c.Engines {
 		link, err := c.link(c.address(netAgents, i, appPort), c.address(netEngines, i, appPort))
@@ -213,8 +196,8 @@
 		}
 		name := fmt.Sprintf("engine-%d", i)
 		c.places = append(c.places, &place{
-			VM: name, Service: "llm", Zone: zone(i), Listen: c.address(netEngines, i, appPort), Link: link,
-			Engine: &engine{VM: name, Ledger: c.Ledger},
+			VM: name, Service: "llm", Domain: domain(i), Listen: c.address(netEngines, i, appPort), Link: link,
+			Engine: &simulator.Engine{VM: name, Model: model, Observer: c.Ledger},
 		})
 	}
 	for _, p := range c.places {
@@ -225,7 +208,7 @@
 	return nil
 }
 
-func zone(i int) string { return fmt.Sprintf("z%d", i%2) }
+func domain(i int) string { return fmt.Sprintf("z%d", i%2) }
 
 // startReplica starts the next replica of a place.
 func (c *cluster) startReplica(p *place) error {
@@ -233,31 +216,31 @@
 	defer p.mu.Unlock()
 	p.starts++
 	if p.Engine != nil {
-		p.Engine.restart(time.Now())
+		p.Engine.Restart(time.Now())
 	}
-	p.replica = &replica{
-		ID: fmt.Sprintf("i-%s-%d", p.VM, p.starts), Service: p.Service, VM: p.VM, Zone: p.Zone,
-		Listen: p.Listen, Address: p.Link.Listener.Addr().String(), Engine: p.Engine, Ledger: c.Ledger, Store: c.store,
+	p.replica = &simulator.Replica{
+		ID: fmt.Sprintf("i-%s-%d", p.VM, p.starts), Service: p.Service, VM: p.VM, FailureDomain: p.Domain, DrainTime: drainTime,
+		Listen: p.Listen, Address: p.Link.Listener.Addr().String(), Engine: p.Engine, Observer: c.Ledger, Store: c.store,
 	}
-	return p.replica.start()
+	return p.replica.Start()
 }
 
-func (c *cluster) startDaemons() error {
+func (c *cluster) startDaemons(ctx context.Context) error {
 	for i := range c.Entries {
-		v := &vm{Role: "entry", Index: i, IP: ipOf(c.entryAddress(i))}
+		v := &vm{Role: roleEntry, Index: i, IP: ipOf(c.entryAddress(i))}
 		var err error
 		if v.Link, err = c.link(c.address(netFronts, i, frontPort), c.entryAddress(i)); err != nil {
 			return err
 		}
 		c.entries = append(c.entries, v)
-		if err := c.startDaemon(v, zone(i)); err != nil {
+		if err := c.startDaemon(ctx, v, domain(i)); err != nil {
 			return err
 		}
 	}
 	for i := range c.Engines {
-		v := &vm{Role: "agent", Index: i, IP: ipOf(c.address(netAgents, i, appPort)), Link: c.places[len(c.places)-c.Engines+i].Link}
+		v := &vm{Role: roleAgent, Index: i, IP: ipOf(c.address(netAgents, i, appPort)), Link: c.places[len(c.places)-c.Engines+i].Link}
 		c.agents = append(c.agents, v)
-		if err := c.startDaemon(v, zone(i)); err != nil {
+		if err := c.startDaemon(ctx, v, domain(i)); err != nil {
 			return err
 		}
 	}
@@ -265,47 +248,46 @@
 }
 
 // startDaemon writes the settings of a VM and keeps its process running.
-func (c *cluster) startDaemon(v *vm, zone string) error {
-	name := fmt.Sprintf("%s-%d", v.Role, v.Index)
+func (c *cluster) startDaemon(ctx context.Context, v *vm, domain string) error {
 	link := v.Index
-	if v.Role == "agent" {
+	if v.Role == roleAgent {
 		link += c.Entries
 	}
+	storeAddress := c.address(netStores, link, storePort)
 	var err error
-	if v.Store, err = c.link(c.address(netStores, link, storePort), c.address(netServices, 0, storePort)); err != nil {
+	if v.Store, err = c.link(storeAddress, c.address(netServices, 0, storePort)); err != nil {
 		return err
 	}
-	values := map[string]any{
-		"Name": name, "Role": v.Role, "IP": v.IP, "Zone": zone, "App": "", "Store": c.address(netStores, link, storePort),
-		"Seeds":   fmt.Sprintf("%q, %q", c.address(netEntries, 0, controlPort), c.address(netEntries, 1, controlPort)),
-		"DrainMs": drainTime.Milliseconds(), "GraceS": int(stopTime.Seconds()), "VersionMs": versionTime.Milliseconds(),
+	settings := &simulator.Settings{
+		VM: fmt.Sprintf("%s-%d", v.Role, v.Index), IP: v.IP, FailureDomain: domain, StoreAddress: storeAddress,
+		Seeds:     []string{c.address(netEntries, 0, controlPort), c.address(netEntries, 1, controlPort)},
+		DrainTime: drainTime, StopTime: stopTime, VersionTime: versionTime,
 	}
-	if v.Role == "agent" {
-		values["App"] = v.Link.Listener.Addr().String()
+	if v.Role == roleAgent {
+		settings.EngineAddress, settings.EngineService = v.Link.Listener.Addr().String(), routeStream.Service
+	} else {
+		settings.CallerAddress = c.address(netEntries, v.Index, frontPort)
+		settings.ReadyAddress = c.address(netEntries, v.Index, readyPort)
+		settings.ControlAddress = c.address(netEntries, v.Index, controlPort)
+		settings.DirectoryAddress = c.directoryAddress(v.Index)
 	}
-	path := filepath.Join(c.Dir, name+".toml")
-	var text bytes.Buffer
-	if err := settingsFile.Execute(&text, values); err != nil {
+	path := filepath.Join(c.Dir, settings.VM+".toml")
+	if err := settings.Write(path); err != nil {
 		return err
 	}
-	if err := os.WriteFile(path, text.Bytes(), 0o600); err != nil {
-		return err
-	}
-	v.Process = &process{Binary: c.Binary, Role: v.Role, SettingsPath: path, LogPath: filepath.Join(c.Dir, name+".log"), Done: c.done}
-	c.running.Add(1)
-	go (&keeper{process: v.Process, ended: c.running.Done}).run()
+	v.Process = &keeper{Start: launcher.Process{
+		Name: settings.VM, Path: c.Binary, Args: []string{v.Role}, Env: []string{simulator.Environment(path)},
+		Log: filepath.Join(c.Dir, settings.VM+".log"),
+	}}
+	c.running.Go(func() { v.Process.run(ctx) })
 	return nil
 }
 
-// stop ends everything that the soak started.
+// stop ends what is left when the context of start has ended.
 func (c *cluster) stop() {
-	close(c.done)
-	for _, v := range append(slices.Clone(c.entries), c.agents...) {
-		v.Process.kill()
-	}
 	c.running.Wait()
 	for _, p := range c.places {
-		p.replica.crash()
+		p.replica.Crash()
 	}
 	for _, end := range c.closers {
 		end()
@@ -314,34 +296,30 @@
 
 // configure writes the next configuration.
 func (c *cluster) configure(now time.Time) bool {
-	var routes []map[string]any
-	for _, r := range []route{routeStream, routeOrder, routeLook} {
-		routes = append(routes, map[string]any{
-			"Name": r.Name, "Host": host, "PathPrefix": r.Prefix, "Kind": r.Kind, "TimeoutMs": 4000, "TargetLatencyMs": 500,
-			"GapTargetMs": 400, "Service": r.Service, "MaxAttempts": r.Attempts, "Resumable": r.Kind == "streaming", "Priority": 1,
-		})
-	}
+	routes := []route{routeStream, routeOrder, routeLook}
 	for _, name := range c.extras {
-		routes = append(routes, map[string]any{
-			"Name": name, "Host": host, "PathPrefix": "/" + name + "/", "Kind": "idempotent", "TimeoutMs": 4000, "TargetLatencyMs": 500,
-			"Service": routeLook.Service, "MaxAttempts": 2, "Priority": 1,
-		})
+		routes = append(routes, extraRoute(name))
 	}
-	spec := map[string]any{
-		"Version": c.revision + 1, "Routes": routes,
-		"Services": []map[string]any{
-			{"Name": "llm", "MaxConns": 200, "Engine": map[string]any{
-				"Slots": replicaSlots, "Models": []map[string]any{{"Name": model}}, "layers": modelLayers, "Chunks": modelChunks,
-				"ChunkBytes": chunkBytes, "read_per_s": 19000, "step_ms": 8, "per_seq_ms": 0.1, "Stride": 2,
-			}},
-			{"Name": "orders", "MaxConns": 200},
-			{"Name": "lookup", "MaxConns": 200},
-			{"Name": "weights", "Origin": c.address(netServices, 1, storePort), "Zone": "z0"},
+	cfg := &matcher.Configuration{
+		Version: uint64(c.revision + 1),
+		Services: map[string]*matcher.Service{
+			routeStream.Service: {Name: routeStream.Service, Engine: &matcher.Engine{Models: []string{model}}},
+			routeOrder.Service:  {Name: routeOrder.Service},
+			routeLook.Service:   {Name: routeLook.Service},
+			"weights":           {Name: "weights", OriginAddress: c.address(netServices, 1, storePort), OriginRegion: domain(0)},
 		},
-		"Tenants": []map[string]any{{"Name": "red", "ApiKeys": []string{"key-red"}}, {"Name": "blue", "ApiKeys": []string{"key-blue"}}},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 5000},
+		Limits: matcher.Limits{MaxBodyBytes: maxBodyBytes},
+	}
+	for _, r := range routes {
+		cfg.Routes = append(cfg.Routes, matcher.Route{
+			Name: r.Name, Host: host, PathPrefix: r.Prefix, Kind: r.Kind, Timeout: routeTimeout, Target: routeTarget,
+			Backends: []matcher.Backend{{Service: r.Service}}, MaxAttempts: r.Attempts, Resumable: r.Kind == matcher.Streaming, Priority: 1,
+		})
 	}
-	if !c.store.write(kindConfiguration, "main", spec) {
+	for _, t := range teams {
+		cfg.Teams = append(cfg.Teams, matcher.Team{Name: t.name, Keys: []string{t.key}})
+	}
+	if !c.store.WriteConfiguration(cfg) {
 		return false
 	}
 	c.revision++
@@ -349,6 +327,11 @@
 	return true
 }
 
+// extraRoute is a route that comes and goes.
+func extraRoute(name string) route {
+	return route{Name: name, Prefix: "/" + name + "/", Kind: matcher.Idempotent, Service: routeLook.Service, Attempts: 2}
+}
+
 // changeConfiguration adds a route or removes the oldest one.
 func (c *cluster) changeConfiguration(add bool, write func(try func(now time.Time) bool)) {
 	changed := false
@@ -368,7 +351,7 @@
 
 // nameVersion names the next version of the weights.
 func (c *cluster) nameVersion(now time.Time) bool {
-	if !c.store.write(kindVersions, model, map[string]any{"Model": model, "Version": c.version + 1}) {
+	if !c.store.WriteVersion(model, c.version+1) {
 		return false
 	}
 	c.version++
@@ -377,16 +360,15 @@
 }
 
 // runCallers starts the callers.
-func (c *cluster) runCallers() {
-	teams := []struct{ team, key string }{{"red", "key-red"}, {"blue", "key-blue"}}
+func (c *cluster) runCallers(ctx context.Context) {
 	for i := range c.Callers {
-		t := teams[i%len(teams)]
-		go (&caller{
-			Cluster: c, Rand: rand.New(rand.NewPCG(c.Seed, uint64(i))), Name: fmt.Sprintf("c%d", i),
-			Key: t.key, Team: t.team, Stays: i%4 == 0,
-		}).run()
+		one := &caller{
+			Cluster: c, Rand: rand.New(rand.NewPCG(c.Seed, uint64(i))), Name: fmt.Sprintf("c%d", i), Team: teams[i%len(teams)], Stays: i%4 == 0,
+		}
+		c.running.Go(func() { one.run(ctx) })
 	}
 	for i := range c.Entries {
-		go (&prober{Cluster: c, Entry: i, Rand: rand.New(rand.NewPCG(c.Seed, uint64(1000+i)))}).run()
+		one := &prober{Cluster: c, Entry: i, Rand: rand.New(rand.NewPCG(c.Seed, uint64(1000+i)))}
+		c.running.Go(func() { one.run(ctx) })
 	}
 }
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -6,6 +6,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 // Times of the checked guarantees, as the deployments have them.
@@ -34,31 +37,28 @@
 type route struct {
 	Name     string
 	Prefix   string
-	Kind     string
+	Kind     matcher.Kind
 	Service  string
 	Attempts int
 }
 
 var (
-	routeStream = route{Name: "stream", Prefix: "/stream/", Kind: "streaming", Service: "llm", Attempts: 3}
-	routeOrder  = route{Name: "order", Prefix: "/order/", Kind: "non_idempotent", Service: "orders", Attempts: 3}
-	routeLook   = route{Name: "look", Prefix: "/look/", Kind: "idempotent", Service: "lookup", Attempts: 3}
+	routeStream = route{Name: "stream", Prefix: "/stream/", Kind: matcher.Streaming, Service: "llm", Attempts: 3}
+	routeOrder  = route{Name: "order", Prefix: "/order/", Kind: matcher.NonIdempotent, Service: "orders", Attempts: 3}
+	routeLook   = route{Name: "look", Prefix: "/look/", Kind: matcher.Idempotent, Service: "lookup", Attempts: 3}
 )
 
 // request is one attempt of a caller.
 type request struct {
-	ID    string
+	simulator.Request
 	Route route
-	Path  string
-	Body  string
-	Key   string
 	Team  string
 	// Entry is the entry VM that the caller sent it to.
 	Entry int
 	Sent  time.Time
 
+	// replicas are those that ran it.
 	replicas []string
-	runs     int
 	// refused is set once the caller was told that it has not run.
 	refused bool
 }
@@ -168,8 +168,8 @@
 	l.counts["sent"]++
 }
 
-// left records that the store knows that a replica leaves.
-func (l *ledger) left(replica string, now time.Time) {
+// Left implements simulator.Observer.
+func (l *ledger) Left(replica string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leftAt[replica] = now
@@ -182,70 +182,75 @@
 	l.versions = append(l.versions, named{version: version, at: now})
 }
 
-// arrived checks a request that reached a replica, whether it runs or not.
-func (l *ledger) arrived(to *replica, id string, now time.Time) {
+// Arrived implements simulator.Observer. It checks a request that reached a
+// replica, whether it runs or not.
+func (l *ledger) Arrived(replica, id string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
-	left, leaving := l.leftAt[to.ID]
+	left, leaving := l.leftAt[replica]
 	if r == nil || !leaving {
 		return
 	}
 	late := now.Sub(left)
 	if late > drainTime+machineSlack && r.Sent.After(left) && l.calm(left, false, subjectStore, entrySubject(r.Entry)) {
-		l.report("DRAIN", "%s reached replica %s %s after it left, through entry %d", id, to.ID, late.Round(time.Millisecond), r.Entry)
+		l.report("DRAIN", "%s reached replica %s %s after it left, through entry %d", id, replica, late.Round(time.Millisecond), r.Entry)
 	}
 }
 
-// ran checks a request that a replica begins to run.
-func (l *ledger) ran(on *replica, version int, q *http.Request, body []byte, now time.Time) {
+// LoadedCorrupt implements simulator.Observer.
+func (l *ledger) LoadedCorrupt(vm string, version, chunk int) {
+	l.violate("WHOLE", "%s is ordered to load version %d with chunk %d missing or corrupt", vm, version, chunk)
+}
+
+// Ran implements simulator.Observer. It checks a request that a replica begins
+// to run.
+func (l *ledger) Ran(run simulator.Run, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts["ran"]++
-	id := q.Header.Get("X-Attempt-Id")
-	r := l.requests[id]
+	r := l.requests[run.ID]
 	if r == nil {
-		l.report("UNASKED", "replica %s runs %q, which no caller sent", on.ID, id)
+		l.report("UNASKED", "replica %s runs %q, which no caller sent", run.Replica, run.ID)
 		return
 	}
-	r.runs++
-	r.replicas = append(r.replicas, on.ID)
-	l.checkContent(r, on, q, body)
-	if r.Route.Kind == "non_idempotent" && r.runs > 1 {
-		l.report("TWICE", "%s ran on %v", id, r.replicas)
+	r.replicas = append(r.replicas, run.Replica)
+	l.checkContent(r, run)
+	if r.Route.Kind == matcher.NonIdempotent && len(r.replicas) > 1 {
+		l.report("TWICE", "%s ran on %v", r.ID, r.replicas)
 	}
-	if r.runs > r.Route.Attempts {
-		l.report("BUDGET", "%s ran on %v, allowed are %d", id, r.replicas, r.Route.Attempts)
+	if len(r.replicas) > r.Route.Attempts {
+		l.report("BUDGET", "%s ran on %v, allowed are %d", r.ID, r.replicas, r.Route.Attempts)
 	}
 	if r.refused {
-		l.report("REFUSED", "%s runs on %s after its caller was told that it has not run", id, on.ID)
+		l.report("REFUSED", "%s runs on %s after its caller was told that it has not run", r.ID, run.Replica)
 	}
-	if on.Engine != nil {
-		l.checkVersion(r, on, version, now)
+	if run.Version > 0 {
+		l.checkVersion(r, run, now)
 	}
 }
 
-func (l *ledger) checkContent(r *request, on *replica, q *http.Request, body []byte) {
-	if on.Service != r.Route.Service {
-		l.report("ROUTE", "%s for %s runs on %s of %s", r.ID, r.Route.Service, on.ID, on.Service)
+func (l *ledger) checkContent(r *request, run simulator.Run) {
+	if run.Service != r.Route.Service {
+		l.report("ROUTE", "%s for %s runs on %s of %s", r.ID, r.Route.Service, run.Replica, run.Service)
 	}
-	if q.Method != http.MethodPost || q.URL.Path != r.Path || string(body) != r.Body {
-		l.report("UNASKED", "%s was changed to %s %s with %d bytes", r.ID, q.Method, q.URL.Path, len(body))
+	if run.Method != http.MethodPost || run.Path != r.Path || run.Body != r.Body {
+		l.report("UNASKED", "%s was changed to %s %s with %d bytes", r.ID, run.Method, run.Path, len(run.Body))
 	}
-	if q.Header.Get("X-Key") != "" || q.Header.Get("X-Tenant") != r.Team || r.Team == "" {
-		l.report("UNASKED", "%s of team %q runs for %q", r.ID, r.Team, q.Header.Get("X-Tenant"))
+	if run.KeyPassed || run.Team != r.Team || r.Team == "" {
+		l.report("UNASKED", "%s of team %q runs for %q", r.ID, r.Team, run.Team)
 	}
 }
 
 // checkVersion reports a run on a version that was replaced too long ago.
-func (l *ledger) checkVersion(r *request, on *replica, version int, now time.Time) {
+func (l *ledger) checkVersion(r *request, run simulator.Run, now time.Time) {
 	for _, n := range l.versions {
 		late := now.Sub(n.at)
-		if n.version <= version || late < versionTime+machineSlack {
+		if n.version <= run.Version || late < versionTime+machineSlack {
 			continue
 		}
 		if l.calm(n.at, false, subjectStore, entrySubject(r.Entry)) {
-			l.report("VERSION", "%s begins on version %d on %s, %s after version %d was named", r.ID, version, on.ID, late.Round(time.Millisecond), n.version)
+			l.report("VERSION", "%s begins on version %d on %s, %s after version %d was named", r.ID, run.Version, run.Replica, late.Round(time.Millisecond), n.version)
 			return
 		}
 	}
@@ -259,8 +264,8 @@
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		// Requests that may be repeated are not covered by the promise.
-		r.refused = r.Route.Kind == "non_idempotent"
-		if r.refused && r.runs > 0 {
+		r.refused = r.Route.Kind == matcher.NonIdempotent
+		if r.refused && len(r.replicas) > 0 {
 			l.report("REFUSED", "%s was answered %d and ran on %v", r.ID, status, r.replicas)
 		}
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
@@ -284,7 +289,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts["cut"]++
-	if l.calm(r.Sent, true, entrySubject(r.Entry), subjectReplicas, subjectStore) && r.runs > 0 {
+	if l.calm(r.Sent, true, entrySubject(r.Entry), subjectReplicas, subjectStore) && len(r.replicas) > 0 {
 		l.report("LOST", "%s ran on %v and its connection to entry %d ended without an answer", r.ID, r.replicas, r.Entry)
 	}
 }
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -71,12 +71,14 @@
 		Binary: s.Binary, Dir: s.Dir, Seed: s.Seed, Entries: s.Entries, Engines: s.Engines, Callers: s.Callers,
 		Ledger: newLedger(time.Now()),
 	}
+	ctx, end := context.WithCancel(ctx)
 	defer c.stop()
-	if err := c.start(); err != nil {
+	defer end()
+	if err := c.start(ctx); err != nil {
 		return nil, err
 	}
 	waiter.Wait(ctx, startTime)
-	c.runCallers()
+	c.runCallers(ctx)
 	out := &report{}
 	sched := &schedule{
 		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration),
--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -21,7 +21,7 @@
 var mutations = []mutation{
 	{
 		"replica-check", "platform/sender.go",
-		"h.Set(headerExpectReplica, a.Replica.ID)", "h.Del(headerExpectReplica)",
+		"h.Set(HeaderExpectReplica, a.Replica.ID)", "h.Del(HeaderExpectReplica)",
 	},
 	{
 		"not-run-proof", "platform/sender.go",
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 const (
@@ -69,16 +70,16 @@
 	{"crash a replica", 3, func(s *schedule, d time.Duration) func() { return s.crashing(s.place(), d) }},
 	{"replace a replica", 3, func(s *schedule, d time.Duration) func() { return s.replacing(s.place(), d) }},
 	{"lose the answers of a replica", 2, func(s *schedule, d time.Duration) func() {
-		return s.failing(s.place(), d, func(r *replica, on bool) { r.losesAnswers = on })
+		return s.failing(s.place(), d, (*simulator.Replica).LoseAnswers)
 	}},
 	{"truncate the answers of a replica", 2, func(s *schedule, d time.Duration) func() {
-		return s.failing(s.place(), d, func(r *replica, on bool) { r.truncates = on })
+		return s.failing(s.place(), d, (*simulator.Replica).Truncate)
 	}},
-	{"store refuses", 2, func(s *schedule, d time.Duration) func() { return s.storing(storeRefuses, d) }},
-	{"store hangs", 2, func(s *schedule, d time.Duration) func() { return s.storing(storeHangs, d) }},
-	{"store is slow", 1, func(s *schedule, d time.Duration) func() { return s.storing(storeSlow, d) }},
-	{"store loses answers", 2, func(s *schedule, d time.Duration) func() { return s.storing(storeLosesAnswers, d) }},
-	{"store drops its history", 1, func(s *schedule, _ time.Duration) func() { return s.Cluster.store.compact }},
+	{"store refuses", 2, func(s *schedule, d time.Duration) func() { return s.storing(simulator.StoreRefuses, d) }},
+	{"store hangs", 2, func(s *schedule, d time.Duration) func() { return s.storing(simulator.StoreHangs, d) }},
+	{"store is slow", 1, func(s *schedule, d time.Duration) func() { return s.storing(simulator.StoreSlow, d) }},
+	{"store loses answers", 2, func(s *schedule, d time.Duration) func() { return s.storing(simulator.StoreLosesAnswers, d) }},
+	{"store drops its history", 1, func(s *schedule, _ time.Duration) func() { return s.Cluster.store.Compact }},
 	{"cut an entry daemon from the store", 2, func(s *schedule, d time.Duration) func() { return s.disturbing(s.entry(), d, storeLink, s.mode()) }},
 	{"cut an agent from the store", 1, func(s *schedule, d time.Duration) func() { return s.disturbing(s.agent(), d, storeLink, s.mode()) }},
 	{"disturb the link of callers", 3, func(s *schedule, d time.Duration) func() { return s.disturbing(s.entry(), d, callerLink, s.mode()) }},
@@ -167,7 +168,7 @@
 }
 
 func (v *vm) subject() string {
-	if v.Role == "entry" {
+	if v.Role == roleEntry {
 		return entrySubject(v.Index)
 	}
 	return agentSubject(v.Index)
@@ -176,7 +177,7 @@
 func (s *schedule) killing(v *vm) func() {
 	return func() {
 		defer s.Cluster.Ledger.disturb(v.subject(), false)()
-		v.Process.kill()
+		v.Process.signal(syscall.SIGKILL)
 		time.Sleep(restartPause)
 	}
 }
@@ -224,7 +225,7 @@
 }
 
 // take reserves a place for one fault that replaces its replica.
-func (p *place) take() (*replica, bool) {
+func (p *place) take() (*simulator.Replica, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.busy {
@@ -251,7 +252,7 @@
 		}
 		defer p.release()
 		defer s.Cluster.Ledger.disturb(subjectReplicas, false)()
-		r.crash()
+		r.Crash()
 		time.Sleep(d)
 		s.move(p, other)
 		s.restart(p)
@@ -274,7 +275,7 @@
 			return
 		}
 		defer p.release()
-		r.leave(notice, d)
+		r.Leave(notice, d)
 		s.move(p, other)
 		s.restart(p)
 	}
@@ -320,33 +321,33 @@
 		defer p.release()
 		defer s.Cluster.Ledger.disturb(subjectReplicas, false)()
 		defer s.Cluster.Ledger.disturb(subjectStore, false)()
-		s.Cluster.store.setMode(storeRefuses)
-		r.crash()
+		s.Cluster.store.SetMode(simulator.StoreRefuses)
+		r.Crash()
 		s.move(p, true)
 		s.restart(p)
 		time.Sleep(d)
-		s.Cluster.store.setMode(storeUp)
+		s.Cluster.store.SetMode(simulator.StoreUp)
 	}
 }
 
-func (s *schedule) failing(p *place, d time.Duration, set func(r *replica, on bool)) func() {
+func (s *schedule) failing(p *place, d time.Duration, set func(r *simulator.Replica, on bool)) func() {
 	return func() {
 		defer s.Cluster.Ledger.disturb(subjectReplicas, false)()
 		p.mu.Lock()
 		r := p.replica
 		p.mu.Unlock()
-		r.set(func(r *replica) { set(r, true) })
+		set(r, true)
 		time.Sleep(d)
-		r.set(func(r *replica) { set(r, false) })
+		set(r, false)
 	}
 }
 
-func (s *schedule) storing(m storeMode, d time.Duration) func() {
+func (s *schedule) storing(m simulator.StoreMode, d time.Duration) func() {
 	return func() {
 		defer s.Cluster.Ledger.disturb(subjectStore, false)()
-		s.Cluster.store.setMode(m)
+		s.Cluster.store.SetMode(m)
 		time.Sleep(storeFactor * d)
-		s.Cluster.store.setMode(storeUp)
+		s.Cluster.store.SetMode(simulator.StoreUp)
 	}
 }
 
@@ -393,13 +394,13 @@
 
 func (s *schedule) corrupting(d time.Duration) func() {
 	return func() {
-		s.Cluster.origin.setCorrupts(corruptShare)
+		s.Cluster.origin.Corrupt(corruptShare)
 		time.Sleep(d)
-		s.Cluster.origin.setCorrupts(0)
+		s.Cluster.origin.Corrupt(0)
 	}
 }
 
 func (s *schedule) spoiling() func() {
 	p := s.Cluster.places[len(s.Cluster.places)-1-s.Rand.IntN(s.Cluster.Engines)]
-	return func() { p.Engine.spoil(time.Now()) }
+	return func() { p.Engine.Spoil(time.Now()) }
 }
--- a/tools/soak/signal_test.go
+++ b/tools/soak/signal_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 // TestEarlySignal guards against a daemon that a SIGHUP during its start ends,
@@ -25,10 +27,10 @@
 	path := filepath.Join(dir, "settings.toml")
 	// The address is not that of a run of this test in another process.
 	ip := fmt.Sprintf("127.9.%d.%d", os.Getpid()%250, os.Getpid()/250%250+1)
-	settings := "Node = \"n\"\nIp = \"" + ip + "\"\nZone = \"z\"\nRegion = \"r\"\nPortRange = [7700, 7715]\napp = \"127.0.0.1:1\"\nService = \"s\"\n[Provider]\nAddress = \"127.0.0.1:1\"\n"
-	qt.Assert(t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
+	settings := &simulator.Settings{VM: "n", IP: ip, FailureDomain: "z0", EngineAddress: "127.0.0.1:1", EngineService: "s", StoreAddress: "127.0.0.1:1"}
+	qt.Assert(t, settings.Write(path), qt.IsNil)
 	cmd := exec.Command(binary, "agent")
-	cmd.Env = append(os.Environ(), settingsVariable+"="+path)
+	cmd.Env = append(os.Environ(), simulator.Environment(path))
 	out, err := cmd.StdoutPipe()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, cmd.Start(), qt.IsNil)
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
 // TestShortSoak guards against a broken guarantee under the faults of a few
@@ -54,98 +56,96 @@
 // what is allowed.
 func TestLedger(t *testing.T) {
 	start := time.Now()
-	orders := &replica{ID: "i-orders", Service: "orders"}
-	lookups := &replica{ID: "i-lookups", Service: "lookup"}
-	llm := &replica{ID: "i-llm", Service: "llm", Engine: &engine{}}
+	const orders, lookups, llm = "orders", "lookup", "llm"
 	late := func(d time.Duration) time.Time { return start.Add(d + 2*machineSlack) }
 	tests := []struct {
 		name  string
 		route route
-		play  func(l *ledger, r *request, q *http.Request)
+		play  func(l *ledger, r *request, run simulator.Run)
 		want  string
 	}{
-		{"once", routeOrder, func(l *ledger, r *request, q *http.Request) { l.ran(orders, 0, q, []byte("b"), start) }, ""},
-		{"twice", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.ran(orders, 0, q, []byte("b"), start)
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"once", routeOrder, func(l *ledger, r *request, run simulator.Run) { l.Ran(on(run, orders, 0, "b"), start) }, ""},
+		{"twice", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Ran(on(run, orders, 0, "b"), start)
+			l.Ran(on(run, orders, 0, "b"), start)
 		}, "TWICE"},
-		{"repeatable twice", routeLook, func(l *ledger, r *request, q *http.Request) {
-			l.ran(lookups, 0, q, []byte("b"), start)
-			l.ran(lookups, 0, q, []byte("b"), start)
+		{"repeatable twice", routeLook, func(l *ledger, r *request, run simulator.Run) {
+			l.Ran(on(run, lookups, 0, "b"), start)
+			l.Ran(on(run, lookups, 0, "b"), start)
 		}, ""},
-		{"above the attempts of the route", routeLook, func(l *ledger, r *request, q *http.Request) {
+		{"above the attempts of the route", routeLook, func(l *ledger, r *request, run simulator.Run) {
 			for range routeLook.Attempts + 1 {
-				l.ran(lookups, 0, q, []byte("b"), start)
+				l.Ran(on(run, lookups, 0, "b"), start)
 			}
 		}, "BUDGET"},
-		{"refused after a run", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"refused after a run", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Ran(on(run, orders, 0, "b"), start)
 			l.answered(r, http.StatusServiceUnavailable)
 		}, "REFUSED"},
-		{"run after a refusal", routeOrder, func(l *ledger, r *request, q *http.Request) {
+		{"run after a refusal", routeOrder, func(l *ledger, r *request, run simulator.Run) {
 			l.answered(r, http.StatusServiceUnavailable)
-			l.ran(orders, 0, q, []byte("b"), start)
+			l.Ran(on(run, orders, 0, "b"), start)
 		}, "REFUSED"},
-		{"failed after a run", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"failed after a run", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Ran(on(run, orders, 0, "b"), start)
 			l.answered(r, http.StatusBadGateway)
 		}, ""},
-		{"another service", routeOrder, func(l *ledger, r *request, q *http.Request) { l.ran(lookups, 0, q, []byte("b"), start) }, "ROUTE"},
-		{"another body", routeOrder, func(l *ledger, r *request, q *http.Request) { l.ran(orders, 0, q, []byte("c"), start) }, "UNASKED"},
-		{"another team", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			q.Header.Set("X-Tenant", "blue")
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"another service", routeOrder, func(l *ledger, r *request, run simulator.Run) { l.Ran(on(run, lookups, 0, "b"), start) }, "ROUTE"},
+		{"another body", routeOrder, func(l *ledger, r *request, run simulator.Run) { l.Ran(on(run, orders, 0, "c"), start) }, "UNASKED"},
+		{"another team", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			run.Team = "blue"
+			l.Ran(on(run, orders, 0, "b"), start)
 		}, "UNASKED"},
-		{"with the key", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			q.Header.Set("X-Key", "key-red")
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"with the key", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			run.KeyPassed = true
+			l.Ran(on(run, orders, 0, "b"), start)
 		}, "UNASKED"},
-		{"denied", routeOrder, func(l *ledger, r *request, q *http.Request) { l.answered(r, http.StatusNotFound) }, "DENIED"},
-		{"to a replica that left", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.left(orders.ID, start)
+		{"denied", routeOrder, func(l *ledger, r *request, run simulator.Run) { l.answered(r, http.StatusNotFound) }, "DENIED"},
+		{"to a replica that left", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Left(orders, start)
 			r.Sent = late(drainTime)
-			l.arrived(orders, r.ID, late(drainTime))
+			l.Arrived(orders, r.ID, late(drainTime))
 		}, "DRAIN"},
-		{"to a replica that left during an outage", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.left(orders.ID, start)
+		{"to a replica that left during an outage", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Left(orders, start)
 			l.disturb(subjectStore, false)
 			r.Sent = late(drainTime)
-			l.arrived(orders, r.ID, late(drainTime))
+			l.Arrived(orders, r.ID, late(drainTime))
 		}, ""},
-		{"an old version", routeStream, func(l *ledger, r *request, q *http.Request) {
+		{"an old version", routeStream, func(l *ledger, r *request, run simulator.Run) {
 			l.name(2, start)
-			l.ran(llm, 1, q, []byte("b"), late(versionTime))
+			l.Ran(on(run, llm, 1, "b"), late(versionTime))
 		}, "VERSION"},
-		{"an old version in time", routeStream, func(l *ledger, r *request, q *http.Request) {
+		{"an old version in time", routeStream, func(l *ledger, r *request, run simulator.Run) {
 			l.name(2, start)
-			l.ran(llm, 1, q, []byte("b"), start.Add(versionTime/2))
+			l.Ran(on(run, llm, 1, "b"), start.Add(versionTime/2))
 		}, ""},
-		{"cut without a stop", routeOrder, func(l *ledger, r *request, q *http.Request) {
-			l.ran(orders, 0, q, []byte("b"), start)
+		{"cut without a stop", routeOrder, func(l *ledger, r *request, run simulator.Run) {
+			l.Ran(on(run, orders, 0, "b"), start)
 			l.cut(r)
 		}, "LOST"},
-		{"cut by a planned stop", routeOrder, func(l *ledger, r *request, q *http.Request) {
+		{"cut by a planned stop", routeOrder, func(l *ledger, r *request, run simulator.Run) {
 			l.disturb(entrySubject(0), true)
-			l.ran(orders, 0, q, []byte("b"), start)
+			l.Ran(on(run, orders, 0, "b"), start)
 			l.cut(r)
 		}, "LOST"},
-		{"cut by a kill", routeOrder, func(l *ledger, r *request, q *http.Request) {
+		{"cut by a kill", routeOrder, func(l *ledger, r *request, run simulator.Run) {
 			l.disturb(entrySubject(0), false)
-			l.ran(orders, 0, q, []byte("b"), start)
+			l.Ran(on(run, orders, 0, "b"), start)
 			l.cut(r)
 		}, ""},
-		{"a route that was removed", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, q *http.Request) {
+		{"a route that was removed", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, run simulator.Run) {
 			l.configured([]string{"extra-1"}, start.Add(-time.Minute))
 			l.configured(nil, start)
 			r.Sent = late(configurationTime)
 			l.probed(r, http.StatusOK)
 		}, "CONFIG"},
-		{"a route that was added", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, q *http.Request) {
+		{"a route that was added", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, run simulator.Run) {
 			l.configured([]string{"extra-1"}, start)
 			r.Sent = late(configurationTime)
 			l.probed(r, http.StatusNotFound)
 		}, "CONFIG"},
-		{"a route that was just added", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, q *http.Request) {
+		{"a route that was just added", route{Name: "extra-1", Service: "lookup"}, func(l *ledger, r *request, run simulator.Run) {
 			l.configured([]string{"extra-1"}, start)
 			r.Sent = start
 			l.probed(r, http.StatusNotFound)
@@ -154,13 +154,10 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			l := newLedger(start)
-			r := &request{ID: "c0-1", Route: tc.route, Path: "/x/c0-1", Body: "b", Team: "red", Sent: start}
+			r := newRequest("c0-1", tc.route, "b", teams[0], 0)
+			r.Sent = start
 			l.send(r)
-			q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://h"+r.Path, nil)
-			qt.Assert(t, err, qt.IsNil)
-			q.Header.Set("X-Attempt-Id", r.ID)
-			q.Header.Set("X-Tenant", "red")
-			tc.play(l, r, q)
+			tc.play(l, r, simulator.Run{ID: r.ID, Method: http.MethodPost, Path: r.Path, Team: r.Team})
 			got := ""
 			for _, v := range l.violations {
 				got = v.Rule
@@ -169,3 +166,9 @@
 		})
 	}
 }
+
+// on completes a run by where it happens, its version and its body.
+func on(run simulator.Run, service string, version int, body string) simulator.Run {
+	run.Replica, run.Service, run.Version, run.Body = service, service, version, body
+	return run
+}
