Log what is known of the time of a naming, and what is left of a version

The record of the incident can't tell a daemon that learned late from a request that waited too long. An announcement is now logged with the time within which it was made (when the store last answered without it, or the delivery by a waiting watch), an attempt with what is left of the window of its version, and a process that did not run for 0.6 s or more says for how long, and how much of that its monotonic clock missed. No decision changes.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -16,7 +16,8 @@
 		m.mu.Unlock()
 		return
 	}
-	s.ContentRevision = s.Revision
+	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
+	m.recordRead(s.ReadAt)
 	switch {
 	case m.loaded && sameObjects(m.snapshot.Objects, s.Objects):
 		s.ContentRevision = m.snapshot.ContentRevision
@@ -37,7 +38,7 @@
 		m.mu.Unlock()
 		return
 	}
-	s.Revision = max(s.Revision, m.snapshot.Revision)
+	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), now
 	m.setSnapshot(s)
 	m.mu.Unlock()
 	m.logReplaced(s, "peer")
@@ -59,20 +60,30 @@
 		zap.Uint64("revision", s.Revision), zap.Uint64("content", s.ContentRevision), zap.Int("objects", len(s.Objects)))
 }
 
-// apply applies changes of the store to the copy unless the copy is newer.
-func (m *Mirror) apply(c Changes, now time.Time) {
+// recordRead records that the store had nothing newer than the copy when it was asked. It
+// is called with the lock held.
+func (m *Mirror) recordRead(at time.Time) {
+	if at.After(m.currentAt) {
+		m.currentAt = at
+	}
+}
+
+// apply applies changes of the store to the copy unless the copy is newer. after is the
+// earliest time of the changes, or zero if that is unknown.
+func (m *Mirror) apply(c Changes, after, now time.Time) {
 	m.mu.Lock()
 	if c.Revision < m.snapshot.Revision {
 		m.mu.Unlock()
 		return
 	}
+	m.recordRead(c.ReadAt)
 	m.snapshot.Revision = c.Revision
 	if len(c.List) == 0 {
 		m.mu.Unlock()
 		return
 	}
 	c.Revision = max(m.contentAfter(c), m.snapshot.ContentRevision)
-	s := m.merge(c)
+	s := m.merge(c, after)
 	m.mu.Unlock()
 	m.logChanged(c, "watch")
 	m.notify(s, now)
@@ -87,15 +98,15 @@
 		return
 	}
 	m.snapshot.Revision = max(m.snapshot.Revision, c.Revision)
-	s := m.merge(c)
+	s := m.merge(c, now)
 	m.mu.Unlock()
 	m.logChanged(c, "peer")
 	m.notify(s, now)
 }
 
 // merge applies changes to the copy, whose content then has the revision of the
-// changes. It is called with the lock held.
-func (m *Mirror) merge(c Changes) Snapshot {
+// changes. after is the earliest time of the changes. It is called with the lock held.
+func (m *Mirror) merge(c Changes, after time.Time) Snapshot {
 	objects := maps.Clone(m.snapshot.Objects)
 	if objects == nil {
 		objects = map[string]Object{}
@@ -112,7 +123,7 @@
 		}
 	}
 	m.history.add(c)
-	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects}
+	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: after}
 	m.loaded = true
 	return m.snapshot
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -145,10 +145,10 @@
 	}
 	x.sends++
 	x.triedReplicas = append(x.triedReplicas, placed.Replica.ID)
-	remaining := x.request.Deadline.Sub(now)
+	remaining, versionLeft := x.request.Deadline.Sub(now), x.versionLeft(placed.Version, now)
 	a := Attempt{
-		Request: x.request, Number: x.sends, Replica: placed.Replica, Version: placed.Version,
-		Remaining: remaining, LastEventID: x.lastEventID, FirstByteTimeout: x.firstByteTimeout(placed.Version, remaining, now), StallTimeout: x.stallTimeout(),
+		Request: x.request, Number: x.sends, Replica: placed.Replica, Version: placed.Version, VersionLeft: versionLeft,
+		Remaining: remaining, LastEventID: x.lastEventID, FirstByteTimeout: x.firstByteTimeout(versionLeft, remaining), StallTimeout: x.stallTimeout(),
 	}
 	out := x.Sender.Send(ctx, a)
 	x.logAttempt(a, placed, out)
@@ -219,18 +219,24 @@
 	return q
 }
 
+// versionLeft returns how long the request may still begin on a model version; 0 means no
+// bound.
+func (x *execution) versionLeft(version int, now time.Time) time.Duration {
+	if version == 0 {
+		return 0
+	}
+	left, _ := x.Versions.ExpiresIn(x.request.Model, version, now)
+	return left
+}
+
 // firstByteTimeout returns the maximum wait for the first byte; 0 means no bound.
 // It is the silence timeout, or the time until the model version of the replica
 // expires if that is shorter: a request that waits at a replica that is loading
 // weights could begin after the version has expired.
-func (x *execution) firstByteTimeout(version int, remaining time.Duration, now time.Time) time.Duration {
+func (x *execution) firstByteTimeout(versionLeft, remaining time.Duration) time.Duration {
 	limit := x.silenceTimeout(remaining)
-	if version == 0 {
-		return limit
-	}
-	untilExpiry, expires := x.Versions.ExpiresIn(x.request.Model, version, now)
-	if expires && untilExpiry > 0 && (limit == 0 || untilExpiry < limit) {
-		return untilExpiry
+	if versionLeft > 0 && (limit == 0 || versionLeft < limit) {
+		return versionLeft
 	}
 	return limit
 }
@@ -471,7 +477,7 @@
 	outcome, detail := describe(out)
 	entry.Write(zap.String("kind", "attempt"), zap.String("subject", x.request.ID), zap.Int("number", a.Number),
 		zap.String("chosen", a.Replica.ID), zap.String("address", a.Replica.Address), zap.Float64("load", placed.Load),
-		zap.Duration("load-age", placed.LoadAge), zap.Duration("predicted", placed.Predicted), zap.Int("version", a.Version), zap.Duration("remaining", a.Remaining),
+		zap.Duration("load-age", placed.LoadAge), zap.Duration("predicted", placed.Predicted), zap.Int("version", a.Version), zap.Duration("remaining", a.Remaining), zap.Duration("version-left", a.VersionLeft),
 		zap.String("outcome", outcome), zap.String("detail", detail))
 }
 
--- a/internal/request/dispatcher/types.go
+++ b/internal/request/dispatcher/types.go
@@ -48,6 +48,9 @@
 	Replica placer.Replica
 	// Version is the model version that the replica must serve; 0 for any.
 	Version int
+	// VersionLeft is the time during which the request may begin on Version; 0 means no
+	// bound.
+	VersionLeft time.Duration
 	// Remaining is the time until the deadline of the request, which the replica may
 	// use.
 	Remaining time.Duration
--- /dev/null
+++ b/internal/shared/timekeeper/timekeeper.go
@@ -0,0 +1,89 @@
+// Package timekeeper detects that the process did not run for a while: because it was
+// stopped, because it got no processor, or because its VM was suspended. Times that
+// were measured meanwhile are wrong, and news that arrives afterwards may be old.
+package timekeeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
+)
+
+const (
+	// checkInterval is the time between checks.
+	checkInterval = 250 * time.Millisecond
+	// minPause is the shortest time between two checks that counts as a pause.
+	minPause = 600 * time.Millisecond
+	// minSuspension is the smallest difference between the clocks that counts as a
+	// suspension of the VM.
+	minSuspension = 50 * time.Millisecond
+)
+
+// Pause is a time in which the process did not run.
+type Pause struct {
+	// Began is when the process was last known to run, and Ended when it ran again.
+	Began, Ended time.Time
+	// Suspended is the part of the pause that the monotonic clock did not count.
+	Suspended time.Duration
+}
+
+// Timekeeper detects pauses. Its exported fields are set before Run.
+type Timekeeper struct {
+	// OnPause is called for each pause, if set.
+	OnPause func(p Pause)
+	Log     *logger.Logger
+
+	// last and lastBoot are the times of the last check.
+	last     time.Time
+	lastBoot time.Duration
+}
+
+// Run checks for pauses until ctx is canceled.
+func (k *Timekeeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		boot, err := sinceBoot()
+		if err != nil {
+			k.Log.Error("pauses of the process are not detected", zap.Error(err))
+			return
+		}
+		k.check(time.Now(), boot)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// sinceBoot returns the time since the start of the VM, which includes suspensions.
+func sinceBoot() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, err
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// check compares the present times with those of the last check. boot is the time since
+// the start of the VM.
+func (k *Timekeeper) check(now time.Time, boot time.Duration) {
+	last, lastBoot := k.last, k.lastBoot
+	k.last, k.lastBoot = now, boot
+	if last.IsZero() || boot-lastBoot < minPause {
+		return
+	}
+	p := Pause{Began: last, Ended: now}
+	if suspended := boot - lastBoot - now.Sub(last); suspended >= minSuspension {
+		p.Suspended = suspended
+	}
+	k.Log.Warn("the process did not run", zap.Duration("pause", boot-lastBoot), zap.Duration("suspended", p.Suspended))
+	if k.OnPause != nil {
+		k.OnPause(p)
+	}
+}
