Count the window of a version from when it was announced, not from when a daemon learned

Callers saw requests begin on version 1 up to 8,006 ms after version 2 was acknowledged.

Cause: selector.VersionTracker took the time of an update for that of the naming. A daemon that learns 3.5 s late, because its VM was suspended, allowed the old version for 2.5 s too long; a margin of 1.2 s covered the rest. The class: a bound that begins at a far event is counted from the moment at which the news arrives.

A pause of the process, also one that its clock does not count, moves what was learned in it to its beginning until a daemon that was running reports better. The same report tells a daemon that has just started how much of a window is left. A change that was found by a poll counts from the poll before. Weighed: the last answer of the store without the version as the only bound. It is safe but up to 30 s old where a daemon watches, and would take the old version from all callers at once.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -28,6 +28,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 	"github.com/lentilbridge/lentilbridge/internal/shared/recoverer"
+	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
@@ -94,6 +95,8 @@
 	Revisions map[string]uint64      `json:"revisions,omitempty"`
 	Load      map[string]placer.Load `json:"load,omitempty"`
 	Replica   *ReplicaState          `json:"replica,omitempty"`
+	// Announcements are the model versions that were announced recently.
+	Announcements []AnnouncementReport `json:"announcements,omitempty"`
 	reports
 	// Refusals are requests that the sender has refused recently.
 	Refusals []blocker.Fingerprint `json:"refusals,omitempty"`
@@ -126,6 +129,10 @@
 	// Revisions returns the revision of each kind of objects that this daemon mirrors,
 	// if set.
 	Revisions func() map[string]uint64
+	// Announcements returns the model versions that were announced recently, if set, and
+	// OnAnnouncement is called with each one that another daemon reports, if set.
+	Announcements  func(now time.Time) []selector.Announcement
+	OnAnnouncement func(from Member, a selector.Announcement, now time.Time)
 	// Load returns the load of this daemon by replica, if set.
 	Load func() map[string]placer.Load
 	// DomainLoad returns the load of all entry daemons of the failure domain, if set.
@@ -400,6 +407,7 @@
 	if g.Revisions != nil {
 		m.Revisions = g.Revisions()
 	}
+	m.Announcements = g.reportAnnouncements(now)
 	if g.Load != nil {
 		m.Load = g.Load()
 	}
--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -67,6 +67,7 @@
 		g.sendBlocks(m.From, now)
 	}
 	g.Members.AddReported(m.Members, now)
+	g.receiveAnnouncements(m, now)
 	if m.Digest != nil {
 		g.receiveDigest(m, now)
 		return
--- a/internal/coordination/gossiper/relay.go
+++ b/internal/coordination/gossiper/relay.go
@@ -152,7 +152,7 @@
 	if len(domains) == 0 && !due {
 		return
 	}
-	m := message{From: self, Digest: &digest{Domain: self.FailureDomain}}
+	m := message{From: self, Announcements: g.reportAnnouncements(now), Digest: &digest{Domain: self.FailureDomain}}
 	if g.Revisions != nil {
 		m.Revisions = g.Revisions()
 	}
--- a/internal/weights/loader/loader_test.go
+++ b/internal/weights/loader/loader_test.go
@@ -110,7 +110,7 @@
 		},
 		OnChange: func() {}, Log: zap.NewNop(),
 	}
-	l.Versions.Update(versions, now)
+	l.Versions.Update(versions, now, now)
 	return l
 }
 
@@ -186,7 +186,7 @@
 		done := &loaderRun{loader: l, ended: make(chan struct{})}
 		go done.run(ctx)
 		time.Sleep(time.Second)
-		l.Versions.Update(map[string]int{"m": 2}, time.Now())
+		l.Versions.Update(map[string]int{"m": 2}, time.Now(), time.Now())
 		time.Sleep(l.Versions.Window)
 		cancel()
 		<-done.ended
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -9,18 +9,20 @@
 
 // margin is the time before the end of the window from which new requests no longer
 // use the older version. It covers the time that a request may be queued at its
-// replica, and the delay between the announcement of the newer version and the
-// time at which this daemon learned of it.
+// replica, and the delay with which the first daemon learns of the newer version.
 const margin = 1200 * time.Millisecond
 
 // recallMargin is the time before the end of the window at which a request that is
-// still queued at its replica is recalled. It covers the delay between the
-// announcement of the newer version and the time at which this daemon learned of
-// it.
+// still queued at its replica is recalled. It covers the delay with which the first
+// daemon learns of the newer version.
 const recallMargin = time.Second
 
-// VersionTracker records the announced versions of each model and when this daemon
-// learned of them. Window must be set before use.
+// VersionTracker records the announced versions of each model and when they were
+// announced. Window must be set before use.
+//
+// Nothing says when an announcement was made. The time at which this daemon learns of it
+// is late by any amount if the process or its watch was held up; the windows of all
+// daemons end at the same time because each takes the earliest time known to any of them.
 type VersionTracker struct {
 	// Window is how long requests may start on an older version after a newer one
 	// was announced.
@@ -28,6 +30,17 @@
 
 	mu     sync.Mutex
 	models map[string]*modelHistory
+	// reported holds the latest report for each model whose version is not known here.
+	reported map[string]Announcement
+	// pauseBegan and pauseEnded are the times of the last pause of this process.
+	pauseBegan, pauseEnded time.Time
+}
+
+// Announcement is a version of a model and when it was announced.
+type Announcement struct {
+	Model   string
+	Version int
+	At      time.Time
 }
 
 // modelHistory holds the announced versions of one model.
@@ -37,35 +50,61 @@
 	history []announcement
 }
 
-// announcement is a version and when this daemon learned of it.
+// announcement is a version and when it was announced as far as this daemon knows.
 type announcement struct {
 	version int
 	at      time.Time
+	// assumed is set if at is the earliest possible time because this daemon was not
+	// running at the announcement. The report of one that was running replaces it.
+	assumed bool
 }
 
-// maxHistory limits the announcements that are kept for each model.
-const maxHistory = 16
+const (
+	// maxHistory limits the announcements that are kept for each model.
+	maxHistory = 16
+	// maxReportedModels limits the reports that wait for their versions.
+	maxReportedModels = 64
+	// maxDiscoveryTime is the time within which some daemon finds an announcement that
+	// no watch delivers, because one of them polls the store.
+	maxDiscoveryTime = 2 * time.Second
+	// pauseAftermath is the time after a pause within which news may be from before its
+	// end.
+	pauseAftermath = 2 * time.Second
+)
 
 // Update records the newest announced versions and returns the models that have
-// a new one. The versions of the first call are treated as announced a window
-// ago: a daemon that has just started does not know when they were announced.
-func (n *VersionTracker) Update(versions map[string]int, now time.Time) []string {
+// a new one. after is the earliest time at which they may have been announced, or zero
+// if that is unknown. The versions of the first call are treated as announced a window
+// ago until another daemon reports when: a daemon that has just started does not know.
+func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	at := now
+	a := n.estimate(after, now)
 	if n.models == nil {
 		n.models = map[string]*modelHistory{}
-		at = now.Add(-n.Window)
+		a = announcement{at: now.Add(-n.Window), assumed: true}
 	}
 	var updated []string
 	for model, version := range versions {
-		if n.record(model, version, at) {
+		a.version = version
+		if n.record(model, a) {
 			updated = append(updated, model)
 		}
 	}
 	return updated
 }
 
+// estimate returns when versions that this daemon learns of now were announced.
+func (n *VersionTracker) estimate(after, now time.Time) announcement {
+	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= pauseAftermath {
+		return announcement{at: n.pauseBegan, assumed: true}
+	}
+	if earliest := now.Add(-maxDiscoveryTime); after.Before(earliest) {
+		after = earliest
+	}
+	return announcement{at: after}
+}
+
 // Initialized reports whether Update was called.
 func (n *VersionTracker) Initialized() bool {
 	n.mu.Lock()
@@ -75,23 +114,99 @@
 
 // record adds a version to the history of a model. It returns false if the
 // version is not newer than the newest known one.
-func (n *VersionTracker) record(model string, version int, at time.Time) bool {
+func (n *VersionTracker) record(model string, a announcement) bool {
 	m := n.models[model]
 	if m == nil {
 		m = &modelHistory{}
 		n.models[model] = m
 	}
-	if version <= m.newest {
+	if a.version <= m.newest {
 		return false
 	}
-	m.newest = version
-	m.history = append(m.history, announcement{version: version, at: at})
+	if r, ok := n.reported[model]; ok && r.Version == a.version {
+		a.correct(r.At)
+		delete(n.reported, model)
+	}
+	m.newest = a.version
+	m.history = append(m.history, a)
 	if len(m.history) > maxHistory {
 		m.history = m.history[1:]
 	}
 	return true
 }
 
+// correct takes the time of a report unless an earlier one is known, and reports whether
+// that changed the announcement.
+func (a *announcement) correct(at time.Time) bool {
+	if !a.assumed && !at.Before(a.at) {
+		return false
+	}
+	a.at, a.assumed = at, false
+	return true
+}
+
+// RecordReport records when another daemon knows a version to have been announced. It
+// returns true if that changes what this daemon assumed. Reports may be late, but none is
+// early.
+func (n *VersionTracker) RecordReport(r Announcement) (changed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
+		for i := range m.history {
+			if m.history[i].version == r.Version {
+				return m.history[i].correct(r.At)
+			}
+		}
+		return false
+	}
+	known, ok := n.reported[r.Model]
+	switch {
+	case ok && (known.Version > r.Version || known.Version == r.Version && !r.At.Before(known.At)):
+		return false
+	case !ok && len(n.reported) >= maxReportedModels:
+		return false
+	case n.reported == nil:
+		n.reported = map[string]Announcement{}
+	}
+	n.reported[r.Model] = r
+	return false
+}
+
+// RecordPause records that this process did not run for a while. Its clock did not count
+// the suspended part. Announcements that were recorded since the pause began may have
+// been made at any time of it.
+func (n *VersionTracker) RecordPause(began, ended time.Time, suspended time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pauseBegan, n.pauseEnded = began.Add(-suspended), ended
+	for _, m := range n.models {
+		for i := range m.history {
+			a := &m.history[i]
+			if a.at.After(began) {
+				a.at, a.assumed = n.pauseBegan, true
+			} else {
+				a.at = a.at.Add(-suspended)
+			}
+		}
+	}
+}
+
+// Announcements returns the announcements of the last window whose times are known, for
+// the other daemons.
+func (n *VersionTracker) Announcements(now time.Time) []Announcement {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []Announcement
+	for model, m := range n.models {
+		for _, a := range m.history {
+			if !a.assumed && now.Sub(a.at) < n.Window {
+				out = append(out, Announcement{Model: model, Version: a.version, At: a.at})
+			}
+		}
+	}
+	return out
+}
+
 // Newest returns the newest announced version of a model, or 0 if there is none.
 func (n *VersionTracker) Newest(model string) int {
 	n.mu.Lock()
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -29,11 +29,11 @@
 	start := time.Unix(1000, 0)
 	n := &VersionTracker{Window: window}
 	c.Assert(n.Initialized(), qt.IsFalse)
-	n.Update(map[string]int{"m": 2}, start)
+	n.Update(map[string]int{"m": 2}, start, start)
 	c.Assert(n.Initialized(), qt.IsTrue)
 	c.Assert(n.OldestAllowed("m", start), qt.Equals, 2)
-	c.Assert(n.Update(map[string]int{"m": 3}, start.Add(time.Second)), qt.DeepEquals, []string{"m"})
-	c.Assert(n.Update(map[string]int{"m": 3}, start.Add(2*time.Second)), qt.HasLen, 0)
+	c.Assert(n.Update(map[string]int{"m": 3}, start.Add(time.Second), start.Add(time.Second)), qt.DeepEquals, []string{"m"})
+	c.Assert(n.Update(map[string]int{"m": 3}, start.Add(2*time.Second), start.Add(2*time.Second)), qt.HasLen, 0)
 	tests := []struct {
 		after time.Duration
 		want  int
@@ -53,6 +53,102 @@
 	c.Assert(ends, qt.IsFalse)
 }
 
+// TestWindowFromLateNews guards against requests that start on a version after its window
+// because this daemon learned late of the next one, and against windows that end early
+// although another daemon knows when it was announced.
+func TestWindowFromLateNews(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	report := func(n *VersionTracker, seconds float64) {
+		n.RecordReport(Announcement{Model: "m", Version: 2, At: at(seconds)})
+	}
+	tests := []struct {
+		name   string
+		events func(n *VersionTracker)
+		// want is when version 2 counts as announced, in seconds.
+		want float64
+	}{
+		{"learned at once", func(n *VersionTracker) { n.Update(map[string]int{"m": 2}, at(8), at(8)) }, 8},
+		{"found by a poll", func(n *VersionTracker) { n.Update(map[string]int{"m": 2}, at(7.4), at(8)) }, 7.4},
+		{"found after an unknown time", func(n *VersionTracker) { n.Update(map[string]int{"m": 2}, time.Time{}, at(8)) }, 6},
+		{"pause noticed before the news", func(n *VersionTracker) {
+			n.RecordPause(at(8), at(11.8), 0)
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+		}, 8},
+		{"pause noticed after the news", func(n *VersionTracker) {
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+			n.RecordPause(at(8), at(11.9), 0)
+		}, 8},
+		{"news long after a pause", func(n *VersionTracker) {
+			n.RecordPause(at(2), at(4), 0)
+			n.Update(map[string]int{"m": 2}, at(8), at(8))
+		}, 8},
+		{"clock that stops", func(n *VersionTracker) {
+			n.Update(map[string]int{"m": 2}, at(8), at(8))
+			n.RecordPause(at(9), at(9.2), 4*time.Second)
+		}, 4},
+		{"announced while the clock stopped", func(n *VersionTracker) {
+			n.Update(map[string]int{"m": 2}, at(9.1), at(9.1))
+			n.RecordPause(at(9), at(9.2), 4*time.Second)
+		}, 5},
+		{"reported after the news", func(n *VersionTracker) {
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+			report(n, 8.3)
+			report(n, 8.2)
+			report(n, 10)
+		}, 8.2},
+		{"reported before the news", func(n *VersionTracker) {
+			report(n, 8.3)
+			report(n, 8.2)
+			report(n, 10)
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+		}, 8.2},
+		{"assumed, then reported by a daemon that was running", func(n *VersionTracker) {
+			n.RecordPause(at(4), at(11.8), 0)
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+			report(n, 8.3)
+		}, 8.3},
+		{"reports that waited in the pause", func(n *VersionTracker) {
+			n.RecordPause(at(4), at(11.8), 0)
+			report(n, 11.7)
+			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
+			report(n, 11.2)
+			report(n, 8.3)
+		}, 8.3},
+	}
+	for _, tc := range tests {
+		n := &VersionTracker{Window: window}
+		n.Update(map[string]int{"m": 1}, start, start)
+		tc.events(n)
+		end := at(tc.want).Add(window - margin)
+		qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf("%s, at the end", tc.name))
+		qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Equals, 1, qt.Commentf("%s, before the end", tc.name))
+	}
+}
+
+// TestStartedDaemonLearnsAge guards against a daemon that uses no replica of the earlier
+// version for the rest of its window because it was started in it.
+func TestStartedDaemonLearnsAge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 2}, time.Time{}, start)
+	qt.Assert(t, n.OldestAllowed("m", start), qt.Equals, 2)
+	qt.Assert(t, n.Announcements(start), qt.HasLen, 0)
+	n.RecordReport(Announcement{Model: "m", Version: 2, At: start.Add(-time.Second)})
+	qt.Assert(t, n.OldestAllowed("m", start), qt.Equals, 0)
+	qt.Assert(t, n.Announcements(start), qt.DeepEquals, []Announcement{{Model: "m", Version: 2, At: start.Add(-time.Second)}})
+	qt.Assert(t, n.Announcements(start.Add(window)), qt.HasLen, 0)
+}
+
+// TestReportsOfUnknownModels guards against memory that grows with what other programs send.
+func TestReportsOfUnknownModels(t *testing.T) {
+	n := &VersionTracker{Window: window}
+	for i := range 2 * maxReportedModels {
+		n.RecordReport(Announcement{Model: string(rune('a' + i)), Version: 1, At: time.Unix(1000, 0)})
+	}
+	qt.Assert(t, n.reported, qt.HasLen, maxReportedModels)
+}
+
 // TestNext guards against replicas that load simultaneously, engines without a
 // version that are left idle, and agents that wait for the newest version although
 // they hold an earlier one.
@@ -86,8 +182,8 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			n := &VersionTracker{Window: window}
-			n.Update(map[string]int{"m": 2}, start)
-			n.Update(map[string]int{"m": 3}, start)
+			n.Update(map[string]int{"m": 2}, start, start)
+			n.Update(map[string]int{"m": 3}, start, start)
 			qt.Assert(t, n.Next("m", tc.engine, tc.held, tc.position, start.Add(tc.after)), qt.DeepEquals, tc.want)
 		})
 	}
