Compare a replica's version again after the wait for a place

A request that waits for a place was sent by the oldest version allowed at the beginning of the wait, up to 1.5 s before. In the last moments of a window it reached a replica whose version had expired meanwhile, and the wait for its first byte then had no bound, because a time of 0 or less until the expiry counted as none.

TestVersionExpiresWhileWaiting failed before: the request was sent to version 1 half a second after its end, and is refused now.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -143,9 +143,16 @@
 		placed.Done(placer.Neutral, now)
 		return x.finish(reason)
 	}
+	versionLeft, usable := x.versionLeft(placed.Version, now)
+	if !usable {
+		placed.Done(placer.Neutral, now)
+		x.Log.Info("decision", zap.String("kind", "version-expired"), zap.String("subject", x.request.ID), zap.String("chosen", placed.Replica.ID),
+			zap.Int("version", placed.Version), zap.Duration("waited", placed.Waited))
+		return false
+	}
 	x.sends++
 	x.triedReplicas = append(x.triedReplicas, placed.Replica.ID)
-	remaining, versionLeft := x.request.Deadline.Sub(now), x.versionLeft(placed.Version, now)
+	remaining := x.request.Deadline.Sub(now)
 	a := Attempt{
 		Request: x.request, Number: x.sends, Replica: placed.Replica, Version: placed.Version, VersionLeft: versionLeft,
 		Remaining: remaining, LastEventID: x.lastEventID, FirstByteTimeout: x.firstByteTimeout(versionLeft, remaining), StallTimeout: x.stallTimeout(),
@@ -219,14 +226,18 @@
 	return q
 }
 
-// versionLeft returns how long the request may still begin on a model version; 0 means no
-// bound.
-func (x *execution) versionLeft(version int, now time.Time) time.Duration {
+// versionLeft returns how long the request may still begin on a model version, 0 for no
+// bound, and false if it may not: the version may have expired while the request waited
+// for a place.
+func (x *execution) versionLeft(version int, now time.Time) (left time.Duration, usable bool) {
 	if version == 0 {
-		return 0
+		return 0, true
+	}
+	left, expires := x.Versions.ExpiresIn(x.request.Model, version, now)
+	if !expires {
+		return 0, true
 	}
-	left, _ := x.Versions.ExpiresIn(x.request.Model, version, now)
-	return left
+	return left, left > 0 && version >= x.Versions.OldestAllowed(x.request.Model, now)
 }
 
 // firstByteTimeout returns the maximum wait for the first byte; 0 means no bound.
--- a/internal/request/dispatcher/returning_test.go
+++ b/internal/request/dispatcher/returning_test.go
@@ -69,3 +69,55 @@
 		})
 	}
 }
+
+// expiringVersions allows version 1 of each model until a time, and only later ones from
+// then on. It implements Versions.
+type expiringVersions struct{ end time.Time }
+
+func (v expiringVersions) OldestAllowed(_ string, now time.Time) int {
+	if now.Before(v.end) {
+		return 1
+	}
+	return 2
+}
+
+func (v expiringVersions) ExpiresIn(_ string, version int, now time.Time) (time.Duration, bool) {
+	return v.end.Sub(now), version < 2
+}
+
+// TestVersionExpiresWhileWaiting guards against a request that is sent to a replica whose
+// version has expired while the request waited for a place there.
+func TestVersionExpiresWhileWaiting(t *testing.T) {
+	tests := []struct {
+		name    string
+		expires time.Duration
+		want    string
+		sends   int
+	}{
+		{"after the wait", 2 * time.Second, "begin", 1},
+		{"during the wait", 500 * time.Millisecond, "refuse", 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				now := time.Now()
+				sender := &scriptedSender{outcomes: []Outcome{streaming(io.EOF, Batch{Data: []byte("x")})}}
+				d := newDispatcher(sender, budgeter.New(), now)
+				d.Versions = expiringVersions{now.Add(tc.expires)}
+				d.Placer.Update([]placer.Replica{{
+					ID: "r1", Address: "r1", Service: "s", FailureDomain: "a", Slots: 1, Engine: &placer.Engine{}, Versions: map[string]int{"m": 1},
+				}}, now)
+				p, err := d.Placer.Place(context.Background(), placer.Query{Service: "s"}, now)
+				c.Assert(err, qt.IsNil)
+				go (&busySlots{placements: []placer.Placement{p}, until: time.Second}).run()
+				r := newRequest(matcher.Streaming, true, 2, now)
+				r.Model, r.Returning = "m", true
+				sink := &recordingSink{}
+				d.Dispatch(context.Background(), r, sink)
+				c.Assert(sink.calls[0], qt.Equals, tc.want)
+				c.Assert(sender.sent, qt.HasLen, tc.sends)
+			})
+		})
+	}
+}
