Take the times of an announcement from the daemon that learned of it first

A daemon that was running may know as little as one that was not. So each now keeps an interval: the announcement was made after one time (the last answer without it, or its delivery by a waiting watch, or the beginning of a pause) and by another (when it was learned). The interval of the first daemon to learn counts, also in one that has just started, and windows begin at its earlier end.

--- a/internal/coordination/gossiper/announcements.go
+++ b/internal/coordination/gossiper/announcements.go
@@ -6,19 +6,22 @@
 	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 )
 
-// AnnouncementReport is an announced model version on the wire. An age needs no
-// synchronized clocks.
+// AnnouncementReport is an announced model version on the wire. Ages need no synchronized
+// clocks.
 type AnnouncementReport struct {
 	Model   string `json:"model"`
 	Version int    `json:"version"`
-	AgeMs   int64  `json:"age-ms"`
+	// AgeMs and MaxAgeMs are the times since the announcement was known and since it may
+	// have been made.
+	AgeMs    int64 `json:"age-ms"`
+	MaxAgeMs int64 `json:"max-age-ms"`
 }
 
 // ReportAnnouncements returns announcements as they are sent to other daemons.
 func ReportAnnouncements(list []selector.Announcement, now time.Time) []AnnouncementReport {
 	var out []AnnouncementReport
 	for _, a := range list {
-		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.At, now)})
+		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.By, now), MaxAgeMs: ageMs(a.After, now)})
 	}
 	return out
 }
@@ -28,8 +31,10 @@
 func ReadAnnouncements(list []AnnouncementReport, now time.Time) []selector.Announcement {
 	var out []selector.Announcement
 	for _, r := range list {
-		if at, ok := fromAge(r.AgeMs, now); ok {
-			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, At: at})
+		by, plausible := fromAge(r.AgeMs, now)
+		after, afterPlausible := fromAge(r.MaxAgeMs, now)
+		if plausible && afterPlausible && !after.After(by) {
+			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, After: after, By: by})
 		}
 	}
 	return out
--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -38,7 +38,7 @@
 		m.mu.Unlock()
 		return
 	}
-	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), now
+	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), m.currentAt
 	m.setSnapshot(s)
 	m.mu.Unlock()
 	m.logReplaced(s, "peer")
@@ -60,7 +60,7 @@
 		zap.Uint64("revision", s.Revision), zap.Uint64("content", s.ContentRevision), zap.Int("objects", len(s.Objects)))
 }
 
-// recordRead records that the store had nothing newer than the copy when it was asked. It
+// recordRead records that the source had nothing newer than the copy when it was asked. It
 // is called with the lock held.
 func (m *Mirror) recordRead(at time.Time) {
 	if at.After(m.currentAt) {
@@ -68,14 +68,17 @@
 	}
 }
 
-// apply applies changes of the store to the copy unless the copy is newer. after is the
-// earliest time of the changes, or zero if that is unknown.
-func (m *Mirror) apply(c Changes, after, now time.Time) {
+// apply applies changes of the store to the copy unless the copy is newer.
+func (m *Mirror) apply(c Changes, now time.Time) {
 	m.mu.Lock()
 	if c.Revision < m.snapshot.Revision {
 		m.mu.Unlock()
 		return
 	}
+	changedAfter := m.currentAt
+	if c.Prompt {
+		changedAfter = now
+	}
 	m.recordRead(c.ReadAt)
 	m.snapshot.Revision = c.Revision
 	if len(c.List) == 0 {
@@ -83,7 +86,7 @@
 		return
 	}
 	c.Revision = max(m.contentAfter(c), m.snapshot.ContentRevision)
-	s := m.merge(c, after)
+	s := m.merge(c, changedAfter)
 	m.mu.Unlock()
 	m.logChanged(c, "watch")
 	m.notify(s, now)
@@ -98,15 +101,15 @@
 		return
 	}
 	m.snapshot.Revision = max(m.snapshot.Revision, c.Revision)
-	s := m.merge(c, now)
+	s := m.merge(c, m.currentAt)
 	m.mu.Unlock()
 	m.logChanged(c, "peer")
 	m.notify(s, now)
 }
 
 // merge applies changes to the copy, whose content then has the revision of the
-// changes. after is the earliest time of the changes. It is called with the lock held.
-func (m *Mirror) merge(c Changes, after time.Time) Snapshot {
+// changes. It is called with the lock held.
+func (m *Mirror) merge(c Changes, changedAfter time.Time) Snapshot {
 	objects := maps.Clone(m.snapshot.Objects)
 	if objects == nil {
 		objects = map[string]Object{}
@@ -123,7 +126,7 @@
 		}
 	}
 	m.history.add(c)
-	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: after}
+	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: changedAfter}
 	m.loaded = true
 	return m.snapshot
 }
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -58,12 +58,12 @@
 	ContentRevision uint64 `json:"content"`
 	// Objects holds the objects by name.
 	Objects map[string]Object `json:"objects"`
-	// ReadAt is when the store was asked for the list. It is zero if the answer may be
-	// older than that, or comes from another daemon.
+	// ReadAt is when the source was asked for the list, or zero if the answer may be older
+	// than that.
 	ReadAt time.Time `json:"-"`
-	// ChangedAfter is the earliest time of the latest changes of a copy: when the store
-	// last answered without them, or when a waiting watch or another daemon delivered
-	// them. It is zero if that is unknown.
+	// ChangedAfter is the earliest time of the latest changes of a copy: when the source
+	// was last asked and answered without them, or when a prompt watch delivered them. It
+	// is zero if that is unknown.
 	ChangedAfter time.Time `json:"-"`
 }
 
@@ -77,8 +77,11 @@
 type Changes struct {
 	Revision uint64   `json:"revision"`
 	List     []Change `json:"list"`
-	// ReadAt is when the store was asked, or zero as in Snapshot.
+	// ReadAt is when the source was asked, or zero as in Snapshot.
 	ReadAt time.Time `json:"-"`
+	// Prompt is set if the changes were delivered by a watch that waited for them at the
+	// store.
+	Prompt bool `json:"-"`
 }
 
 // Update brings the copy of another daemon up to date: Snapshot or Changes.
@@ -163,7 +166,7 @@
 	changed  notifier.Notifier
 	// unreachable is set if the last call failed.
 	unreachable bool
-	// currentAt is when the copy was last known to have all changes of the store.
+	// currentAt is when the copy was last known to have all changes of the source.
 	currentAt time.Time
 }
 
@@ -248,7 +251,7 @@
 		changes, err := m.Source.Watch(ctx, m.Kind, m.Revision(), 0)
 		var compacted *CompactedError
 		if err == nil {
-			m.apply(changes, m.lastCurrent(), time.Now())
+			m.apply(changes, time.Now())
 		}
 		if !errors.As(err, &compacted) {
 			return err
@@ -382,7 +385,7 @@
 		case err == nil:
 			now := time.Now()
 			m.recordAnswer(now)
-			m.apply(changes, m.lastCurrent(), now)
+			m.apply(changes, now)
 		case errors.As(err, &compacted):
 			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
 			m.list(ctx)
@@ -425,17 +428,10 @@
 	}
 	now := time.Now()
 	m.recordAnswer(now)
-	m.apply(changes, now, now)
+	m.apply(changes, now)
 	return nil
 }
 
-// lastCurrent returns when the copy was last known to have all changes of the store.
-func (m *Mirror) lastCurrent() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.currentAt
-}
-
 // recordAnswer records that the store answered. If that ends an outage, it calls
 // OnOutage with the end of the outage, which has to happen before the changes are
 // applied.
--- a/internal/shared/timekeeper/timekeeper.go
+++ b/internal/shared/timekeeper/timekeeper.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
@@ -37,6 +39,7 @@
 	OnPause func(p Pause)
 	Log     *logger.Logger
 
+	mu sync.Mutex
 	// last and lastBoot are the times of the last check.
 	last     time.Time
 	lastBoot time.Duration
@@ -44,24 +47,40 @@
 
 // Run checks for pauses until ctx is canceled.
 func (k *Timekeeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
+	k.Check()
+	waiter.Every(ctx, checkInterval, func(time.Time) { k.Check() })
+}
+
+// Check reports a pause that has ended since the last check.
+func (k *Timekeeper) Check() {
+	now, boot, err := readClocks()
+	if err != nil {
+		k.Log.Error("pauses of the process are not detected", zap.Error(err))
+		return
+	}
+	k.check(now, boot)
+}
+
+// readClocks returns the present time and the time since the start of the VM, which
+// includes suspensions. It reads both again if the process paused in between.
+func readClocks() (now time.Time, boot time.Duration, err error) {
 	for {
+		before, err := sinceBoot()
+		if err != nil {
+			return time.Time{}, 0, err
+		}
+		now := time.Now()
 		boot, err := sinceBoot()
 		if err != nil {
-			k.Log.Error("pauses of the process are not detected", zap.Error(err))
-			return
+			return time.Time{}, 0, err
 		}
-		k.check(time.Now(), boot)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		if boot-before < minSuspension/2 {
+			return now, boot, nil
 		}
 	}
 }
 
-// sinceBoot returns the time since the start of the VM, which includes suspensions.
+// sinceBoot returns the time since the start of the VM.
 func sinceBoot() (time.Duration, error) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
@@ -73,6 +92,8 @@
 // check compares the present times with those of the last check. boot is the time since
 // the start of the VM.
 func (k *Timekeeper) check(now time.Time, boot time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	last, lastBoot := k.last, k.lastBoot
 	k.last, k.lastBoot = now, boot
 	if last.IsZero() || boot-lastBoot < minPause {
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -20,9 +20,10 @@
 // VersionTracker records the announced versions of each model and when they were
 // announced. Window must be set before use.
 //
-// Nothing says when an announcement was made. The time at which this daemon learns of it
-// is late by any amount if the process or its watch was held up; the windows of all
-// daemons end at the same time because each takes the earliest time known to any of them.
+// Nothing says when an announcement was made. A daemon learns of it late by any amount if
+// the process, its watch or the daemon that it asked was held up. So each keeps the time
+// by which it was made and the time after which it was, and takes both from the daemon
+// that learned of it first. Windows begin at the earlier one.
 type VersionTracker struct {
 	// Window is how long requests may start on an older version after a newer one
 	// was announced.
@@ -36,27 +37,19 @@
 	pauseBegan, pauseEnded time.Time
 }
 
-// Announcement is a version of a model and when it was announced.
+// Announcement is a version of a model that was announced after one time and by another.
 type Announcement struct {
 	Model   string
 	Version int
-	At      time.Time
+	After   time.Time
+	By      time.Time
 }
 
 // modelHistory holds the announced versions of one model.
 type modelHistory struct {
 	newest int
 	// history holds the latest announcements in ascending order of version.
-	history []announcement
-}
-
-// announcement is a version and when it was announced as far as this daemon knows.
-type announcement struct {
-	version int
-	at      time.Time
-	// assumed is set if at is the earliest possible time because this daemon was not
-	// running at the announcement. The report of one that was running replaces it.
-	assumed bool
+	history []Announcement
 }
 
 const (
@@ -64,9 +57,11 @@
 	maxHistory = 16
 	// maxReportedModels limits the reports that wait for their versions.
 	maxReportedModels = 64
-	// maxDiscoveryTime is the time within which some daemon finds an announcement that
-	// no watch delivers, because one of them polls the store.
-	maxDiscoveryTime = 2 * time.Second
+	// maxDiscoveryShare is the share of the window within which some daemon learns of an
+	// announcement.
+	maxDiscoveryShare = 0.5
+	// minCorrection is the smallest change of the beginning of a window that is reported.
+	minCorrection = 100 * time.Millisecond
 	// pauseAftermath is the time after a pause within which news may be from before its
 	// end.
 	pauseAftermath = 2 * time.Second
@@ -75,34 +70,36 @@
 // Update records the newest announced versions and returns the models that have
 // a new one. after is the earliest time at which they may have been announced, or zero
 // if that is unknown. The versions of the first call are treated as announced a window
-// ago until another daemon reports when: a daemon that has just started does not know.
+// ago until another daemon reports more: a daemon that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	a := n.estimate(after, now)
+	a := Announcement{After: n.earliest(after, now), By: now}
 	if n.models == nil {
 		n.models = map[string]*modelHistory{}
-		a = announcement{at: now.Add(-n.Window), assumed: true}
+		a.After = now.Add(-n.Window)
 	}
 	var updated []string
 	for model, version := range versions {
-		a.version = version
-		if n.record(model, a) {
+		a.Model, a.Version = model, version
+		if n.record(a) {
 			updated = append(updated, model)
 		}
 	}
 	return updated
 }
 
-// estimate returns when versions that this daemon learns of now were announced.
-func (n *VersionTracker) estimate(after, now time.Time) announcement {
+// earliest returns the earliest time at which versions that this daemon learns of now may
+// have been announced.
+func (n *VersionTracker) earliest(after, now time.Time) time.Time {
+	limit := now.Add(-time.Duration(maxDiscoveryShare * float64(n.Window)))
 	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= pauseAftermath {
-		return announcement{at: n.pauseBegan, assumed: true}
+		limit, after = earlier(limit, n.pauseBegan), earlier(after, n.pauseBegan)
 	}
-	if earliest := now.Add(-maxDiscoveryTime); after.Before(earliest) {
-		after = earliest
+	if after.Before(limit) {
+		return limit
 	}
-	return announcement{at: after}
+	return after
 }
 
 // Initialized reports whether Update was called.
@@ -112,22 +109,22 @@
 	return n.models != nil
 }
 
-// record adds a version to the history of a model. It returns false if the
-// version is not newer than the newest known one.
-func (n *VersionTracker) record(model string, a announcement) bool {
-	m := n.models[model]
+// record adds a version to the history of its model. It returns false if the version is
+// not newer than the newest known one.
+func (n *VersionTracker) record(a Announcement) bool {
+	m := n.models[a.Model]
 	if m == nil {
 		m = &modelHistory{}
-		n.models[model] = m
+		n.models[a.Model] = m
 	}
-	if a.version <= m.newest {
+	if a.Version <= m.newest {
 		return false
 	}
-	if r, ok := n.reported[model]; ok && r.Version == a.version {
-		a.correct(r.At)
-		delete(n.reported, model)
+	if r, ok := n.reported[a.Model]; ok && r.Version == a.Version {
+		a.correct(r)
+		delete(n.reported, a.Model)
 	}
-	m.newest = a.version
+	m.newest = a.Version
 	m.history = append(m.history, a)
 	if len(m.history) > maxHistory {
 		m.history = m.history[1:]
@@ -135,33 +132,34 @@
 	return true
 }
 
-// correct takes the time of a report unless an earlier one is known, and reports whether
-// that changed the announcement.
-func (a *announcement) correct(at time.Time) bool {
-	if !a.assumed && !at.Before(a.at) {
+// correct takes the times of a report if it is of a daemon that learned of the announcement
+// earlier. It reports whether that moves the beginning of the window noticeably.
+func (a *Announcement) correct(r Announcement) bool {
+	if !r.By.Before(a.By) {
 		return false
 	}
-	a.at, a.assumed = at, false
-	return true
+	moved := a.After.Sub(r.After).Abs() >= minCorrection
+	a.After, a.By = r.After, r.By
+	return moved
 }
 
-// RecordReport records when another daemon knows a version to have been announced. It
-// returns true if that changes what this daemon assumed. Reports may be late, but none is
-// early.
+// RecordReport records what another daemon knows of an announcement. It returns true if
+// that moves the beginning of its window noticeably. A report may arrive late, and its times are then
+// late by as much; none is early.
 func (n *VersionTracker) RecordReport(r Announcement) (changed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
 		for i := range m.history {
-			if m.history[i].version == r.Version {
-				return m.history[i].correct(r.At)
+			if m.history[i].Version == r.Version {
+				return m.history[i].correct(r)
 			}
 		}
 		return false
 	}
 	known, ok := n.reported[r.Model]
 	switch {
-	case ok && (known.Version > r.Version || known.Version == r.Version && !r.At.Before(known.At)):
+	case ok && (known.Version > r.Version || known.Version == r.Version && !r.By.Before(known.By)):
 		return false
 	case !ok && len(n.reported) >= maxReportedModels:
 		return false
@@ -173,8 +171,7 @@
 }
 
 // RecordPause records that this process did not run for a while. Its clock did not count
-// the suspended part. Announcements that were recorded since the pause began may have
-// been made at any time of it.
+// the suspended part. What it learned since the pause began may be from any time of it.
 func (n *VersionTracker) RecordPause(began, ended time.Time, suspended time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -182,25 +179,31 @@
 	for _, m := range n.models {
 		for i := range m.history {
 			a := &m.history[i]
-			if a.at.After(began) {
-				a.at, a.assumed = n.pauseBegan, true
-			} else {
-				a.at = a.at.Add(-suspended)
+			if a.By.After(began) {
+				a.After = earlier(a.After, n.pauseBegan)
+				continue
 			}
+			a.After, a.By = a.After.Add(-suspended), a.By.Add(-suspended)
 		}
 	}
 }
 
-// Announcements returns the announcements of the last window whose times are known, for
-// the other daemons.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Announcements returns the announcements of the last window, for the other daemons.
 func (n *VersionTracker) Announcements(now time.Time) []Announcement {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []Announcement
-	for model, m := range n.models {
+	for _, m := range n.models {
 		for _, a := range m.history {
-			if !a.assumed && now.Sub(a.at) < n.Window {
-				out = append(out, Announcement{Model: model, Version: a.version, At: a.at})
+			if now.Sub(a.By) < n.Window {
+				out = append(out, a)
 			}
 		}
 	}
@@ -228,8 +231,8 @@
 		return 0, false
 	}
 	for _, l := range m.history {
-		if l.version > version {
-			return l.at.Add(n.Window - recallMargin).Sub(now), true
+		if l.Version > version {
+			return l.After.Add(n.Window - recallMargin).Sub(now), true
 		}
 	}
 	return 0, false
@@ -247,8 +250,8 @@
 	}
 	oldest := 0
 	for _, l := range m.history {
-		if now.Sub(l.at) >= n.Window-margin {
-			oldest = l.version
+		if now.Sub(l.After) >= n.Window-margin {
+			oldest = l.Version
 		}
 	}
 	return oldest
@@ -348,9 +351,9 @@
 		return time.Time{}
 	}
 	for _, l := range m.history {
-		if l.version > e.Version {
-			first := l.at.Add(time.Duration(loadStartShare * float64(n.Window)))
-			last := l.at.Add(time.Duration(loadEndShare * float64(n.Window)))
+		if l.Version > e.Version {
+			first := l.After.Add(time.Duration(loadStartShare * float64(n.Window)))
+			last := l.After.Add(time.Duration(loadEndShare * float64(n.Window)))
 			if since.After(first) {
 				first = since
 			}
