--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -67,11 +67,10 @@
 	pauseAftermath = 2 * time.Second
 )
 
-// Update records the newest announced versions and returns the models that have
-// a new one. after is the earliest time at which they may have been announced, or zero
+// Update records the newest announced versions and returns those that were unknown. after is the earliest time at which they may have been announced, or zero
 // if that is unknown. The versions of the first call are treated as announced a window
 // ago until another daemon reports more: a daemon that has just started does not know.
-func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []string {
+func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a := Announcement{After: n.earliest(after, now), By: now}
@@ -79,14 +78,14 @@
 		n.models = map[string]*modelHistory{}
 		a.After = now.Add(-n.Window)
 	}
-	var updated []string
+	var unknown []Announcement
 	for model, version := range versions {
 		a.Model, a.Version = model, version
-		if n.record(a) {
-			updated = append(updated, model)
+		if recorded, ok := n.record(a); ok {
+			unknown = append(unknown, recorded)
 		}
 	}
-	return updated
+	return unknown
 }
 
 // earliest returns the earliest time at which versions that this daemon learns of now may
@@ -109,16 +108,16 @@
 	return n.models != nil
 }
 
-// record adds a version to the history of its model. It returns false if the version is
-// not newer than the newest known one.
-func (n *VersionTracker) record(a Announcement) bool {
+// record adds a version to the history of its model and returns it with what other daemons
+// have reported of it. It returns false if it is not newer than the newest known one.
+func (n *VersionTracker) record(a Announcement) (Announcement, bool) {
 	m := n.models[a.Model]
 	if m == nil {
 		m = &modelHistory{}
 		n.models[a.Model] = m
 	}
 	if a.Version <= m.newest {
-		return false
+		return a, false
 	}
 	if r, ok := n.reported[a.Model]; ok && r.Version == a.Version {
 		a.correct(r)
@@ -129,7 +128,7 @@
 	if len(m.history) > maxHistory {
 		m.history = m.history[1:]
 	}
-	return true
+	return a, true
 }
 
 // correct takes the times of a report if it is of a daemon that learned of the announcement
