--- a/internal/shared/timekeeper/timekeeper_test.go
+++ b/internal/shared/timekeeper/timekeeper_test.go
@@ -12,7 +12,7 @@
 // that counts them, and against pauses that were none.
 func TestPause(t *testing.T) {
 	start := time.Now()
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	const boot = time.Hour
 	tests := []struct {
 		name string
