Soak: name a version while daemons are paused, and check entry daemons that were paused then

The check of versions excused each entry daemon that was disturbed between the change and the run, so the soak could not see a daemon that learned late and used the old version when it had long been running again. It now excuses only daemons that were disturbed from 3 s before the request on, as the bound says; the store still counts from the change on.

TestNamingInPauseExtendsWindow pauses entry daemons and an agent with SIGSTOP around a naming: on 20 requests and more start on version 1 from 6.7 s on, 6 s are allowed; none now.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -303,7 +303,7 @@
 		if change.version <= run.Version || age < maxVersionDelay+schedulingSlack {
 			continue
 		}
-		if c.undisturbed(change.writtenAt, false, subjectStore, entrySubject(r.Entry)) {
+		if c.undisturbed(change.writtenAt, false, subjectStore) && c.undisturbed(r.Sent, false, entrySubject(r.Entry)) {
 			c.addViolationLocked("VERSION", "%s starts on version %d on %s, %s after version %d was written to the store", r.ID, run.Version, run.Replica, age.Round(time.Millisecond), change.version)
 			return
 		}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -52,6 +52,8 @@
 	Callers  int
 	// PartCrashes allows the fault in which a part of prompts crashes replicas.
 	PartCrashes bool
+	// Extended adds the kinds of faults that earlier seeds do not have.
+	Extended bool
 }
 
 // report is the result of a run.
@@ -84,7 +86,7 @@
 	c.startCallers(ctx)
 	out := &report{}
 	sched := &schedule{
-		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes,
+		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended,
 		OnFault: func(name string) {
 			out.faults = append(out.faults, fmt.Sprintf("%6.1fs %s", time.Since(c.Checker.Start).Seconds(), name))
 		},
@@ -144,6 +146,8 @@
 	mutation string
 	// partCrashes allows the fault in which a part of prompts crashes replicas.
 	partCrashes bool
+	// extended adds the kinds of faults that earlier seeds do not have.
+	extended bool
 	// untilViolation stops at the first seed with violations and inverts the exit
 	// status: a violation is a success.
 	untilViolation bool
@@ -167,6 +171,7 @@
 	fs.IntVar(&o.engines, "engines", 4, "`number` of engines, each with its own agent")
 	fs.IntVar(&o.callers, "callers", 12, "`number` of callers without pauses; there are twice as many with pauses")
 	fs.BoolVar(&o.partCrashes, "part-crashes", true, "allow the fault in which a part of prompts crashes replicas")
+	fs.BoolVar(&o.extended, "extended", true, "add the kinds of faults that seeds kept from before do not have")
 	fs.StringVar(&o.dir, "dir", filepath.Join(os.TempDir(), "lentil-soak"), "`directory` for binaries and logs; logs of clean runs are removed")
 	fs.StringVar(&o.mutation, "without", "", "build the daemons with a `mechanism` removed: "+strings.Join(mutationNames(), ", "))
 	fs.BoolVar(&o.untilViolation, "until-violation", false, "stop with success at the first seed with violations; fail if no seed has any")
@@ -208,7 +213,7 @@
 	for i := range o.seeds {
 		seed := o.seed + uint64(i)
 		dir := filepath.Join(o.dir, fmt.Sprintf("seed-%d", seed))
-		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes}
+		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes, Extended: o.extended}
 		r, err := s.run(ctx)
 		if err != nil {
 			return failed, err
--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -47,7 +47,7 @@
 	},
 	{
 		"version-check", "internal/weights/selector/selector.go",
-		"if now.Sub(l.at) >= n.Window-margin {", "if now.Sub(l.at) >= 1000*n.Window {",
+		"if now.Sub(l.After) >= n.Window-margin {", "if now.Sub(l.After) >= 1000*n.Window {",
 	},
 }
 
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,9 @@
 	// agentPauseFactor lengthens the pauses of agents, so that they can outlast
 	// maxVersionDelay.
 	agentPauseFactor = 4
+	// minNamingPause is the minimum time for which daemons are paused at a naming. It is
+	// longer than the margins at the end of a version's window.
+	minNamingPause = 2 * time.Second
 	// slowdownFactor lengthens the time in which replicas are slow, so that it can
 	// outlast a stop. With maxSlowdown a stream takes nearly as long as the longest
 	// deadline.
@@ -57,6 +61,8 @@
 	OnFault func(name string)
 	// PartCrashes allows the fault in which a part of prompts crashes replicas.
 	PartCrashes bool
+	// Extended adds extendedFaults.
+	Extended bool
 
 	running sync.WaitGroup
 }
@@ -121,6 +127,12 @@
 	{"corrupt staged weights", 1, false, func(s *schedule, _ time.Duration) func() { return s.corruptStagedWeights() }},
 }
 
+// extendedFaults lists kinds of faults that are drawn only with Extended, so that the seeds
+// of runs without it keep their faults.
+var extendedFaults = []fault{
+	{"name a version while daemons are paused", 5, false, func(s *schedule, d time.Duration) func() { return s.nameVersionInPause(d) }},
+}
+
 func (s *schedule) randomEntry() *vm { return s.Cluster.entries[s.Rand.IntN(len(s.Cluster.entries))] }
 
 func (s *schedule) randomAgent() *vm { return s.Cluster.agents[s.Rand.IntN(len(s.Cluster.agents))] }
@@ -165,14 +177,18 @@
 // components. In a third of the seeds, it returns the planned kinds.
 func (s *schedule) chooseFaults() []fault {
 	var out []fault
+	kinds := faults
+	if s.Extended {
+		kinds = slices.Concat(faults, extendedFaults)
+	}
 	plannedOnly := s.Rand.IntN(3) == 0
-	for _, f := range faults {
+	for _, f := range kinds {
 		if chosen := s.Rand.IntN(2) == 0; plannedOnly && f.planned || !plannedOnly && chosen {
 			out = append(out, f)
 		}
 	}
 	if len(out) == 0 {
-		return faults
+		return kinds
 	}
 	return out
 }
@@ -470,6 +486,24 @@
 	}
 }
 
+// nameVersionInPause returns a fault that writes the next model version while some of the
+// entry daemons and an agent, whose engine keeps its version, are paused.
+func (s *schedule) nameVersionInPause(d time.Duration) func() {
+	order, n, agent := s.Rand.Perm(len(s.Cluster.entries)), 1+s.Rand.IntN(len(s.Cluster.entries)), s.randomAgent()
+	return func() {
+		pauses := []func(){s.pauseDaemon(agent, agentPauseFactor*maxFaultDuration)}
+		for _, i := range order[:n] {
+			pauses = append(pauses, s.pauseDaemon(s.Cluster.entries[i], minNamingPause+d/2))
+		}
+		for _, p := range pauses {
+			s.running.Add(1)
+			go (&injection{schedule: s, inject: p}).run()
+		}
+		time.Sleep(minFaultDuration)
+		s.changeVersion()()
+	}
+}
+
 // writeWithRetry repeats a write of the operator until the store accepts it.
 func (s *schedule) writeWithRetry(write func(now time.Time) bool) {
 	s.Cluster.operatorMu.Lock()
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
 
@@ -19,21 +21,23 @@
 	cause string
 	// partCrashes allows the fault in which a part of prompts crashes replicas.
 	partCrashes bool
+	// extended adds the faults of extendedFaults.
+	extended bool
 }
 
 // TestShortSoak guards against a guarantee that does not hold under the faults of
 // a few seeds, and against a soak that no longer runs.
 func TestShortSoak(t *testing.T) {
 	playSeeds(t, []soakSeed{
-		{7, "none", false},
-		{208, "requests with a part of prompts that crashes replicas were not counted together", true},
+		{7, "none", false, false},
+		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false},
 	})
 }
 
 // TestSoakCutsRequestsTakenInStop guards against stopping entry daemons that take requests
 // that outlast them.
 func TestSoakCutsRequestsTakenInStop(t *testing.T) {
-	playSeeds(t, []soakSeed{{130, "a stopping entry daemon took requests that could outlast it", false}})
+	playSeeds(t, []soakSeed{{130, "a stopping entry daemon took requests that could outlast it", false, false}})
 }
 
 func playSeeds(t *testing.T, seeds []soakSeed) {
@@ -44,7 +48,7 @@
 	binary, err := build(dir, "")
 	qt.Assert(t, err, qt.IsNil)
 	for _, tc := range seeds {
-		s := &soak{Binary: binary, Dir: dir, Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12, PartCrashes: tc.partCrashes}
+		s := &soak{Binary: binary, Dir: dir, Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12, PartCrashes: tc.partCrashes, Extended: tc.extended}
 		r, err := s.run(context.Background())
 		qt.Assert(t, err, qt.IsNil)
 		var out bytes.Buffer
@@ -54,6 +58,32 @@
 	}
 }
 
+// TestNamingInPauseExtendsWindow guards against entry daemons that go on using an old version
+// because they were paused when the next one was named. The engine of a paused agent keeps
+// the old version.
+func TestNamingInPauseExtendsWindow(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	dir := t.TempDir()
+	binary, err := build(dir, "")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 3, Engines: 2, Callers: 12, Checker: newChecker(time.Now())}
+	defer c.stop()
+	defer cancel()
+	qt.Assert(t, c.start(ctx), qt.IsNil)
+	waiter.Wait(ctx, startupWait)
+	c.startCallers(ctx)
+	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
+	s.nameVersionInPause(maxFaultDuration)()
+	s.running.Wait()
+	c.Checker.mu.Lock()
+	defer c.Checker.mu.Unlock()
+	qt.Assert(t, c.Checker.violations, qt.HasLen, 0, qt.Commentf("%v", c.Checker.violations))
+	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
+}
+
 // TestMutations guards against a mutation whose text no longer occurs in the
 // changed sources.
 func TestMutations(t *testing.T) {
@@ -131,6 +161,18 @@
 			c.recordVersion(2, start)
 			c.Ran(on(run, llm, 1, "b"), late(maxVersionDelay))
 		}, "VERSION"},
+		{"an old version, the entry daemon was paused at the change", routeStream, func(c *checker, r *request, run simulator.Run) {
+			c.recordVersion(2, start)
+			c.disturbances = []disturbance{{subject: entrySubject(r.Entry), from: start.Add(-time.Second), to: start.Add(time.Second)}}
+			r.Sent = start.Add(maxVersionDelay)
+			c.Ran(on(run, llm, 1, "b"), late(maxVersionDelay))
+		}, "VERSION"},
+		{"an old version, the entry daemon was paused shortly before", routeStream, func(c *checker, r *request, run simulator.Run) {
+			c.recordVersion(2, start)
+			c.disturbances = []disturbance{{subject: entrySubject(r.Entry), from: start, to: start.Add(maxVersionDelay - stableWindow + time.Second)}}
+			r.Sent = start.Add(maxVersionDelay)
+			c.Ran(on(run, llm, 1, "b"), late(maxVersionDelay))
+		}, ""},
 		{"an old version in time", routeStream, func(c *checker, r *request, run simulator.Run) {
 			c.recordVersion(2, start)
 			c.Ran(on(run, llm, 1, "b"), start.Add(maxVersionDelay/2))
