A daemon that has just started ends no window elsewhere

Callers of all entry daemons could lose every replica of a version at the naming of the next one, a window too early: a daemon that starts between the naming and the news at the others takes it that the version was named a window ago, and since it learned first, the others took its times.

Since the times of the first daemon to learn count everywhere. Those of a daemon that has just started say nothing, as the interval is as long as the window. They are no longer reported, and such a report is ignored.

TestStartedDaemonEndsNoWindowElsewhere failed before: the daemon reported the interval, and after a report like it the running daemon had version 2 as the oldest one at once. The reports in TestReportsOfUnknownModels get a beginning, because they would be ignored without one; what it checks is the same.

--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -146,6 +146,9 @@
 // that moves the beginning of its window noticeably. A report may arrive late, and its times are then
 // late by as much; none is early.
 func (n *VersionTracker) RecordReport(r Announcement) (changed bool) {
+	if n.vague(r) {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
@@ -194,14 +197,19 @@
 	return b
 }
 
-// Announcements returns the announcements of the last window, for the other daemons.
+// vague reports whether an announcement may have been made at any time of a window or
+// longer, which is all that a daemon knows that has just started.
+func (n *VersionTracker) vague(a Announcement) bool { return a.By.Sub(a.After) >= n.Window }
+
+// Announcements returns the announcements of the last window, for the other daemons. Vague
+// ones are left out: they would end the windows of daemons that know more.
 func (n *VersionTracker) Announcements(now time.Time) []Announcement {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []Announcement
 	for _, m := range n.models {
 		for _, a := range m.history {
-			if now.Sub(a.By) < n.Window {
+			if now.Sub(a.By) < n.Window && !n.vague(a) {
 				out = append(out, a)
 			}
 		}
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -145,11 +145,25 @@
 	qt.Assert(t, n.Announcements(start.Add(window)), qt.HasLen, 0)
 }
 
+// TestStartedDaemonEndsNoWindowElsewhere guards against callers that lose all replicas of a
+// version at the naming of the next one because another daemon started just then.
+func TestStartedDaemonEndsNoWindowElsewhere(t *testing.T) {
+	start := time.Unix(1000, 0)
+	running, started := &VersionTracker{Window: window}, &VersionTracker{Window: window}
+	running.Update(map[string]int{"m": 1}, start.Add(-time.Minute), start.Add(-time.Minute))
+	started.Update(map[string]int{"m": 2}, start, start)
+	learned := start.Add(20 * time.Millisecond)
+	running.Update(map[string]int{"m": 2}, learned, learned)
+	qt.Assert(t, started.Announcements(learned), qt.HasLen, 0)
+	running.RecordReport(Announcement{Model: "m", Version: 2, After: start.Add(-window), By: start})
+	qt.Assert(t, running.OldestAllowed("m", start.Add(window-margin)), qt.Equals, 1)
+}
+
 // TestReportsOfUnknownModels guards against memory that grows with what other programs send.
 func TestReportsOfUnknownModels(t *testing.T) {
 	n := &VersionTracker{Window: window}
 	for i := range 2 * maxReportedModels {
-		n.RecordReport(Announcement{Model: string(rune('a' + i)), Version: 1, By: time.Unix(1000, 0)})
+		n.RecordReport(Announcement{Model: string(rune('a' + i)), Version: 1, After: time.Unix(1000, 0), By: time.Unix(1000, 0)})
 	}
 	qt.Assert(t, n.reported, qt.HasLen, maxReportedModels)
 }
