Count the window of a version that a daemon has not seen itself

Callers could get answers of version 1 after its window: a daemon that learns of version 3 only, because it was started or its watch was renewed after the naming, did not know that version 2 had ended the window of version 1 before, and allowed version 1 until the window after version 3. The class is that of: the announcement of version 2 was reported to it by all others, and dropped because it was not in its history.

A reported version below the newest one is added to the history now.

TestVersionSkippedByLateNews failed before (version 1 allowed at the end of its window).

--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -125,9 +126,7 @@
 	}
 	m.newest = a.Version
 	m.history = append(m.history, a)
-	if len(m.history) > maxHistory {
-		m.history = m.history[1:]
-	}
+	m.trim()
 	return a, true
 }
 
@@ -142,9 +141,32 @@
 	return moved
 }
 
+// correct takes the times of a report of a version that is not newer than the newest. A
+// version that this daemon has not seen is added: it ended the window of an earlier one if
+// two versions were announced before this daemon learned of either.
+func (m *modelHistory) correct(r Announcement) (changed bool) {
+	i, known := slices.BinarySearchFunc(m.history, r.Version, func(a Announcement, version int) int { return a.Version - version })
+	if known {
+		return m.history[i].correct(r)
+	}
+	if len(m.history) == maxHistory && i == 0 {
+		return false
+	}
+	m.history = slices.Insert(m.history, i, r)
+	m.trim()
+	return true
+}
+
+// trim limits the history to the latest announcements.
+func (m *modelHistory) trim() {
+	if len(m.history) > maxHistory {
+		m.history = m.history[1:]
+	}
+}
+
 // RecordReport records what another daemon knows of an announcement. It returns true if
-// that moves the beginning of its window noticeably. A report may arrive late, and its times are then
-// late by as much; none is early.
+// that moves the beginning of its window noticeably. A report may arrive late, and its
+// times are then late by as much; none is early.
 func (n *VersionTracker) RecordReport(r Announcement) (changed bool) {
 	if n.vague(r) {
 		return false
@@ -152,12 +174,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
-		for i := range m.history {
-			if m.history[i].Version == r.Version {
-				return m.history[i].correct(r)
-			}
-		}
-		return false
+		return m.correct(r)
 	}
 	known, ok := n.reported[r.Model]
 	switch {
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -159,6 +159,45 @@
 	qt.Assert(t, running.OldestAllowed("m", start.Add(window-margin)), qt.Equals, 1)
 }
 
+// TestVersionSkippedByLateNews guards against requests that start on a version after its
+// window because this daemon learned only of the last of two versions named meanwhile.
+func TestVersionSkippedByLateNews(t *testing.T) {
+	start := time.Unix(1000, 0)
+	skipped := Announcement{Model: "m", Version: 2, After: start, By: start}
+	last := Announcement{Model: "m", Version: 3, After: start.Add(3 * time.Second), By: start.Add(3 * time.Second)}
+	news := start.Add(3500 * time.Millisecond)
+	tests := []struct {
+		name  string
+		first []Announcement
+		then  []Announcement
+	}{
+		{"reported after the news", nil, []Announcement{last, skipped}},
+		{"reported before and after the news", []Announcement{skipped, last}, []Announcement{skipped, last}},
+	}
+	for _, tc := range tests {
+		n := &VersionTracker{Window: window}
+		n.Update(map[string]int{"m": 1}, start.Add(-time.Minute), start.Add(-time.Minute))
+		for _, r := range tc.first {
+			n.RecordReport(r)
+		}
+		n.Update(map[string]int{"m": 3}, news, news)
+		for _, r := range tc.then {
+			n.RecordReport(r)
+		}
+		end := start.Add(window - margin)
+		qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf(tc.name))
+		left, ends := n.ExpiresIn("m", 1, end)
+		qt.Check(t, ends && left == margin-recallMargin, qt.IsTrue, qt.Commentf("%s: %v", tc.name, left))
+		qt.Check(t, n.OldestAllowed("m", last.By.Add(window-margin)), qt.Equals, 3, qt.Commentf(tc.name))
+	}
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 3 * maxHistory}, start, start)
+	for version := range 3 * maxHistory {
+		n.RecordReport(Announcement{Model: "m", Version: version, After: start, By: start})
+	}
+	qt.Check(t, n.models["m"].history, qt.HasLen, maxHistory)
+}
+
 // TestReportsOfUnknownModels guards against memory that grows with what other programs send.
 func TestReportsOfUnknownModels(t *testing.T) {
 	n := &VersionTracker{Window: window}
