A pause before a naming no longer shortens the window

Callers lost the replicas of a version seconds too early: a daemon that was suspended shortly before a naming can't tell when it was made, and takes the beginning of its pause. If it learned first, by a millisecond, all others took that from it, and if they learned within a millisecond of it, their better time was not taken by it either.

Announcements now say whether they were observed, by a daemon that ran and waited for them at the store. An observed time is preferred to an earliest possible one, unless it is more than half a second later than when another daemon had learned.

TestPauseBeforeNamingShortensNoWindow failed before.

--- a/internal/coordination/gossiper/announcements.go
+++ b/internal/coordination/gossiper/announcements.go
@@ -15,13 +15,15 @@
 	// have been made.
 	AgeMs    int64 `json:"age-ms"`
 	MaxAgeMs int64 `json:"max-age-ms"`
+	// Observed is set if the announcement was made at MaxAgeMs, not only since.
+	Observed bool `json:"observed,omitempty"`
 }
 
 // ReportAnnouncements returns announcements as they are sent to other daemons.
 func ReportAnnouncements(list []selector.Announcement, now time.Time) []AnnouncementReport {
 	var out []AnnouncementReport
 	for _, a := range list {
-		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.By, now), MaxAgeMs: ageMs(a.After, now)})
+		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.By, now), MaxAgeMs: ageMs(a.After, now), Observed: a.Observed})
 	}
 	return out
 }
@@ -34,7 +36,7 @@
 		by, plausible := fromAge(r.AgeMs, now)
 		after, afterPlausible := fromAge(r.MaxAgeMs, now)
 		if plausible && afterPlausible && !after.After(by) {
-			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, After: after, By: by})
+			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, After: after, By: by, Observed: r.Observed})
 		}
 	}
 	return out
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -24,7 +24,8 @@
 // Nothing says when an announcement was made. A daemon learns of it late by any amount if
 // the process, its watch or the daemon that it asked was held up. So each keeps the time
 // by which it was made and the time after which it was, and takes both from the daemon
-// that learned of it first. Windows begin at the earlier one.
+// that learned of it first. Windows begin at the earlier one. A daemon that observed the
+// announcement knows more than one that assumes the earliest possible time.
 type VersionTracker struct {
 	// Window is how long requests may start on an older version after a newer one
 	// was announced.
@@ -44,6 +45,9 @@
 	Version int
 	After   time.Time
 	By      time.Time
+	// Observed is set if After is when the announcement was delivered to a daemon that
+	// waited for it, and not only the earliest possible time.
+	Observed bool
 }
 
 // modelHistory holds the announced versions of one model.
@@ -66,10 +70,14 @@
 	// pauseAftermath is the time after a pause within which news may be from before its
 	// end.
 	pauseAftermath = 2 * time.Second
+	// maxDeliverySpread is the time within which daemons that wait for an announcement
+	// learn of it.
+	maxDeliverySpread = 500 * time.Millisecond
 )
 
-// Update records the newest announced versions and returns those that were unknown. after is the earliest time at which they may have been announced, or zero
-// if that is unknown. The versions of the first call are treated as announced a window
+// Update records the newest announced versions and returns those that were unknown. after
+// is the earliest time at which they may have been announced: now if they were delivered to
+// this daemon while it waited, or zero if the time is unknown. The versions of the first call are treated as announced a window
 // ago until another daemon reports more: a daemon that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
 	n.mu.Lock()
@@ -80,6 +88,7 @@
 		a.After = now.Add(-n.Window)
 	}
 	var unknown []Announcement
+	a.Observed = a.After.Equal(now)
 	for model, version := range versions {
 		a.Model, a.Version = model, version
 		if recorded, ok := n.record(a); ok {
@@ -131,14 +140,27 @@
 }
 
 // correct takes the times of a report if it is of a daemon that learned of the announcement
-// earlier. It reports whether that moves the beginning of the window noticeably.
+// earlier. An observed time is kept, or taken, unless it is too late to agree with the other
+// daemon. It reports whether that moves the beginning of the window noticeably.
 func (a *Announcement) correct(r Announcement) bool {
-	if !r.By.Before(a.By) {
+	old := a.After
+	switch {
+	case r.Observed && !a.Observed && r.agrees(*a):
+		a.After, a.By, a.Observed = earlier(r.After, a.By), earlier(r.By, a.By), true
+	case !r.By.Before(a.By):
 		return false
+	case a.Observed && !r.Observed && a.agrees(r):
+		a.After, a.By = earlier(a.After, r.By), r.By
+	default:
+		a.After, a.By, a.Observed = r.After, r.By, r.Observed
 	}
-	moved := a.After.Sub(r.After).Abs() >= minCorrection
-	a.After, a.By = r.After, r.By
-	return moved
+	return old.Sub(a.After).Abs() >= minCorrection
+}
+
+// agrees reports whether an observed announcement may be the one that another daemon
+// learned of.
+func (a *Announcement) agrees(other Announcement) bool {
+	return !a.After.After(other.By.Add(maxDeliverySpread))
 }
 
 // correct takes the times of a report of a version that is not newer than the newest. A
@@ -199,7 +221,7 @@
 		for i := range m.history {
 			a := &m.history[i]
 			if a.By.After(began) {
-				a.After = earlier(a.After, n.pauseBegan)
+				a.After, a.Observed = earlier(a.After, n.pauseBegan), false
 				continue
 			}
 			a.After, a.By = a.After.Add(-suspended), a.By.Add(-suspended)
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -159,6 +159,43 @@
 	qt.Assert(t, running.OldestAllowed("m", start.Add(window-margin)), qt.Equals, 1)
 }
 
+// TestPauseBeforeNamingShortensNoWindow guards against callers that lose all replicas of a
+// version seconds too early because a daemon was suspended before the next one was named.
+func TestPauseBeforeNamingShortensNoWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := []struct {
+		name string
+		// paused and running are when the daemons learn of version 2.
+		paused, running float64
+		// want is when it counts as announced on both.
+		want float64
+	}{
+		{"first to learn", 8, 8.02, 8},
+		{"last to learn", 8.04, 8.02, 8.02},
+		{"the other was not waiting", 8, 9, 3},
+	}
+	for _, tc := range tests {
+		paused, running := &VersionTracker{Window: window}, &VersionTracker{Window: window}
+		for _, n := range []*VersionTracker{paused, running} {
+			n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+		}
+		paused.RecordPause(at(3), at(7), 0)
+		paused.Update(map[string]int{"m": 2}, at(tc.paused), at(tc.paused))
+		running.Update(map[string]int{"m": 2}, at(tc.running), at(tc.running))
+		ofPaused, ofRunning := paused.Announcements(at(9)), running.Announcements(at(9))
+		qt.Assert(t, ofPaused, qt.HasLen, 1)
+		qt.Assert(t, ofRunning, qt.HasLen, 1)
+		paused.RecordReport(ofRunning[0])
+		running.RecordReport(ofPaused[0])
+		end := at(tc.want).Add(window - margin)
+		for _, n := range []*VersionTracker{paused, running} {
+			qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf("%s, at the end", tc.name))
+			qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Not(qt.Equals), 2, qt.Commentf("%s, before the end", tc.name))
+		}
+	}
+}
+
 // TestVersionSkippedByLateNews guards against requests that start on a version after its
 // window because this daemon learned only of the last of two versions named meanwhile.
 func TestVersionSkippedByLateNews(t *testing.T) {
