A watch that began after a change doesn't count as its delivery

Callers could get answers of an old version after its window from a daemon that had no watch at the naming. Its next watch is answered at once, and since it could have waited, the change counted as made at that moment, and as observed by this daemon.

An answer counts as a delivery only if the watch waited for it, for a quarter of a second or more. A change that comes sooner was made after the last answer without it, or after the last delivery.

TestChangedAfter failed before in the row "a watch that began after the change": 8.02 s instead of 0.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -76,8 +76,8 @@
 		return
 	}
 	changedAfter := m.currentAt
-	if c.Prompt {
-		changedAfter = now
+	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait {
+		changedAfter, c.ReadAt = now, now
 	}
 	m.recordRead(c.ReadAt)
 	m.snapshot.Revision = c.Revision
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -37,6 +37,9 @@
 	// watchTimeout is the wait of a watch call, the longest that the store allows.
 	// Each call is billed.
 	watchTimeout = 30 * time.Second
+	// minWatchWait is the time after which an answer to a watch counts as delayed until a
+	// change was made. An earlier answer may be of a change made before the watch.
+	minWatchWait = 250 * time.Millisecond
 	// relistAfterOutage is the time between the end of an outage of the store and the
 	// next list. Registrations that expired in the outage are back after two
 	// seconds, and one that is missing then counts as gone.
@@ -79,8 +82,7 @@
 	List     []Change `json:"list"`
 	// ReadAt is when the source was asked, or zero as in Snapshot.
 	ReadAt time.Time `json:"-"`
-	// Prompt is set if the changes were delivered by a watch that waited for them at the
-	// store.
+	// Prompt is set if the watch would have waited at the store for changes.
 	Prompt bool `json:"-"`
 }
 
--- a/internal/coordination/mirrorer/update_test.go
+++ b/internal/coordination/mirrorer/update_test.go
@@ -57,6 +57,41 @@
 	})
 }
 
+// TestChangedAfter guards against changes that count as made when they were delivered,
+// although they were made while this daemon had no watch.
+func TestChangedAfter(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	type answer struct {
+		asked, answered float64
+		prompt, empty   bool
+	}
+	tests := []struct {
+		name    string
+		answers []answer
+		want    float64
+	}{
+		{"a poll", []answer{{asked: 8, answered: 8.1}}, 0},
+		{"a watch that waited", []answer{{asked: 5, answered: 8, prompt: true}}, 8},
+		{"a watch that began after the change", []answer{{asked: 8, answered: 8.02, prompt: true}}, 0},
+		{"the next watch after a wait in vain", []answer{{asked: 1, answered: 7.9, prompt: true, empty: true}, {asked: 7.9, answered: 8, prompt: true}}, 1},
+		{"the next watch after a change", []answer{{asked: 1, answered: 7.9, prompt: true}, {asked: 7.9, answered: 8, prompt: true}}, 7.9},
+	}
+	for _, tc := range tests {
+		m := &Mirror{Kind: "k", Log: zap.NewNop()}
+		m.replace(Snapshot{Revision: 10, Objects: map[string]Object{}, ReadAt: start}, start)
+		for i, a := range tc.answers {
+			c := Changes{Revision: uint64(11 + i), ReadAt: at(a.asked), Prompt: a.prompt}
+			if !a.empty {
+				c.List = []Change{put("a", c.Revision)}
+			}
+			m.apply(c, at(a.answered))
+		}
+		s, _ := m.Get()
+		qt.Check(t, s.ChangedAfter.Sub(start).Seconds(), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
+
 func newTestMirror() *Mirror {
 	m := &Mirror{Kind: "k", Log: zap.NewNop()}
 	m.replace(Snapshot{Revision: 10, Objects: map[string]Object{}}, time.Unix(1000, 0))
