News that is sent again after a long pause may be from before its end

After a pause of more than 2 s, a daemon could allow an old version for too long: the store sends a change again that it sent in the pause, at intervals that double, so the next one may be as far away as the pause was long. News later than 2 s after the pause counted as made when it was delivered.

The time in which news counts from the beginning of the pause is now as long as the pause, 2 s at least.

The row "news sent again after a long pause" of TestWindowFromLateNews failed before.

--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -67,9 +67,10 @@
 	maxDiscoveryShare = 0.5
 	// minCorrection is the smallest change of the beginning of a window that is reported.
 	minCorrection = 100 * time.Millisecond
-	// pauseAftermath is the time after a pause within which news may be from before its
-	// end.
-	pauseAftermath = 2 * time.Second
+	// minPauseAftermath is the shortest time after a pause within which news may be from
+	// before its end. The sender repeats what was lost at intervals that grow up to the
+	// length of the pause.
+	minPauseAftermath = 2 * time.Second
 	// maxDeliverySpread is the time within which daemons that wait for an announcement
 	// learn of it.
 	maxDeliverySpread = 500 * time.Millisecond
@@ -102,7 +103,8 @@
 // have been announced.
 func (n *VersionTracker) earliest(after, now time.Time) time.Time {
 	limit := now.Add(-time.Duration(maxDiscoveryShare * float64(n.Window)))
-	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= pauseAftermath {
+	aftermath := max(minPauseAftermath, n.pauseEnded.Sub(n.pauseBegan))
+	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= aftermath {
 		limit, after = earlier(limit, n.pauseBegan), earlier(after, n.pauseBegan)
 	}
 	if after.Before(limit) {
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -79,6 +79,10 @@
 			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
 			n.RecordPause(at(8), at(11.9), 0)
 		}, 8},
+		{"news sent again after a long pause", func(n *VersionTracker) {
+			n.RecordPause(at(6), at(9), 0)
+			n.Update(map[string]int{"m": 2}, at(11.9), at(11.9))
+		}, 6},
 		{"news long after a pause", func(n *VersionTracker) {
 			n.RecordPause(at(2), at(4), 0)
 			n.Update(map[string]int{"m": 2}, at(8), at(8))
