--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,7 +24,8 @@
 // Nothing says when an announcement was made. A daemon learns of it late by any amount if
 // the process, its watch or the daemon that it asked was held up. So each keeps the time
 // by which it was made and the time after which it was, and takes both from the daemon
-// that learned of it first. Windows begin at the earlier one.
+// that learned of it first. Windows begin at the earlier one. A daemon that observed the
+// announcement knows more than one that assumes the earliest possible time.
 type VersionTracker struct {
 	// Window is how long requests may start on an older version after a newer one
 	// was announced.
@@ -43,6 +45,9 @@
 	Version int
 	After   time.Time
 	By      time.Time
+	// Observed is set if After is when the announcement was delivered to a daemon that
+	// waited for it, and not only the earliest possible time.
+	Observed bool
 }
 
 // modelHistory holds the announced versions of one model.
@@ -62,13 +67,18 @@
 	maxDiscoveryShare = 0.5
 	// minCorrection is the smallest change of the beginning of a window that is reported.
 	minCorrection = 100 * time.Millisecond
-	// pauseAftermath is the time after a pause within which news may be from before its
-	// end.
-	pauseAftermath = 2 * time.Second
+	// minPauseAftermath is the shortest time after a pause within which news may be from
+	// before its end. The sender repeats what was lost at intervals that grow up to the
+	// length of the pause.
+	minPauseAftermath = 2 * time.Second
+	// maxDeliverySpread is the time within which daemons that wait for an announcement
+	// learn of it.
+	maxDeliverySpread = 500 * time.Millisecond
 )
 
-// Update records the newest announced versions and returns those that were unknown. after is the earliest time at which they may have been announced, or zero
-// if that is unknown. The versions of the first call are treated as announced a window
+// Update records the newest announced versions and returns those that were unknown. after
+// is the earliest time at which they may have been announced: now if they were delivered to
+// this daemon while it waited, or zero if the time is unknown. The versions of the first call are treated as announced a window
 // ago until another daemon reports more: a daemon that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
 	n.mu.Lock()
@@ -79,6 +89,7 @@
 		a.After = now.Add(-n.Window)
 	}
 	var unknown []Announcement
+	a.Observed = a.After.Equal(now)
 	for model, version := range versions {
 		a.Model, a.Version = model, version
 		if recorded, ok := n.record(a); ok {
@@ -92,7 +103,8 @@
 // have been announced.
 func (n *VersionTracker) earliest(after, now time.Time) time.Time {
 	limit := now.Add(-time.Duration(maxDiscoveryShare * float64(n.Window)))
-	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= pauseAftermath {
+	aftermath := max(minPauseAftermath, n.pauseEnded.Sub(n.pauseBegan))
+	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= aftermath {
 		limit, after = earlier(limit, n.pauseBegan), earlier(after, n.pauseBegan)
 	}
 	if after.Before(limit) {
@@ -125,36 +137,68 @@
 	}
 	m.newest = a.Version
 	m.history = append(m.history, a)
-	if len(m.history) > maxHistory {
-		m.history = m.history[1:]
-	}
+	m.trim()
 	return a, true
 }
 
 // correct takes the times of a report if it is of a daemon that learned of the announcement
-// earlier. It reports whether that moves the beginning of the window noticeably.
+// earlier. An observed time is kept, or taken, unless it is too late to agree with the other
+// daemon. It reports whether that moves the beginning of the window noticeably.
 func (a *Announcement) correct(r Announcement) bool {
-	if !r.By.Before(a.By) {
+	old := a.After
+	switch {
+	case r.Observed && !a.Observed && r.agrees(*a):
+		a.After, a.By, a.Observed = earlier(r.After, a.By), earlier(r.By, a.By), true
+	case !r.By.Before(a.By):
+		return false
+	case a.Observed && !r.Observed && a.agrees(r):
+		a.After, a.By = earlier(a.After, r.By), r.By
+	default:
+		a.After, a.By, a.Observed = r.After, r.By, r.Observed
+	}
+	return old.Sub(a.After).Abs() >= minCorrection
+}
+
+// agrees reports whether an observed announcement may be the one that another daemon
+// learned of.
+func (a *Announcement) agrees(other Announcement) bool {
+	return !a.After.After(other.By.Add(maxDeliverySpread))
+}
+
+// correct takes the times of a report of a version that is not newer than the newest. A
+// version that this daemon has not seen is added: it ended the window of an earlier one if
+// two versions were announced before this daemon learned of either.
+func (m *modelHistory) correct(r Announcement) (changed bool) {
+	i, known := slices.BinarySearchFunc(m.history, r.Version, func(a Announcement, version int) int { return a.Version - version })
+	if known {
+		return m.history[i].correct(r)
+	}
+	if len(m.history) == maxHistory && i == 0 {
 		return false
 	}
-	moved := a.After.Sub(r.After).Abs() >= minCorrection
-	a.After, a.By = r.After, r.By
-	return moved
+	m.history = slices.Insert(m.history, i, r)
+	m.trim()
+	return true
+}
+
+// trim limits the history to the latest announcements.
+func (m *modelHistory) trim() {
+	if len(m.history) > maxHistory {
+		m.history = m.history[1:]
+	}
 }
 
 // RecordReport records what another daemon knows of an announcement. It returns true if
-// that moves the beginning of its window noticeably. A report may arrive late, and its times are then
-// late by as much; none is early.
+// that moves the beginning of its window noticeably. A report may arrive late, and its
+// times are then late by as much; none is early.
 func (n *VersionTracker) RecordReport(r Announcement) (changed bool) {
+	if n.vague(r) {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
-		for i := range m.history {
-			if m.history[i].Version == r.Version {
-				return m.history[i].correct(r)
-			}
-		}
-		return false
+		return m.correct(r)
 	}
 	known, ok := n.reported[r.Model]
 	switch {
@@ -179,7 +223,7 @@
 		for i := range m.history {
 			a := &m.history[i]
 			if a.By.After(began) {
-				a.After = earlier(a.After, n.pauseBegan)
+				a.After, a.Observed = earlier(a.After, n.pauseBegan), false
 				continue
 			}
 			a.After, a.By = a.After.Add(-suspended), a.By.Add(-suspended)
@@ -194,14 +238,19 @@
 	return b
 }
 
-// Announcements returns the announcements of the last window, for the other daemons.
+// vague reports whether an announcement may have been made at any time of a window or
+// longer, which is all that a daemon knows that has just started.
+func (n *VersionTracker) vague(a Announcement) bool { return a.By.Sub(a.After) >= n.Window }
+
+// Announcements returns the announcements of the last window, for the other daemons. Vague
+// ones are left out: they would end the windows of daemons that know more.
 func (n *VersionTracker) Announcements(now time.Time) []Announcement {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []Announcement
 	for _, m := range n.models {
 		for _, a := range m.history {
-			if now.Sub(a.By) < n.Window {
+			if now.Sub(a.By) < n.Window && !n.vague(a) {
 				out = append(out, a)
 			}
 		}
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -79,6 +79,10 @@
 			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
 			n.RecordPause(at(8), at(11.9), 0)
 		}, 8},
+		{"news sent again after a long pause", func(n *VersionTracker) {
+			n.RecordPause(at(6), at(9), 0)
+			n.Update(map[string]int{"m": 2}, at(11.9), at(11.9))
+		}, 6},
 		{"news long after a pause", func(n *VersionTracker) {
 			n.RecordPause(at(2), at(4), 0)
 			n.Update(map[string]int{"m": 2}, at(8), at(8))
@@ -145,11 +149,101 @@
 	qt.Assert(t, n.Announcements(start.Add(window)), qt.HasLen, 0)
 }
 
+// TestStartedDaemonEndsNoWindowElsewhere guards against callers that lose all replicas of a
+// version at the naming of the next one because another daemon started just then.
+func TestStartedDaemonEndsNoWindowElsewhere(t *testing.T) {
+	start := time.Unix(1000, 0)
+	running, started := &VersionTracker{Window: window}, &VersionTracker{Window: window}
+	running.Update(map[string]int{"m": 1}, start.Add(-time.Minute), start.Add(-time.Minute))
+	started.Update(map[string]int{"m": 2}, start, start)
+	learned := start.Add(20 * time.Millisecond)
+	running.Update(map[string]int{"m": 2}, learned, learned)
+	qt.Assert(t, started.Announcements(learned), qt.HasLen, 0)
+	running.RecordReport(Announcement{Model: "m", Version: 2, After: start.Add(-window), By: start})
+	qt.Assert(t, running.OldestAllowed("m", start.Add(window-margin)), qt.Equals, 1)
+}
+
+// TestPauseBeforeNamingShortensNoWindow guards against callers that lose all replicas of a
+// version seconds too early because a daemon was suspended before the next one was named.
+func TestPauseBeforeNamingShortensNoWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := []struct {
+		name string
+		// paused and running are when the daemons learn of version 2.
+		paused, running float64
+		// want is when it counts as announced on both.
+		want float64
+	}{
+		{"first to learn", 8, 8.02, 8},
+		{"last to learn", 8.04, 8.02, 8.02},
+		{"the other was not waiting", 8, 9, 3},
+	}
+	for _, tc := range tests {
+		paused, running := &VersionTracker{Window: window}, &VersionTracker{Window: window}
+		for _, n := range []*VersionTracker{paused, running} {
+			n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+		}
+		paused.RecordPause(at(3), at(7), 0)
+		paused.Update(map[string]int{"m": 2}, at(tc.paused), at(tc.paused))
+		running.Update(map[string]int{"m": 2}, at(tc.running), at(tc.running))
+		ofPaused, ofRunning := paused.Announcements(at(9)), running.Announcements(at(9))
+		qt.Assert(t, ofPaused, qt.HasLen, 1)
+		qt.Assert(t, ofRunning, qt.HasLen, 1)
+		paused.RecordReport(ofRunning[0])
+		running.RecordReport(ofPaused[0])
+		end := at(tc.want).Add(window - margin)
+		for _, n := range []*VersionTracker{paused, running} {
+			qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf("%s, at the end", tc.name))
+			qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Not(qt.Equals), 2, qt.Commentf("%s, before the end", tc.name))
+		}
+	}
+}
+
+// TestVersionSkippedByLateNews guards against requests that start on a version after its
+// window because this daemon learned only of the last of two versions named meanwhile.
+func TestVersionSkippedByLateNews(t *testing.T) {
+	start := time.Unix(1000, 0)
+	skipped := Announcement{Model: "m", Version: 2, After: start, By: start}
+	last := Announcement{Model: "m", Version: 3, After: start.Add(3 * time.Second), By: start.Add(3 * time.Second)}
+	news := start.Add(3500 * time.Millisecond)
+	tests := []struct {
+		name  string
+		first []Announcement
+		then  []Announcement
+	}{
+		{"reported after the news", nil, []Announcement{last, skipped}},
+		{"reported before and after the news", []Announcement{skipped, last}, []Announcement{skipped, last}},
+	}
+	for _, tc := range tests {
+		n := &VersionTracker{Window: window}
+		n.Update(map[string]int{"m": 1}, start.Add(-time.Minute), start.Add(-time.Minute))
+		for _, r := range tc.first {
+			n.RecordReport(r)
+		}
+		n.Update(map[string]int{"m": 3}, news, news)
+		for _, r := range tc.then {
+			n.RecordReport(r)
+		}
+		end := start.Add(window - margin)
+		qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf(tc.name))
+		left, ends := n.ExpiresIn("m", 1, end)
+		qt.Check(t, ends && left == margin-recallMargin, qt.IsTrue, qt.Commentf("%s: %v", tc.name, left))
+		qt.Check(t, n.OldestAllowed("m", last.By.Add(window-margin)), qt.Equals, 3, qt.Commentf(tc.name))
+	}
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 3 * maxHistory}, start, start)
+	for version := range 3 * maxHistory {
+		n.RecordReport(Announcement{Model: "m", Version: version, After: start, By: start})
+	}
+	qt.Check(t, n.models["m"].history, qt.HasLen, maxHistory)
+}
+
 // TestReportsOfUnknownModels guards against memory that grows with what other programs send.
 func TestReportsOfUnknownModels(t *testing.T) {
 	n := &VersionTracker{Window: window}
 	for i := range 2 * maxReportedModels {
-		n.RecordReport(Announcement{Model: string(rune('a' + i)), Version: 1, By: time.Unix(1000, 0)})
+		n.RecordReport(Announcement{Model: string(rune('a' + i)), Version: 1, After: time.Unix(1000, 0), By: time.Unix(1000, 0)})
 	}
 	qt.Assert(t, n.reported, qt.HasLen, maxReportedModels)
 }
