Log answers of the store that are older than the copy

After a restore of the store the logs showed that a daemon lists again and again, but not that it drops each list, nor by how much it is older.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -14,6 +14,7 @@
 	m.mu.Lock()
 	if m.loaded && s.Revision < m.snapshot.Revision {
 		m.mu.Unlock()
+		m.logIgnored("list", s.Revision)
 		return
 	}
 	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
@@ -60,6 +61,12 @@
 		zap.Uint64("revision", s.Revision), zap.Uint64("content", s.ContentRevision), zap.Int("objects", len(s.Objects)))
 }
 
+// logIgnored logs an answer of the store that is older than the copy.
+func (m *Mirror) logIgnored(call string, revision uint64) {
+	m.Log.Info("older objects ignored", zap.String("kind", m.Kind), zap.String("from", call),
+		zap.Uint64("revision", revision), zap.Uint64("copy", m.Revision()))
+}
+
 // recordRead records that the source had nothing newer than the copy when it was asked. It
 // is called with the lock held.
 func (m *Mirror) recordRead(at time.Time) {
@@ -73,6 +80,7 @@
 	m.mu.Lock()
 	if c.Revision < m.snapshot.Revision {
 		m.mu.Unlock()
+		m.logIgnored("watch", c.Revision)
 		return
 	}
 	changedAfter := m.currentAt
