--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -48,7 +48,9 @@
 
 // Object is one object of the store.
 type Object struct {
-	Name     string          `json:"name"`
+	Name string `json:"name"`
+	// Revision is the position of the latest change, as all revisions of this package:
+	// see JoinRevision.
 	Revision uint64          `json:"revision"`
 	Spec     json.RawMessage `json:"spec"`
 }
