Pause between lists that bring nothing newer after compacted history

Cause: a watch without history leads to a list at once, and the list to a watch. If the list is dropped as older than the copy, or the store has no history after it either, this goes on without a pause. The era of the store ends that for restores that it announces; nothing bounds it for a store whose revisions go back otherwise.

TestStoreWithoutHistoryIsFlooded fails before, without a pause, and passes with fewer than 100 calls in 10 s. A list that brings a newer revision is followed by the watch at once, as before.

--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -204,6 +204,8 @@
 	retryDelay := minRetryDelay
 	reachable := true
 	listed := false
+	// compactedAt is the revision of the last watch without history, until a watch works.
+	var compactedAt uint64
 	var relistAt time.Time
 	for ctx.Err() == nil {
 		if m.isFollower() {
@@ -218,6 +220,10 @@
 			}
 			listed = true
 			relistAt = time.Time{}
+			if m.Revision() == compactedAt {
+				waiter.Wait(ctx, withJitter(retryDelay))
+				retryDelay = min(2*retryDelay, maxRetryDelay)
+			}
 			continue
 		}
 		err := m.watch(ctx, relistAt)
@@ -230,10 +236,11 @@
 				relistAt = time.Now().Add(relistAfterOutage)
 			}
 			retryDelay = minRetryDelay
+			compactedAt = 0
 			waiter.Wait(ctx, m.WatchPause)
 		case errors.As(err, &compacted):
 			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
-			listed = false
+			listed, compactedAt = false, compacted.Revision
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, context.DeadlineExceeded) && !relistAt.IsZero():
@@ -346,10 +353,12 @@
 	if m.Peers != nil {
 		m.fetchFromPeers(ctx, All)
 	}
-	waiter.Wait(ctx, delay/2+rand.N(delay))
+	waiter.Wait(ctx, withJitter(delay))
 	return min(2*delay, maxRetryDelay)
 }
 
+func withJitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // CatchUpWithPeers runs until ctx is canceled and fetches newer content from other
 // daemons once they have been ahead for peerLeadTolerance. This covers a watch that
 // hangs without an error.
--- a/internal/coordination/mirrorer/mirrorer_test.go
+++ b/internal/coordination/mirrorer/mirrorer_test.go
@@ -25,6 +25,8 @@
 	dropNotifications bool
 	changed           chan struct{}
 	calls             int
+	// latency is the time of each call.
+	latency time.Duration
 }
 
 func (s *fakeStore) countCalls() int {
@@ -77,6 +79,15 @@
 	s.history = nil
 }
 
+// goBack returns to an earlier revision without its history.
+func (s *fakeStore) goBack(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.history = revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) setFaults(down, dropNotifications bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,6 +95,7 @@
 }
 
 func (s *fakeStore) List(context.Context, string, bool) (Snapshot, error) {
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -98,6 +110,7 @@
 }
 
 func (s *fakeStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (Changes, error) {
+	time.Sleep(s.latency)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -123,6 +136,9 @@
 	if s.down {
 		return Changes{}, errDown
 	}
+	if from > s.revision {
+		return Changes{}, &CompactedError{Kind: kind, Revision: from}
+	}
 	out := Changes{Revision: s.revision}
 	covered := from
 	for _, entry := range s.history {
@@ -268,3 +284,29 @@
 		qt.Assert(t, spec(m, "a"), qt.Equals, "2")
 	})
 }
+
+// TestStoreWithoutHistoryIsFlooded guards against calls without a pause to a store that has
+// neither the history since the revision of the copy nor a newer list.
+func TestStoreWithoutHistoryIsFlooded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := newFakeStore()
+		s.latency = 4 * time.Millisecond
+		s.put("a", "1")
+		s.put("a", "2")
+		m := &Mirror{Kind: "k", Source: s, Log: zap.NewNop()}
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		before := s.countCalls()
+		s.goBack(1)
+		time.Sleep(10 * time.Second)
+		// A list and a watch for each of the longest pauses, and those of the first second.
+		qt.Assert(t, s.countCalls()-before < 100, qt.IsTrue, qt.Commentf("%d calls", s.countCalls()-before))
+		for range 3 {
+			s.put("a", "3")
+		}
+		time.Sleep(maxPropagationTime)
+		qt.Assert(t, spec(m, "a"), qt.Equals, "3")
+	})
+}
