Keep replicas missing from a restored store

What callers would see: a replica that registered after the copy from which the store was restored is missing in the restored list until it writes again. A daemon that follows another daemon sees no outage of the store and dropped it at once, so requests of a small service were refused for up to two seconds.

Cause: the catalog attributed a vanished registration to the store only after an outage that this daemon saw, or if many vanished at once.

RecordRestore is called before the first list of the restored store and counts as an outage, so the waits and their bound by the drain time apply as they are. Without the line that records the outage, the cases "at once" and "before the wait ends" of TestMissingAfterRestore fail. The second restore does not prolong a running wait.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -78,6 +78,16 @@
 	c.lastOutage = now
 }
 
+// RecordRestore records that the store has been restored from a copy. It is called
+// before the first list of the restored store is set. Registrations written since the
+// copy was made are missing in that list, as after an outage.
+func (c *Catalog) RecordRestore(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastOutage = now
+	c.Log.Info("store restored", zap.Int("replicas", len(c.entries)), zap.Time("at", now))
+}
+
 // SetRegistrations replaces the registrations. Vanished ones are kept for a while if
 // the store may have lost them.
 func (c *Catalog) SetRegistrations(list []placer.Replica, now time.Time) {
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -81,6 +81,43 @@
 	}
 }
 
+// TestMissingAfterRestore guards against dropping a replica that registered after the
+// copy from which the store was restored, by a daemon that saw no outage of the store.
+func TestMissingAfterRestore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// restores are the times at which lists of a restored store are set. None has r3.
+		restores []time.Duration
+		// returnAt is when r3 is registered again, or zero if it is not.
+		returnAt time.Duration
+		at       time.Duration
+		want     []string
+	}{
+		{"at once", []time.Duration{0}, 0, 0, []string{"r0", "r1", "r2", "r3"}},
+		{"before the wait ends", []time.Duration{0}, 0, drainTime - detectionDelay - time.Millisecond, []string{"r0", "r1", "r2", "r3"}},
+		{"did not return", []time.Duration{0}, 0, drainTime - detectionDelay, []string{"r0", "r1", "r2"}},
+		{"second restore does not prolong the wait", []time.Duration{0, time.Second}, 0, drainTime - detectionDelay, []string{"r0", "r1", "r2"}},
+		{"returned", []time.Duration{0}, time.Second, 10 * time.Second, []string{"r0", "r1", "r2", "r3"}},
+		{"returned after the wait", []time.Duration{0}, 1900 * time.Millisecond, 1900 * time.Millisecond, []string{"r0", "r1", "r2", "r3"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := Catalog{DrainTime: drainTime, Log: zap.NewNop()}
+			c.SetRegistrations(registrations(4), start.Add(-time.Minute))
+			for _, after := range tc.restores {
+				c.RecordRestore(start.Add(after))
+				c.SetRegistrations(registrations(3), start.Add(after))
+			}
+			if tc.returnAt > 0 {
+				c.Replicas(start.Add(tc.returnAt))
+				c.SetRegistrations(registrations(4), start.Add(tc.returnAt))
+			}
+			qt.Assert(t, usable(&c, start.Add(tc.at)), qt.DeepEquals, tc.want)
+		})
+	}
+}
+
 // TestWaitFollowsDrainTime guards against a wait for registrations that exceeds the
 // drain time, and against one that ends too early if the drain time is long.
 func TestWaitFollowsDrainTime(t *testing.T) {
