Decode when a replica started

Callers see no change by this alone. A replica may start again under its ID, and the catalog could not tell the incarnations apart, because the field born of a registration was not decoded.

--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -95,6 +95,9 @@
 	Address       string
 	Service       string
 	FailureDomain string
+	// StartedAtMs is when this incarnation of the replica started, in Unix milliseconds,
+	// or 0 if that is unknown.
+	StartedAtMs int64
 	// Slots is the maximum number of requests that it runs at once.
 	Slots int
 	// Draining replicas accept no new requests.
