Do not use replicas that left before a restore

What callers would see: requests were sent to a replica that had left, later than the drain time after this daemon knew of it, because a store that was restored from an older copy lists the replica as ready again.

Cause: the catalog believed each list and remembered nothing of replicas that were draining or gone.

The catalog now remembers them with their incarnation, for two minutes and at most 4096 of them beyond the registered ones. After a restore, the same incarnation of a replica that was draining is not used. A replica that was gone and is in the first list of the restored store is not used until its registration changes, another incarnation starts, or the store would have removed a silent replica. That time begins again with an outage, in which the store removes nothing. A registration that is not in the first list was written after the restore, so it is believed; replicas whose registrations the restore lost are not remembered as gone, since their absence shows nothing. Without a restore nothing changes.

Ruled out as evidence that a replica stays: reports of its agent, which a leaving engine answers as well.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -4,7 +4,9 @@
 package cataloger
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,38 @@
 	// minMassLoss is the minimum number of vanished registrations for which
 	// massLossShare applies.
 	minMassLoss = 3
+	// silentHeartbeats is the number of heartbeats after which the store removes the
+	// registration of a silent replica.
+	silentHeartbeats = 3
+	// removalDelay is the maximum time until this daemon learns of a removal.
+	removalDelay = 2 * time.Second
+	// departureRetention is how long a replica that left is remembered. It is well
+	// above the age of the copies from which the store is restored.
+	departureRetention = 2 * time.Minute
+	// maxDepartures is the maximum number of remembered replicas.
+	maxDepartures = 4096
+)
+
+// departure describes how a replica left.
+type departure struct {
+	startedAtMs int64
+	// announced is set if the replica was registered as draining.
+	announced bool
+	// restores is the number of restores of the store before that.
+	restores int
+	// at is when the replica was last registered as draining or was removed.
+	at time.Time
+}
+
+// suspicion is why a registration in a restored store is not used.
+type suspicion int
+
+const (
+	notSuspected suspicion = iota
+	// mayHaveLeft is set if the replica was gone before the restore.
+	mayHaveLeft
+	// announcedLeaving is set if the same incarnation of the replica was draining.
+	announcedLeaving
 )
 
 // agentReport is the last report of the agent of a replica.
@@ -53,6 +87,9 @@
 	missingSince time.Time
 	// keepUntil is when the wait for a vanished registration ends.
 	keepUntil time.Time
+	// lost is set if the registration vanished in a restore of the store.
+	lost      bool
+	suspicion suspicion
 }
 
 // Catalog is the list of replicas. Its exported fields are set before use.
@@ -60,7 +97,9 @@
 	// DrainTime is the time within which requests to a replica that left must stop.
 	// It limits the wait for a vanished registration.
 	DrainTime time.Duration
-	Log       *logger.Logger
+	// HeartbeatInterval is how often replicas write their registrations.
+	HeartbeatInterval time.Duration
+	Log               *logger.Logger
 
 	mu sync.Mutex
 	// entries holds the replicas by ID.
@@ -69,6 +108,13 @@
 	agentReports map[string]agentReport
 	// lastOutage is when the store was last unreachable.
 	lastOutage time.Time
+	// lastRestore is when the store was last restored from a copy.
+	lastRestore time.Time
+	restores    int
+	// awaitsRestored is set until the first list of the restored store is set.
+	awaitsRestored bool
+	// departures holds the replicas that left, by ID.
+	departures map[string]departure
 }
 
 // RecordOutage records that the store was unreachable at a time.
@@ -85,7 +131,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastOutage = now
-	c.Log.Info("store restored", zap.Int("replicas", len(c.entries)), zap.Time("at", now))
+	c.lastRestore, c.awaitsRestored = now, true
+	c.restores++
+	c.Log.Info("store restored", zap.Int("replicas", len(c.entries)), zap.Int("departures", len(c.departures)), zap.Time("at", now))
 }
 
 // SetRegistrations replaces the registrations. Vanished ones are kept for a while if
@@ -95,15 +143,78 @@
 	defer c.mu.Unlock()
 	if c.entries == nil {
 		c.entries = map[string]*catalogEntry{}
+		c.departures = map[string]departure{}
 	}
+	restored := c.awaitsRestored
+	c.awaitsRestored = false
 	present := map[string]bool{}
 	for _, r := range list {
 		present[r.ID] = true
-		if old := c.entries[r.ID]; old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address {
-			c.logChange("registered", r, now)
+		c.register(r, restored, now)
+	}
+	c.removeVanished(present, restored, now)
+	c.forgetDepartures(now)
+}
+
+// register sets the registration of a replica. The argument restored is set for the
+// first list of a restored store.
+func (c *Catalog) register(r placer.Replica, restored bool, now time.Time) {
+	old := c.entries[r.ID]
+	e := &catalogEntry{replica: r, suspicion: c.suspect(r, old, restored)}
+	c.entries[r.ID] = e
+	changed := old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address
+	switch {
+	case e.suspicion == announcedLeaving:
+		if changed || old.suspicion != e.suspicion {
+			c.logSuspicion("registered as ready after it was draining, not used", r, now)
 		}
-		c.entries[r.ID] = &catalogEntry{replica: r}
+	case e.suspicion == mayHaveLeft:
+		if restored {
+			c.logSuspicion("registered in the restored store after it left, not used", r, now)
+		}
+	case old != nil && old.suspicion != notSuspected:
+		c.logSuspicion("registered by a running replica", r, now)
+	case changed:
+		c.logChange("registered", r, now)
+	}
+	switch {
+	case r.Draining:
+		c.recordDeparture(r, true, now)
+	case e.suspicion == notSuspected:
+		delete(c.departures, r.ID)
+	}
+}
+
+// suspect returns whether a registration may be out of date because the store was
+// restored from a copy that was made before the replica left. A registration that is
+// not in the first list of the restored store, or has changed since, was written by a
+// running replica.
+func (c *Catalog) suspect(r placer.Replica, old *catalogEntry, restored bool) suspicion {
+	d, left := c.departures[r.ID]
+	switch {
+	case r.Draining || !left || d.restores == c.restores:
+	case d.announced && d.startedAtMs == r.StartedAtMs && r.StartedAtMs != 0:
+		return announcedLeaving
+	// A later start is that of a new incarnation. If one of both is unknown, the
+	// incarnation may be the same.
+	case d.startedAtMs != 0 && r.StartedAtMs > d.startedAtMs:
+	case restored:
+		return mayHaveLeft
+	case old != nil && old.suspicion == mayHaveLeft && sameRegistration(old.replica, r):
+		return mayHaveLeft
 	}
+	return notSuspected
+}
+
+// sameRegistration reports whether two decoded registrations are the same.
+func sameRegistration(a, b placer.Replica) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.FailureDomain == b.FailureDomain && a.StartedAtMs == b.StartedAtMs &&
+		a.Slots == b.Slots && a.Draining == b.Draining && maps.Equal(a.Versions, b.Versions)
+}
+
+// removeVanished removes the replicas whose registrations have vanished, or lets them
+// wait for their return.
+func (c *Catalog) removeVanished(present map[string]bool, restored bool, now time.Time) {
 	vanished, total := map[string]int{}, map[string]int{}
 	for id, e := range c.entries {
 		total[e.replica.Service]++
@@ -117,13 +228,13 @@
 			continue
 		}
 		if e.missingSince.IsZero() {
-			e.missingSince = now
+			e.missingSince, e.lost = now, restored
 			service := e.replica.Service
 			massLoss := vanished[service] >= minMassLoss && float64(vanished[service]) >= massLossShare*float64(total[service])
 			// A draining replica is removed at once, because it has announced that it
 			// leaves.
 			switch {
-			case e.replica.Draining:
+			case e.replica.Draining || e.suspicion != notSuspected:
 			case afterOutage:
 				e.keepUntil = earlier(c.lastOutage.Add(reregistrationTime), now.Add(c.maxWait()))
 			case massLoss:
@@ -134,12 +245,69 @@
 			}
 		}
 		if !now.Before(e.keepUntil) {
-			delete(c.entries, id)
-			c.logChange("gone", e.replica, now)
+			c.remove(id, e, "gone", now)
 		}
 	}
 }
 
+// remove removes a replica and remembers that it left. The absence of a registration
+// that was lost in a restore does not show that the replica left.
+func (c *Catalog) remove(id string, e *catalogEntry, event string, now time.Time) {
+	delete(c.entries, id)
+	if !e.lost {
+		c.recordDeparture(e.replica, e.replica.Draining, now)
+	}
+	c.logChange(event, e.replica, now)
+}
+
+// recordDeparture remembers a replica that left.
+func (c *Catalog) recordDeparture(r placer.Replica, announced bool, now time.Time) {
+	if old, ok := c.departures[r.ID]; ok && old.startedAtMs == r.StartedAtMs {
+		announced = announced || old.announced
+	}
+	c.departures[r.ID] = departure{startedAtMs: r.StartedAtMs, announced: announced, restores: c.restores, at: now}
+}
+
+// forgetDepartures bounds the number of remembered replicas. Those that are registered
+// are kept.
+func (c *Catalog) forgetDepartures(now time.Time) {
+	var unregistered []string
+	for id, d := range c.departures {
+		switch {
+		case c.entries[id] != nil:
+		case now.Sub(d.at) > departureRetention:
+			delete(c.departures, id)
+		default:
+			unregistered = append(unregistered, id)
+		}
+	}
+	excess := len(unregistered) - maxDepartures
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(unregistered, func(a, b string) int {
+		return cmp.Or(c.departures[a].at.Compare(c.departures[b].at), cmp.Compare(a, b))
+	})
+	for _, id := range unregistered[:excess] {
+		delete(c.departures, id)
+	}
+}
+
+// confirm ends the suspicion of a replica that the store would have removed by now if
+// it were silent. The store removes nothing while it is unreachable.
+func (c *Catalog) confirm(e *catalogEntry, now time.Time) {
+	since := c.lastRestore
+	if c.lastOutage.After(since) {
+		since = c.lastOutage
+	}
+	if e.suspicion != mayHaveLeft || now.Sub(since) <= silentHeartbeats*c.HeartbeatInterval+removalDelay {
+		return
+	}
+	c.logSuspicion("still registered", e.replica, now)
+	e.suspicion = notSuspected
+	delete(c.departures, e.replica.ID)
+}
+
 // maxWait returns the maximum wait for a vanished registration.
 func (c *Catalog) maxWait() time.Duration { return max(0, c.DrainTime-detectionDelay) }
 
@@ -151,9 +319,18 @@
 }
 
 // logChange logs a change of a replica.
-func (c *Catalog) logChange(event string, r placer.Replica, now time.Time) {
-	c.Log.Info("replica changed", zap.String("event", event), zap.String("replica", r.ID), zap.String("address", r.Address),
-		zap.String("service", r.Service), zap.Bool("draining", r.Draining), zap.Any("versions", r.Versions), zap.Time("at", now))
+func (c *Catalog) logChange(event string, r placer.Replica, now time.Time, more ...zap.Field) {
+	c.Log.Info("replica changed", append([]zap.Field{
+		zap.String("event", event), zap.String("replica", r.ID), zap.String("address", r.Address), zap.String("service", r.Service),
+		zap.Int64("started-at-ms", r.StartedAtMs), zap.Bool("draining", r.Draining), zap.Any("versions", r.Versions), zap.Time("at", now),
+	}, more...)...)
+}
+
+// logSuspicion logs a decision about a registration after a restore.
+func (c *Catalog) logSuspicion(event string, r placer.Replica, now time.Time) {
+	d := c.departures[r.ID]
+	c.logChange(event, r, now, zap.Int64("left-started-at-ms", d.startedAtMs), zap.Bool("announced", d.announced),
+		zap.Duration("since-left", now.Sub(d.at)), zap.Duration("since-restore", now.Sub(c.lastRestore)), zap.Duration("since-outage", now.Sub(c.lastOutage)))
 }
 
 // RecordReport records a report of the agent of the replica at an address. It returns
@@ -177,11 +354,12 @@
 	var out []placer.Replica
 	for id, e := range c.entries {
 		if !e.missingSince.IsZero() && !now.Before(e.keepUntil) {
-			delete(c.entries, id)
-			c.logChange("did not return", e.replica, now)
+			c.remove(id, e, "did not return", now)
 			continue
 		}
+		c.confirm(e, now)
 		r := e.replica
+		r.Draining = r.Draining || e.suspicion != notSuspected
 		if report, ok := c.agentReports[r.Address]; ok && now.Sub(report.at) <= agentReportTTL {
 			if r.Versions != nil {
 				r.Versions = report.versions
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -118,6 +118,130 @@
 	}
 }
 
+// changed returns a registration with some fields set.
+func changed(r placer.Replica, change func(*placer.Replica)) placer.Replica {
+	change(&r)
+	return r
+}
+
+// heartbeatInterval is the interval that the deployments of the platform use.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// removalTime is when the store has removed the registrations of silent replicas.
+const removalTime = silentHeartbeats*heartbeatInterval + removalDelay
+
+// TestRestoredRegistrations guards against requests to a replica that left before the
+// store was restored from an older copy, and against excluding a running one.
+func TestRestoredRegistrations(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ready := changed(registration("r"), func(r *placer.Replica) { r.StartedAtMs = 100 })
+	draining := changed(ready, func(r *placer.Replica) { r.Draining = true })
+	restarted := changed(ready, func(r *placer.Replica) { r.StartedAtMs = 200 })
+	withoutStart := changed(ready, func(r *placer.Replica) { r.StartedAtMs = 0 })
+	updated := changed(ready, func(r *placer.Replica) { r.Versions = map[string]int{"m": 2} })
+	list := func(r ...placer.Replica) []placer.Replica { return r }
+	type step struct {
+		at       time.Duration
+		restored bool
+		outage   bool
+		list     []placer.Replica
+	}
+	later := time.Second
+	tests := []struct {
+		name  string
+		steps []step
+		at    time.Duration
+		used  bool
+	}{
+		{"draining before", []step{{list: list(ready)}, {list: list(draining)}, {at: later, restored: true, list: list(ready)}}, later, false},
+		{"draining before, known from the first list", []step{{list: list(draining)}, {at: later, restored: true, list: list(ready)}}, later, false},
+		{"draining before, long after", []step{{list: list(draining)}, {at: later, restored: true, list: list(ready)}}, later + time.Hour, false},
+		{"draining before, content changed", []step{{list: list(draining)}, {at: later, restored: true, list: list(ready)}, {at: 2 * later, list: list(updated)}}, 2 * later, false},
+		{"draining before, in a later list", []step{{list: list(draining)}, {at: later, restored: true}, {at: 2 * later, list: list(ready)}}, 2 * later, false},
+		{"draining and removed before", []step{{list: list(draining)}, {}, {at: later, restored: true, list: list(ready)}}, later + removalTime + time.Second, false},
+		{"draining before and in the restored list", []step{{list: list(draining)}, {at: later, restored: true, list: list(draining)}}, later + time.Hour, false},
+		{"draining before, restarted", []step{{list: list(draining)}, {at: later, restored: true, list: list(restarted)}}, later, true},
+		{"draining before, restarted after the restore", []step{{list: list(draining)}, {at: later, restored: true, list: list(ready)}, {at: 2 * later, list: list(restarted)}}, 2 * later, true},
+		{"draining before, two restores", []step{{list: list(draining)}, {at: later, restored: true, list: list(draining)}, {at: 2 * later, restored: true, list: list(ready)}}, 2 * later, false},
+		{"draining before, two restores, removed between", []step{{list: list(draining)}, {at: later, restored: true, list: list(ready)}, {at: 2 * later}, {at: 3 * later, restored: true, list: list(ready)}}, time.Hour, false},
+		{"draining only in the copy", []step{{list: list(restarted)}, {at: later, restored: true, list: list(draining)}}, later, false},
+		{"draining only in the copy, then registered again", []step{{list: list(restarted)}, {at: later, restored: true, list: list(draining)}, {at: 2 * later, list: list(restarted)}}, 2 * later, true},
+		{"draining only in the copy, corrected by the same incarnation", []step{{list: list(ready)}, {at: later, restored: true, list: list(draining)}, {at: 2 * later, list: list(ready)}}, 2 * later, true},
+		{"ready after draining without a restore", []step{{list: list(draining)}, {at: later, list: list(ready)}}, later, true},
+
+		{"gone before", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}}, later, false},
+		{"gone before, start unknown before", []step{{list: list(withoutStart)}, {}, {at: later, restored: true, list: list(ready)}}, later, false},
+		{"gone before, start unknown in the copy", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(withoutStart)}}, later, false},
+		{"gone before as a later incarnation", []step{{list: list(restarted)}, {}, {at: later, restored: true, list: list(ready)}}, later, false},
+		{"gone before, unchanged", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}, {at: 2 * later, list: list(ready)}}, 2 * later, false},
+		{"gone before, until the store would have removed it", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}}, later + removalTime, false},
+		{"gone before, still registered", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}}, later + removalTime + time.Millisecond, true},
+		{"gone before, store unreachable meanwhile", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}, {at: 3 * later, outage: true}}, 3*later + removalTime, false},
+		{"gone before, content changed", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}, {at: 2 * later, list: list(updated)}}, 2 * later, true},
+		{"gone before, restarted", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(restarted)}}, later, true},
+		{"gone before, not in the first list", []step{{list: list(ready)}, {}, {at: later, restored: true}, {at: 2 * later, list: list(ready)}}, 2 * later, true},
+		{"gone before, draining in the copy", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(draining)}}, later + time.Hour, false},
+		{"gone before, removed and returned", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}, {at: 2 * later}, {at: 3 * later, list: list(ready)}}, 3 * later, true},
+		{"gone before, two restores", []step{{list: list(ready)}, {}, {at: later, restored: true, list: list(ready)}, {at: 5 * later, restored: true, list: list(ready)}}, later + removalTime + later, false},
+		{"gone before, two restores, missing in the first copy", []step{{list: list(ready)}, {}, {at: later, restored: true}, {at: 2 * later, restored: true, list: list(ready)}}, 2 * later, false},
+		{"gone without a restore", []step{{list: list(ready)}, {}, {at: later, list: list(ready)}}, later, true},
+		{"missing in the first of two copies", []step{{list: list(ready)}, {at: later, restored: true}, {at: 3 * later, restored: true, list: list(ready)}}, 3 * later, true},
+		{"unknown before", []step{{at: later, restored: true, list: list(ready)}}, later, true},
+		{"first list of a daemon that started after the restore", []step{{list: list(ready)}}, 0, true},
+		{"left too long ago to be in a copy", []step{{list: list(ready)}, {}, {at: departureRetention + later}, {at: departureRetention + later, restored: true, list: list(ready)}}, departureRetention + later, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := Catalog{DrainTime: drainTime, HeartbeatInterval: heartbeatInterval, Log: zap.NewNop()}
+			for _, s := range tc.steps {
+				at := start.Add(s.at)
+				c.Replicas(at)
+				if s.outage {
+					c.RecordOutage(at)
+					continue
+				}
+				if s.restored {
+					c.RecordRestore(at)
+				}
+				c.SetRegistrations(s.list, at)
+			}
+			qt.Assert(t, len(usable(&c, start.Add(tc.at))) == 1, qt.Equals, tc.used)
+		})
+	}
+}
+
+// TestReportOfReplicaThatLeft guards against requests to an engine that left before a
+// restore and still answers its agent, and to a restored one that its agent reports as
+// down.
+func TestReportOfReplicaThatLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := Catalog{DrainTime: drainTime, HeartbeatInterval: heartbeatInterval, Log: zap.NewNop()}
+	c.SetRegistrations(registrations(2), now)
+	c.SetRegistrations(registrations(1), now)
+	c.RecordReport("r0:1", false, false, nil, now)
+	c.RecordReport("r1:1", true, false, map[string]int{"m": 1}, now)
+	c.RecordRestore(now)
+	c.SetRegistrations(registrations(2), now)
+	qt.Assert(t, usable(&c, now), qt.HasLen, 0)
+}
+
+// TestDeparturesBounded guards against unbounded memory for replicas that left.
+func TestDeparturesBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := Catalog{DrainTime: drainTime, HeartbeatInterval: heartbeatInterval, Log: zap.NewNop()}
+	c.SetRegistrations([]placer.Replica{registration("oldest")}, now)
+	now = now.Add(time.Second)
+	c.SetRegistrations(registrations(maxDepartures), now)
+	c.SetRegistrations(nil, now)
+	now = now.Add(drainTime)
+	c.SetRegistrations(nil, now)
+	qt.Assert(t, c.departures, qt.HasLen, maxDepartures)
+	_, ok := c.departures["oldest"]
+	qt.Assert(t, ok, qt.IsFalse)
+	c.SetRegistrations(nil, now.Add(departureRetention+time.Millisecond))
+	qt.Assert(t, c.departures, qt.HasLen, 0)
+}
+
 // TestWaitFollowsDrainTime guards against a wait for registrations that exceeds the
 // drain time, and against one that ends too early if the drain time is long.
 func TestWaitFollowsDrainTime(t *testing.T) {
