After a restore, use the later of two replicas at one address

What callers would see: a restored store lists a crashed replica whose address another replica has since. Attempts for the crashed one's service went to the other replica, which refuses them with 421, and used up attempts.

Cause: the catalog listed both replicas as usable.

After a restore, until the store would have removed silent replicas, the replica at an address that started last has it, also while its own registration is still missing. Another one is used again once its registration changes. Starts at one address are times of one machine. If one start is unknown, both stay usable, and the refusal with 421 decides. Without a restore nothing changes.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -70,6 +70,8 @@
 	mayHaveLeft
 	// announcedLeaving is set if the same incarnation of the replica was draining.
 	announcedLeaving
+	// addressTaken is set if a replica with the same address started later.
+	addressTaken
 )
 
 // agentReport is the last report of the agent of a replica.
@@ -147,20 +149,47 @@
 	}
 	restored := c.awaitsRestored
 	c.awaitsRestored = false
+	owners := c.addressOwners(list, now)
 	present := map[string]bool{}
 	for _, r := range list {
 		present[r.ID] = true
-		c.register(r, restored, now)
+		c.register(r, owners[r.Address], restored, now)
 	}
 	c.removeVanished(present, restored, now)
 	c.forgetDepartures(now)
 }
 
-// register sets the registration of a replica. The argument restored is set for the
-// first list of a restored store.
-func (c *Catalog) register(r placer.Replica, restored bool, now time.Time) {
+// addressOwners returns, by address, the replica that started last, while the list of a
+// restored store may contain replicas whose addresses others have.
+func (c *Catalog) addressOwners(list []placer.Replica, now time.Time) map[string]placer.Replica {
+	if c.restores == 0 || c.silentRemoved(now) {
+		return nil
+	}
+	out := map[string]placer.Replica{}
+	add := func(r placer.Replica) {
+		if r.StartedAtMs > out[r.Address].StartedAtMs {
+			out[r.Address] = r
+		}
+	}
+	for _, r := range list {
+		add(r)
+	}
+	for _, e := range c.entries {
+		add(e.replica)
+	}
+	return out
+}
+
+// register sets the registration of a replica. The argument owner is the replica that
+// has its address, if known, and restored is set for the first list of a restored store.
+func (c *Catalog) register(r, owner placer.Replica, restored bool, now time.Time) {
 	old := c.entries[r.ID]
 	e := &catalogEntry{replica: r, suspicion: c.suspect(r, old, restored)}
+	superseded := owner.ID != r.ID && r.StartedAtMs != 0 && r.StartedAtMs < owner.StartedAtMs
+	wasSuperseded := old != nil && old.suspicion == addressTaken
+	if e.suspicion == notSuspected && !r.Draining && (superseded || wasSuperseded && sameRegistration(old.replica, r)) {
+		e.suspicion = addressTaken
+	}
 	c.entries[r.ID] = e
 	changed := old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address
 	switch {
@@ -172,6 +201,11 @@
 		if restored {
 			c.logSuspicion("registered in the restored store after it left, not used", r, now)
 		}
+	case e.suspicion == addressTaken:
+		if !wasSuperseded {
+			c.logChange("registered at the address of a later replica, not used", r, now, zap.String("owner", owner.ID),
+				zap.Int64("owner-started-at-ms", owner.StartedAtMs), zap.Duration("since-restore", now.Sub(c.lastRestore)))
+		}
 	case old != nil && old.suspicion != notSuspected:
 		c.logSuspicion("registered by a running replica", r, now)
 	case changed:
@@ -293,14 +327,20 @@
 	}
 }
 
-// confirm ends the suspicion of a replica that the store would have removed by now if
-// it were silent. The store removes nothing while it is unreachable.
-func (c *Catalog) confirm(e *catalogEntry, now time.Time) {
+// silentRemoved reports whether the store has removed replicas by now that have been
+// silent since it was restored. It removes nothing while it is unreachable.
+func (c *Catalog) silentRemoved(now time.Time) bool {
 	since := c.lastRestore
 	if c.lastOutage.After(since) {
 		since = c.lastOutage
 	}
-	if e.suspicion != mayHaveLeft || now.Sub(since) <= silentHeartbeats*c.HeartbeatInterval+removalDelay {
+	return now.Sub(since) > silentHeartbeats*c.HeartbeatInterval+removalDelay
+}
+
+// confirm ends the suspicion of a replica that is still registered after the store has
+// removed silent ones.
+func (c *Catalog) confirm(e *catalogEntry, now time.Time) {
+	if e.suspicion == notSuspected || e.suspicion == announcedLeaving || !c.silentRemoved(now) {
 		return
 	}
 	c.logSuspicion("still registered", e.replica, now)
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -210,6 +210,58 @@
 	}
 }
 
+// TestAddressOfTwoReplicas guards against requests to a crashed replica that a restored
+// store lists at an address which another replica has.
+func TestAddressOfTwoReplicas(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(id string, startedAtMs int64) placer.Replica {
+		return placer.Replica{ID: id, Address: "a:1", Service: id, Slots: 4, StartedAtMs: startedAtMs}
+	}
+	earlier, later := at("earlier", 100), at("later", 200)
+	leaving := later
+	leaving.Draining = true
+	list := func(r ...placer.Replica) []placer.Replica { return r }
+	tests := []struct {
+		name     string
+		before   []placer.Replica
+		restored bool
+		// lists follow each other by one second.
+		lists [][]placer.Replica
+		wait  time.Duration
+		want  []string
+	}{
+		{"later one missing in the copy", list(earlier, later), true, [][]placer.Replica{list(earlier)}, 0, []string{"later"}},
+		{"later one registered again", list(earlier, later), true, [][]placer.Replica{list(earlier), list(earlier, later)}, 0, []string{"later"}},
+		{"later one did not return", list(earlier, later), true, [][]placer.Replica{list(earlier), list(earlier), list(earlier), list(earlier)}, 0, nil},
+		{"later one unknown before", list(earlier), true, [][]placer.Replica{list(earlier), list(earlier, later)}, 0, []string{"later"}},
+		{"later one only, earlier one in the copy", list(later), true, [][]placer.Replica{list(earlier)}, 0, []string{"later"}},
+		{"later one did not return, earlier one changed", list(earlier, later), true, [][]placer.Replica{list(earlier), list(earlier), list(earlier), list(changed(earlier, func(r *placer.Replica) { r.Slots++ }))}, 0, []string{"earlier"}},
+		{"later one draining", list(earlier, leaving), true, [][]placer.Replica{list(earlier)}, 0, nil},
+		{"earlier one removed by the store", list(earlier, later), true, [][]placer.Replica{list(earlier), list(later)}, 0, []string{"later"}},
+		{"both still registered", list(earlier, later), true, [][]placer.Replica{list(earlier, later)}, removalTime + time.Millisecond, []string{"earlier", "later"}},
+		{"start of one unknown", list(at("earlier", 0), later), true, [][]placer.Replica{list(at("earlier", 0), later)}, 0, []string{"earlier", "later"}},
+		{"restarted under the same ID", list(at("later", 300)), true, [][]placer.Replica{list(later)}, 0, []string{"later"}},
+		{"without a restore", list(earlier, later), false, [][]placer.Replica{list(earlier, later)}, 0, []string{"earlier", "later"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := Catalog{DrainTime: drainTime, HeartbeatInterval: heartbeatInterval, Log: zap.NewNop()}
+			now := start
+			c.SetRegistrations(tc.before, now)
+			c.RecordOutage(now)
+			if tc.restored {
+				c.RecordRestore(now)
+			}
+			for i, l := range tc.lists {
+				now = start.Add(time.Duration(i) * time.Second)
+				c.SetRegistrations(l, now)
+				c.Replicas(now)
+			}
+			qt.Assert(t, usable(&c, now.Add(tc.wait)), qt.DeepEquals, tc.want)
+		})
+	}
+}
+
 // TestReportOfReplicaThatLeft guards against requests to an engine that left before a
 // restore and still answers its agent, and to a restored one that its agent reports as
 // down.
