Tell the catalog of a restore before its first list

What callers would have seen: requests to a replica that had left, because the restored store lists it as ready until three heartbeats have passed in silence, and no requests for up to two seconds to a replica that registered after the copy.

The mirror passes it on with the first copy of a later era, whether that comes from the store or from another daemon; a follower makes no calls to the store and sees no outage.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -169,12 +169,29 @@
 // notify passes the copy on. A panic over one object must not end the process.
 func (m *Mirror) notify(s Snapshot, now time.Time) {
 	defer recoverer.Contain(m.Log, "objects "+m.Kind)
+	if from, restored := m.enterEra(Era(s.Revision)); restored {
+		m.Log.Warn("store restored", zap.String("kind", m.Kind), zap.Uint64("from-era", from), zap.Uint64("era", Era(s.Revision)),
+			zap.Uint64("revision", StoreRevision(s.Revision)))
+		if m.OnRestore != nil {
+			m.OnRestore(now)
+		}
+	}
 	m.changed.Notify()
 	if m.OnChange != nil {
 		m.OnChange(s, now)
 	}
 }
 
+// enterEra records the era of a copy, and reports whether the store was restored since the
+// one before.
+func (m *Mirror) enterEra(era uint64) (from uint64, restored bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from, restored = m.era, m.eraKnown && era > m.era
+	m.era, m.eraKnown = max(m.era, era), true
+	return from, restored
+}
+
 // sameObjects reports whether both maps hold the same objects at the same revisions.
 func sameObjects(a, b map[string]Object) bool {
 	return maps.EqualFunc(a, b, func(x, y Object) bool { return x.Revision == y.Revision })
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -159,6 +159,8 @@
 	// OnProbeChange is called when a probe finds a change that the watch has not
 	// delivered, if set.
 	OnProbeChange func()
+	// OnRestore is called before OnChange with the first copy of a restored store, if set.
+	OnRestore func(now time.Time)
 	// OnOutage is called after each failed call and at the end of an outage, if set.
 	OnOutage func(now time.Time)
 	Log      *logger.Logger
@@ -170,6 +172,9 @@
 	changed  notifier.Notifier
 	// unreachable is set if the last call failed.
 	unreachable bool
+	// era is that of the last copy that was passed on, if any was.
+	era      uint64
+	eraKnown bool
 	// currentAt is when the copy was last known to have all changes of the source.
 	currentAt time.Time
 }
