Keep configurations of later versions than a restored store has

What callers would have seen: a daemon that starts between a restore and the second write of the operators applies the configuration of the copy, in which routes added since are missing.

Cause: the store is the only place from which a starting daemon takes its configuration, and the other daemons replace their copies by the restored list too; what they had in force was kept out of what they pass on.

Change: configurations and named versions carry versions of the operators, which only rise. A copy keeps the later of two contents, and for a minute after a restore daemons tell each other the sum of their versions, so that one with less asks one with more. Outside of that minute no message grows.

Weighed: the version as the first part of each position (positions of agents and watches are those of the store, and would have to be kept apart), and asking a random daemon at each start (several of them may have started as well).

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -25,6 +25,7 @@
 	case m.Permanent:
 		s.ContentRevision = max(newestObject(s.Objects), m.snapshot.ContentRevision)
 	}
+	m.keepLater(s.Objects)
 	m.setSnapshot(s)
 	m.mu.Unlock()
 	m.logReplaced(s, "list")
@@ -40,6 +41,7 @@
 		return
 	}
 	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), m.currentAt
+	m.keepLater(s.Objects)
 	m.setSnapshot(s)
 	m.mu.Unlock()
 	m.logReplaced(s, "peer")
@@ -54,6 +56,50 @@
 	}
 	m.snapshot = s
 	m.loaded = true
+	m.countVersions()
+}
+
+// keepLater adds the contents of the copy to objects that are to replace it where their
+// versions are later. It is called with the lock held.
+func (m *Mirror) keepLater(objects map[string]Object) {
+	for name, known := range m.snapshot.Objects {
+		if m.isLater(known, objects[name]) {
+			objects[name] = known
+		}
+	}
+}
+
+// isLater reports whether the contents of an object are of a later version than others.
+func (m *Mirror) isLater(o, other Object) bool {
+	return m.Version != nil && m.Version(o) > m.Version(other)
+}
+
+// adoptLater adds contents of later versions to the copy, whose revisions stay.
+func (m *Mirror) adoptLater(s Snapshot, now time.Time) {
+	m.mu.Lock()
+	objects := maps.Clone(m.snapshot.Objects)
+	for name, o := range s.Objects {
+		if m.isLater(o, objects[name]) {
+			objects[name] = o
+			m.Log.Info("later version taken", zap.String("kind", m.Kind), zap.String("object", name), zap.Uint64("version", m.Version(o)))
+		}
+	}
+	m.snapshot.Objects = objects
+	m.countVersions()
+	copied := m.snapshot
+	m.mu.Unlock()
+	m.notify(copied, now)
+}
+
+// countVersions sums up the versions of the copy. It is called with the lock held.
+func (m *Mirror) countVersions() {
+	m.versions = 0
+	if m.Version == nil {
+		return
+	}
+	for _, o := range m.snapshot.Objects {
+		m.versions += m.Version(o)
+	}
 }
 
 func (m *Mirror) logReplaced(s Snapshot, origin string) {
@@ -124,7 +170,8 @@
 	}
 	for _, change := range c.List {
 		// A copy from another daemon may already contain a later revision of the object.
-		if known, ok := objects[change.Object.Name]; ok && known.Revision > change.Object.Revision {
+		known, ok := objects[change.Object.Name]
+		if ok && (known.Revision > change.Object.Revision || m.isLater(known, change.Object)) {
 			continue
 		}
 		if change.Deleted {
@@ -136,6 +183,7 @@
 	m.history.add(c)
 	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: changedAfter}
 	m.loaded = true
+	m.countVersions()
 	return m.snapshot
 }
 
@@ -169,7 +217,7 @@
 // notify passes the copy on. A panic over one object must not end the process.
 func (m *Mirror) notify(s Snapshot, now time.Time) {
 	defer recoverer.Contain(m.Log, "objects "+m.Kind)
-	if from, restored := m.enterEra(Era(s.Revision)); restored {
+	if from, restored := m.enterEra(Era(s.Revision), now); restored {
 		m.Log.Warn("store restored", zap.String("kind", m.Kind), zap.Uint64("from-era", from), zap.Uint64("era", Era(s.Revision)),
 			zap.Uint64("revision", StoreRevision(s.Revision)))
 		if m.OnRestore != nil {
@@ -184,11 +232,14 @@
 
 // enterEra records the era of a copy, and reports whether the store was restored since the
 // one before.
-func (m *Mirror) enterEra(era uint64) (from uint64, restored bool) {
+func (m *Mirror) enterEra(era uint64, now time.Time) (from uint64, restored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	from, restored = m.era, m.eraKnown && era > m.era
 	m.era, m.eraKnown = max(m.era, era), true
+	if restored {
+		m.restoredAt = now
+	}
 	return from, restored
 }
 
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -146,6 +147,10 @@
 	// of a list is then that of its newest object, so that daemons which list at
 	// different times have the same content revision.
 	Permanent bool
+	// Version returns the version that operators gave the contents of an object, for
+	// permanent kinds whose versions only rise, if set. It is the same in all eras: of the
+	// contents that a restored store lists, those with a lower version are not taken.
+	Version func(Object) uint64
 	// WatchPause is the pause between two watch calls, which batches changes that
 	// arrive meanwhile. It is zero for kinds that rarely change.
 	WatchPause time.Duration
@@ -172,6 +177,10 @@
 	changed  notifier.Notifier
 	// unreachable is set if the last call failed.
 	unreachable bool
+	// versions is the sum of the versions of the objects, which rises with each change.
+	versions uint64
+	// restoredAt is when a copy of a restored store was last passed on.
+	restoredAt time.Time
 	// era is that of the last copy that was passed on, if any was.
 	era      uint64
 	eraKnown bool
@@ -201,6 +210,28 @@
 	return m.snapshot.ContentRevision
 }
 
+// versionsTime is how long after a restore daemons tell each other the versions of their
+// contents. In that time operators write them to the store again.
+const versionsTime = time.Minute
+
+// VersionsKind is the name under which daemons tell each other Versions of a kind.
+func VersionsKind(kind string) string { return kind + versionsSuffix }
+
+// KindOf returns the kind of objects that a name in HaveNewer and FetchNewer stands for, and
+// whether that is of VersionsKind.
+func KindOf(name string) (kind string, versions bool) { return strings.CutSuffix(name, versionsSuffix) }
+
+const versionsSuffix = "/versions"
+
+// Versions returns the sum of the versions of all contents, and false unless the store was
+// restored lately. A daemon that started since then has earlier contents from the store
+// until operators have written the later ones again.
+func (m *Mirror) Versions(now time.Time) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.versions, m.Version != nil && !m.restoredAt.IsZero() && now.Sub(m.restoredAt) < versionsTime
+}
+
 // Changed returns a channel that is closed at the next change of the copy.
 func (m *Mirror) Changed() <-chan struct{} { return m.changed.Changed() }
 
@@ -372,6 +403,7 @@
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, peerCheckInterval)
 		now := time.Now()
+		m.CatchUpWithVersions(ctx)
 		if !m.Peers.HaveNewer(m.Kind, m.ContentRevision(), All) {
 			behindSince = time.Time{}
 			continue
@@ -386,6 +418,21 @@
 	}
 }
 
+// CatchUpWithVersions takes contents of later versions from another daemon that tells of
+// them.
+func (m *Mirror) CatchUpWithVersions(ctx context.Context) {
+	m.mu.Lock()
+	known, versions := m.loaded && m.Version != nil, m.versions
+	m.mu.Unlock()
+	if !known || !m.Peers.HaveNewer(VersionsKind(m.Kind), versions, All) {
+		return
+	}
+	update, ok := m.Peers.FetchNewer(ctx, VersionsKind(m.Kind), versions, All)
+	if s, isSnapshot := update.(Snapshot); ok && isSnapshot {
+		m.adoptLater(s, time.Now())
+	}
+}
+
 // Probe polls the store at each ProbeInterval while active returns true, until ctx is
 // canceled. A watch may miss changes without an error when the store compacts its
 // history, and then returns only at the next change. One daemon probes for all: the
