--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -365,7 +365,7 @@
 	for _, t := range teams {
 		cfg.Teams = append(cfg.Teams, matcher.Team{Name: t.name, Keys: []string{t.key}})
 	}
-	if !c.store.WriteConfiguration(cfg) {
+	if !c.store.WriteConfiguration(cfg, now) {
 		return false
 	}
 	c.revision++
@@ -399,7 +399,7 @@
 // writeNextVersion writes the next model version and reports whether the store
 // accepted it.
 func (c *cluster) writeNextVersion(now time.Time) bool {
-	if !c.store.WriteVersion(model, c.version+1) {
+	if !c.store.WriteVersion(model, c.version+1, now) {
 		return false
 	}
 	c.version++
