Soak: the store comes back from an old copy

A change that a restore may have undone was excused for good, as after other outages of the store; now its bound runs again from the end of the stable window after the last disturbance. A disturbance that ends exactly a stable window before a change no longer excuses it.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -100,6 +100,7 @@
 	requests          map[string]*request
 	disturbances      []disturbance
 	stops             []stop
+	restores          []time.Time
 	leftAt            map[string]time.Time
 	endedAt           map[string]time.Time
 	partCrashes       []time.Time
@@ -299,11 +300,12 @@
 // maxVersionDelay ago.
 func (c *checker) checkVersion(r *request, run simulator.Run, now time.Time) {
 	for _, change := range c.versionChanges {
-		age := now.Sub(change.writtenAt)
-		if change.version <= run.Version || age < maxVersionDelay+schedulingSlack {
+		due := c.dueFrom(change.writtenAt, subjectStore)
+		if change.version <= run.Version || now.Sub(due) < maxVersionDelay+schedulingSlack {
 			continue
 		}
-		if c.undisturbed(change.writtenAt, false, subjectStore) && c.undisturbed(r.Sent, false, entrySubject(r.Entry)) {
+		if c.undisturbed(due, false, subjectStore) && c.undisturbed(r.Sent, false, entrySubject(r.Entry)) {
+			age := now.Sub(change.writtenAt)
 			c.addViolationLocked("VERSION", "%s starts on version %d on %s, %s after version %d was written to the store", r.ID, run.Version, run.Replica, age.Round(time.Millisecond), change.version)
 			return
 		}
@@ -434,11 +436,13 @@
 	if !lifetime.removed.IsZero() {
 		changed, present = lifetime.removed, false
 	}
-	age := r.Sent.Sub(changed)
-	if age < maxConfigurationDelay+schedulingSlack || (status != http.StatusNotFound) == present {
+	subjects := []string{subjectStore, entrySubject(r.Entry)}
+	due := c.dueFrom(changed, subjects...)
+	if r.Sent.Sub(due) < maxConfigurationDelay+schedulingSlack || (status != http.StatusNotFound) == present {
 		return
 	}
-	if c.undisturbed(changed, false, subjectStore, entrySubject(r.Entry)) {
+	if c.undisturbed(due, false, subjects...) {
+		age := r.Sent.Sub(changed)
 		c.addViolationLocked("CONFIG", "route %s, present=%v for %s, was answered %d by entry %d", r.Route.Name, present, age.Round(time.Millisecond), status, r.Entry)
 	}
 }
--- a/tools/soak/disturbances.go
+++ b/tools/soak/disturbances.go
@@ -40,7 +40,7 @@
 // disturbances do not count.
 func (c *checker) undisturbed(from time.Time, allowPlanned bool, subjects ...string) bool {
 	for _, d := range c.disturbances {
-		ended := !d.to.IsZero() && d.to.Before(from.Add(-stableWindow))
+		ended := !d.to.IsZero() && !d.to.After(from.Add(-stableWindow))
 		if ended || allowPlanned && d.planned || !slices.Contains(subjects, d.subject) {
 			continue
 		}
@@ -49,6 +49,30 @@
 	return true
 }
 
+// recordRestore records that the store was restored to an earlier state.
+func (c *checker) recordRestore(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restores = append(c.restores, now)
+	c.counts["restores"]++
+}
+
+// dueFrom returns the time from which the bound of a change that was written to the store
+// runs. If the store was restored since then, the change is written again, and the bound runs
+// from the end of the stable window after the last disturbance of the subjects.
+func (c *checker) dueFrom(writtenAt time.Time, subjects ...string) time.Time {
+	due := writtenAt
+	if !slices.ContainsFunc(c.restores, writtenAt.Before) {
+		return due
+	}
+	for _, d := range c.disturbances {
+		if stable := d.to.Add(stableWindow); slices.Contains(subjects, d.subject) && stable.After(due) {
+			due = stable
+		}
+	}
+	return due
+}
+
 // Subjects of disturbances that are not daemons.
 const subjectStore = "store"
 
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -42,6 +42,12 @@
 	maxSlowdown    = 16
 	// writeRetryInterval is the time between two attempts of an operator's write.
 	writeRetryInterval = 100 * time.Millisecond
+	// maxBackupAge and maxRestoreOutage bound the age of the state to which the store is
+	// restored and the time for which it is away before. There are at most maxRestores in
+	// a run.
+	maxBackupAge     = 8 * time.Second
+	maxRestoreOutage = 2 * time.Second
+	maxRestores      = 2
 	// addressReuseDelay is how long the address of a replica that ended is not given
 	// to another service.
 	addressReuseDelay = 2 * time.Second
@@ -64,7 +70,9 @@
 	// Extended adds extendedFaults.
 	Extended bool
 
-	running sync.WaitGroup
+	// restores counts the restores of the store.
+	restores int
+	running  sync.WaitGroup
 }
 
 // fault is a kind of fault.
@@ -131,6 +139,7 @@
 // of runs without it keep their faults.
 var extendedFaults = []fault{
 	{"name a version while daemons are paused", 5, false, func(s *schedule, d time.Duration) func() { return s.nameVersionInPause(d) }},
+	{"store comes back from an old copy", 5, false, func(s *schedule, _ time.Duration) func() { return s.restoreStore() }},
 }
 
 func (s *schedule) randomEntry() *vm { return s.Cluster.entries[s.Rand.IntN(len(s.Cluster.entries))] }
@@ -449,6 +458,28 @@
 	}
 }
 
+// restoreStore returns a fault in which the store is away for a moment and comes back in an
+// earlier state, but not in one from before the start of the callers.
+func (s *schedule) restoreStore() func() {
+	outage := minFaultDuration + randomDuration(s.Rand, maxRestoreOutage-minFaultDuration)
+	age := outage + randomDuration(s.Rand, maxBackupAge-outage)
+	mode := []simulator.StoreMode{simulator.StoreRefuses, simulator.StoreHangs}[s.Rand.IntN(2)]
+	s.restores++
+	if s.restores > maxRestores {
+		return func() {}
+	}
+	return func() {
+		store, ck := s.Cluster.store, s.Cluster.Checker
+		defer ck.beginDisturbance(subjectStore, false)()
+		store.SetMode(mode)
+		time.Sleep(outage)
+		now := time.Now()
+		store.Restore(min(age, now.Sub(ck.Start)-startupWait), now)
+		ck.recordRestore(time.Now())
+		store.SetMode(simulator.StoreUp)
+	}
+}
+
 func storeProxy(v *vm) *proxy   { return v.StoreProxy }
 func inboundProxy(v *vm) *proxy { return v.InboundProxy }
 
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -281,6 +281,66 @@
 			r.Sent = start
 			c.checkProbe(r, http.StatusNotFound)
 		}, ""},
+		{"an old version in time after a restore", routeStream, func(c *checker, r *request, run simulator.Run) {
+			c.recordVersion(2, start.Add(-time.Second))
+			restore(c, start)
+			r.Sent = start.Add(stableWindow + maxVersionDelay)
+			c.Ran(on(run, llm, 1, "b"), r.Sent)
+		}, ""},
+		{"an old version long after a restore", routeStream, func(c *checker, r *request, run simulator.Run) {
+			c.recordVersion(2, start.Add(-time.Second))
+			restore(c, start)
+			r.Sent = late(stableWindow + maxVersionDelay)
+			c.Ran(on(run, llm, 1, "b"), r.Sent)
+		}, "VERSION"},
+		{"an old version, named after a restore", routeStream, func(c *checker, r *request, run simulator.Run) {
+			restore(c, start.Add(-stableWindow))
+			c.recordVersion(2, start)
+			c.Ran(on(run, llm, 1, "b"), late(maxVersionDelay))
+		}, "VERSION"},
+		{"an old version during a restore", routeStream, func(c *checker, r *request, run simulator.Run) {
+			c.recordVersion(2, start)
+			c.beginDisturbance(subjectStore, false)
+			c.recordRestore(late(time.Minute))
+			c.Ran(on(run, llm, 1, "b"), late(time.Minute))
+		}, ""},
+		{"a route that a restore undid, in time", route{Name: "extra-1", Service: "lookup"}, func(c *checker, r *request, run simulator.Run) {
+			c.recordRoutes([]string{"extra-1"}, start.Add(-time.Second))
+			restore(c, start)
+			r.Sent = start.Add(stableWindow + maxConfigurationDelay)
+			c.checkProbe(r, http.StatusNotFound)
+		}, ""},
+		{"a route that a restore undid", route{Name: "extra-1", Service: "lookup"}, func(c *checker, r *request, run simulator.Run) {
+			c.recordRoutes([]string{"extra-1"}, start.Add(-time.Second))
+			restore(c, start)
+			r.Sent = late(stableWindow + maxConfigurationDelay)
+			c.checkProbe(r, http.StatusNotFound)
+		}, "CONFIG"},
+		{"a route that a restore brought back", route{Name: "extra-1", Service: "lookup"}, func(c *checker, r *request, run simulator.Run) {
+			c.recordRoutes([]string{"extra-1"}, start.Add(-time.Minute))
+			c.recordRoutes(nil, start.Add(-time.Second))
+			restore(c, start)
+			r.Sent = late(stableWindow + maxConfigurationDelay)
+			c.checkProbe(r, http.StatusOK)
+		}, "CONFIG"},
+		{"a route that a restore undid, the entry daemon was paused after it", route{Name: "extra-1", Service: "lookup"}, func(c *checker, r *request, run simulator.Run) {
+			c.recordRoutes([]string{"extra-1"}, start.Add(-time.Second))
+			restore(c, start)
+			c.disturbances = append(c.disturbances, disturbance{subject: entrySubject(r.Entry), from: start, to: start.Add(time.Second)})
+			r.Sent = late(stableWindow + maxConfigurationDelay)
+			c.checkProbe(r, http.StatusNotFound)
+		}, ""},
+		{"a route that a restore undid, long after the entry daemon was paused", route{Name: "extra-1", Service: "lookup"}, func(c *checker, r *request, run simulator.Run) {
+			c.recordRoutes([]string{"extra-1"}, start.Add(-time.Second))
+			restore(c, start)
+			c.disturbances = append(c.disturbances, disturbance{subject: entrySubject(r.Entry), from: start, to: start.Add(time.Second)})
+			r.Sent = late(time.Second + stableWindow + maxConfigurationDelay)
+			c.checkProbe(r, http.StatusNotFound)
+		}, "CONFIG"},
+		{"denied during a restore", routeOrder, func(c *checker, r *request, run simulator.Run) {
+			restore(c, start)
+			c.checkStatus(r, http.StatusNotFound)
+		}, "DENIED"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -307,6 +367,12 @@
 	c.Arrived(firstReplica, r.ID, now)
 }
 
+// restore plays a restore of the store that ends at a time.
+func restore(c *checker, end time.Time) {
+	c.disturbances = append(c.disturbances, disturbance{subject: subjectStore, from: end.Add(-maxRestoreOutage), to: end})
+	c.recordRestore(end)
+}
+
 // stopDuring plays a request that is sent and cut at times after SIGTERM, while its
 // replica runs it.
 func stopDuring(c *checker, r *request, run simulator.Run, sent, cut time.Duration) {
