--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -49,6 +49,10 @@
 		"version-check", "internal/weights/selector/selector.go",
 		"if now.Sub(l.After) >= n.Window-margin {", "if now.Sub(l.After) >= 1000*n.Window {",
 	},
+	{
+		"store-era", "platform/store.go",
+		"value := h.Get(eraHeader)", "value := \"\"",
+	},
 }
 
 func mutationNames() []string {
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -84,6 +84,46 @@
 	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
 }
 
+// TestConfigurationAfterRestore guards against entry daemons that ignore the configurations of a
+// store that was restored to an earlier revision.
+func TestConfigurationAfterRestore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	dir := t.TempDir()
+	binary, err := build(dir, "")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 3, Engines: 2, Callers: 6, Checker: newChecker(time.Now())}
+	defer c.stop()
+	defer cancel()
+	qt.Assert(t, c.start(ctx), qt.IsNil)
+	waiter.Wait(ctx, startupWait)
+	c.startCallers(ctx)
+	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
+	waiter.Wait(ctx, 2*time.Second)
+	// The operator writes only the last of these again, so that the store stays behind.
+	for range 10 {
+		s.changeConfiguration(true)()
+		waiter.Wait(ctx, writeRetryInterval)
+	}
+	store := c.store
+	end := c.Checker.beginDisturbance(subjectStore, false)
+	store.SetMode(simulator.StoreRefuses)
+	waiter.Wait(ctx, time.Second)
+	store.Restore(3*time.Second, time.Now())
+	c.Checker.recordRestore(time.Now())
+	store.SetMode(simulator.StoreUp)
+	end()
+	waiter.Wait(ctx, stableWindow+time.Second)
+	s.changeConfiguration(false)()
+	waiter.Wait(ctx, maxConfigurationDelay+stableWindow+2*schedulingSlack)
+	c.Checker.mu.Lock()
+	defer c.Checker.mu.Unlock()
+	qt.Assert(t, c.Checker.violations, qt.HasLen, 0, qt.Commentf("%v", c.Checker.violations))
+	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
+}
+
 // TestMutations guards against a mutation whose text no longer occurs in the
 // changed sources.
 func TestMutations(t *testing.T) {
