Distrust refusals of model requests that were accepted

What callers saw: outcome not-run for a model request that an engine had begun, if its agent refused the attempt after it had accepted it.

Cause: the forwarder took each refusal but that of a duplicate as a proof that the attempt has not run. An agent accepts a model request once the engine has begun it.

Evidence: the case "refused after it was accepted" of TestModelOutcome got not-run instead of unknown before.

Ruled out: a repeated refusal of another request or attempt, which carries its identifier and is dropped (cases "events of another request" and "events of an earlier attempt"). Agents of this code do not send such a refusal, by reading: all errors of a token stream count as started. Service calls are accepted before the service is called, and may still be refused.

The attempt counts as lost, so the forwarder cancels it and reports not-run only if the agent confirms that it never started.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -175,12 +175,17 @@
 }
 
 // handleRefused processes a refusal. A refusal as a duplicate does not show that the
-// attempt was not run: the agent has received it before and may have started it.
+// attempt was not run: the agent has received it before and may have started it. Nor does
+// one of a model request that was accepted, which the engine has begun. A service call is
+// accepted before the service is called.
 func (a *attempt) handleRefused(e *messenger.AttemptRefused, now time.Time) ending {
 	a.choice.Report(e.GetLoad(), now)
 	if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_DUPLICATE {
 		return a.protocolError("agent refused the attempt as a duplicate")
 	}
+	if a.isAccepted && a.sink != nil {
+		return a.protocolError("agent refused the attempt after it was accepted")
+	}
 	return refused{e}
 }
 
