Stand-in of the object API returns to an earlier copy and reports its era

A store may come back from a copy some seconds old. Its acknowledged writes are gone then, and their versions are assigned again to other content; only the header Store-Era shows it. Nothing in the product read that header, and the stand-in could not lose a write, so no test could show what follows.

MemoryObjects has Copy and Restore, the HTTP interface /copy and /restore, and each response carries the era: that under which the object was read or written, else that at the time of the response, because a watch may wait through a restore. HTTPObjectAPI returns it with each object and keeps the highest one. A missing header, or one that is not a number of 32 bits, counts as 0 and is logged once.

No behaviour of a daemon changes.

--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -114,7 +114,7 @@
 
 // initPlatform creates the clients of the object API and of other daemons.
 func (d *daemon) initPlatform() {
-	d.api = &adapter.HTTPObjectAPI{BaseURL: d.cfg.ObjectAPI}
+	d.api = &adapter.HTTPObjectAPI{BaseURL: d.cfg.ObjectAPI, Log: d.log}
 	options := []grpc.DialOption{d.cfg.TLS.DialOption()}
 	d.connections = &connector.Pool{Options: options}
 	d.agents = &forwarder.Connections{Options: options}
--- a/pkg/adapter/object_api_http.go
+++ b/pkg/adapter/object_api_http.go
@@ -13,12 +13,19 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
+// EraHeader is the response header with the era of the store.
+const EraHeader = "Store-Era"
+
 const (
 	defaultCallTimeout = 5 * time.Second
 	// watchTimeout is the maximum wait of a watch on the server (30 s) plus time
@@ -32,6 +39,8 @@
 	// truncated.
 	maxErrorResponseBytes = 1024
 	maxIdleConnsPerHost   = 16
+	// eraBits limits an era, so that it can be part of a larger number.
+	eraBits = 32
 )
 
 // HTTPObjectAPI is an HTTP client of the object API.
@@ -43,6 +52,11 @@
 	// Client sends the requests; nil means a client of its own that limits idle
 	// connections.
 	Client *http.Client
+	// Log is optional.
+	Log *logger.Logger
+
+	era       atomic.Uint64
+	noEraOnce sync.Once
 
 	once sync.Once
 	base *url.URL
@@ -73,6 +87,7 @@
 type objectResponse struct {
 	status  int
 	version uint64
+	era     uint64
 	body    []byte
 }
 
@@ -92,7 +107,13 @@
 	Version uint64       `json:"version"`
 }
 
-var _ ObjectAPI = (*HTTPObjectAPI)(nil)
+var (
+	_ ObjectAPI   = (*HTTPObjectAPI)(nil)
+	_ EraReporter = (*HTTPObjectAPI)(nil)
+)
+
+// Era implements EraReporter.
+func (a *HTTPObjectAPI) Era() uint64 { return a.era.Load() }
 
 // Get implements ObjectAPI.
 func (a *HTTPObjectAPI) Get(ctx context.Context, key string) (Object, error) {
@@ -100,7 +121,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return Object{Key: key, Value: response.body, Version: response.version}, nil
+	return Object{Key: key, Value: response.body, Version: response.version, Era: response.era}, nil
 }
 
 // List implements ObjectAPI.
@@ -117,7 +138,7 @@
 	}
 	objects := make([]Object, 0, len(body.Objects))
 	for _, o := range body.Objects {
-		objects = append(objects, Object{Key: o.Key, Value: o.Value, Version: o.Version})
+		objects = append(objects, Object{Key: o.Key, Value: o.Value, Version: o.Version, Era: response.era})
 	}
 	return objects, nil
 }
@@ -156,7 +177,8 @@
 	}
 	changes := make([]Change, 0, len(body.Changes))
 	for _, o := range body.Changes {
-		changes = append(changes, Change{Object: Object{Key: o.Key, Value: o.Value, Version: o.Version}, Deleted: o.Deleted})
+		object := Object{Key: o.Key, Value: o.Value, Version: o.Version, Era: response.era}
+		changes = append(changes, Change{Object: object, Deleted: o.Deleted})
 	}
 	return changes, body.Version, nil
 }
@@ -171,7 +193,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return Object{Key: call.key, Value: call.value, Version: response.version}, nil
+	return Object{Key: call.key, Value: call.value, Version: response.version, Era: response.era}, nil
 }
 
 func (a *HTTPObjectAPI) do(ctx context.Context, call objectCall) (objectResponse, error) {
@@ -202,7 +224,10 @@
 	if client == nil {
 		client = newHTTPClient()
 	}
-	a.call = kithttp.NewExplicitClient(a.newRequest, decodeObjectResponse, kithttp.SetClient(client)).Endpoint()
+	if a.Log == nil {
+		a.Log = zap.NewNop()
+	}
+	a.call = kithttp.NewExplicitClient(a.newRequest, a.decodeResponse, kithttp.SetClient(client)).Endpoint()
 }
 
 func (a *HTTPObjectAPI) newRequest(ctx context.Context, request any) (*http.Request, error) {
@@ -223,13 +248,29 @@
 	return r, nil
 }
 
-func decodeObjectResponse(_ context.Context, resp *http.Response) (any, error) {
+func (a *HTTPObjectAPI) decodeResponse(_ context.Context, resp *http.Response) (any, error) {
+	era := a.readEra(resp)
 	body, err := readLimited(resp)
 	if err != nil {
 		return nil, err
 	}
 	version, _ := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	return objectResponse{status: resp.StatusCode, version: version, body: body}, nil
+	return objectResponse{status: resp.StatusCode, version: version, era: era, body: body}, nil
+}
+
+// readEra returns the era in a response, or 0 if it has none, and raises the
+// highest known era.
+func (a *HTTPObjectAPI) readEra(resp *http.Response) uint64 {
+	era, err := strconv.ParseUint(resp.Header.Get(EraHeader), 10, eraBits)
+	if err != nil {
+		a.noEraOnce.Do(func() {
+			a.Log.Warn("the object API reports no era, a restored store is not recognized", zap.Error(err))
+		})
+		return 0
+	}
+	for known := a.era.Load(); era > known && !a.era.CompareAndSwap(known, era); known = a.era.Load() {
+	}
+	return era
 }
 
 // readLimited reads the body of a response. It truncates long error texts; any
--- a/pkg/adapter/objectapi.go
+++ b/pkg/adapter/objectapi.go
@@ -13,8 +13,12 @@
 	Key   string
 	Value []byte
 	// Version is the version of the last write. All objects share one version
-	// counter, which only increases.
+	// counter, which only increases within an era.
 	Version uint64
+	// Era is the era of the store that returned the object. It rises by one each
+	// time the store is restored from an earlier copy. Versions of different eras
+	// cannot be compared.
+	Era uint64
 }
 
 // Change is a write or a deletion that a watch returns.
@@ -44,6 +48,21 @@
 	Watch(ctx context.Context, prefix string, after uint64) ([]Change, uint64, error)
 }
 
+// EraReporter is implemented by an ObjectAPI that knows the era of its store.
+type EraReporter interface {
+	// Era returns the highest era in the responses so far.
+	Era() uint64
+}
+
+// EraOf returns the highest known era of the store, or 0 if the client does not
+// report it.
+func EraOf(api ObjectAPI) uint64 {
+	if reporter, ok := api.(EraReporter); ok {
+		return reporter.Era()
+	}
+	return 0
+}
+
 // NotFoundError reports a key that does not exist.
 type NotFoundError struct {
 	Key string
--- a/pkg/emulator/memory_objects.go
+++ b/pkg/emulator/memory_objects.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -81,13 +83,54 @@
 	objects      map[string]adapter.Object
 	history      []adapter.Change
 	version      uint64
+	era          uint64
 	changed      chan struct{}
 	writeLimiter *rate.Limiter
 	readLimiter  *rate.Limiter
 	stats        ObjectStats
 }
 
-var _ adapter.ObjectAPI = (*MemoryObjects)(nil)
+var (
+	_ adapter.ObjectAPI   = (*MemoryObjects)(nil)
+	_ adapter.EraReporter = (*MemoryObjects)(nil)
+)
+
+// ObjectCopy is a copy of the objects, their version counter and the history of
+// changes.
+type ObjectCopy struct {
+	objects map[string]adapter.Object
+	history []adapter.Change
+	version uint64
+}
+
+// Copy returns a copy for Restore.
+func (m *MemoryObjects) Copy() ObjectCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.initLocked()
+	return ObjectCopy{objects: maps.Clone(m.objects), history: slices.Clone(m.history), version: m.version}
+}
+
+// Restore returns to an earlier copy and begins a new era. Later writes are lost,
+// and their versions are assigned again.
+func (m *MemoryObjects) Restore(earlier ObjectCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.initLocked()
+	m.objects, m.history, m.version = maps.Clone(earlier.objects), slices.Clone(earlier.history), earlier.version
+	if m.objects == nil {
+		m.objects = map[string]adapter.Object{}
+	}
+	m.era++
+	m.notifyWatchesLocked()
+}
+
+// Era returns the number of restores.
+func (m *MemoryObjects) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
 
 // SetFaults replaces the injected faults.
 func (m *MemoryObjects) SetFaults(f ObjectFaults) {
@@ -149,7 +192,7 @@
 	if !found {
 		return adapter.Object{}, &adapter.NotFoundError{Key: key}
 	}
-	return copyObject(o), nil
+	return m.resultLocked(o), nil
 }
 
 // List implements adapter.ObjectAPI.
@@ -162,7 +205,7 @@
 	var listed []adapter.Object
 	for key, o := range m.objects {
 		if strings.HasPrefix(key, prefix) {
-			listed = append(listed, copyObject(o))
+			listed = append(listed, m.resultLocked(o))
 		}
 	}
 	sort.Slice(listed, func(i, j int) bool { return listed[i].Key < listed[j].Key })
@@ -255,7 +298,7 @@
 	if err := m.injectLostAnswerLocked(operation, key); err != nil {
 		return adapter.Object{}, err
 	}
-	return copyObject(o), nil
+	return m.resultLocked(o), nil
 }
 
 // versionConflict returns the error of an update with version 0, which no object
@@ -397,6 +440,9 @@
 		earlier, _ := selectChanges(m.history[max(0, first-maxReplayedChanges):first], prefix, after)
 		changes = append(earlier, changes...)
 	}
+	for i := range changes {
+		changes[i].Object.Era = m.era
+	}
 	return changes, next, m.changed, nil
 }
 
@@ -420,6 +466,13 @@
 	return selected, last
 }
 
+// resultLocked returns a copy of a stored object with the present era.
+func (m *MemoryObjects) resultLocked(o adapter.Object) adapter.Object {
+	o = copyObject(o)
+	o.Era = m.era
+	return o
+}
+
 func newLimiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
--- a/pkg/emulator/object_api.go
+++ b/pkg/emulator/object_api.go
@@ -29,11 +29,16 @@
 //	GET            /v1/watch?prefix=&after=
 //	GET            /stats
 //	POST           /faults   {"down":true,"delay-ms":5,"lose-answers":1,"replay-watch":1}
+//	POST           /copy     keeps a copy of the objects
+//	POST           /restore  returns to that copy and begins a new era
 type ObjectAPI struct {
 	MemoryObjects
 
 	setUpOnce sync.Once
 	mux       *http.ServeMux
+
+	copyMu sync.Mutex
+	copied ObjectCopy
 }
 
 type objectJSON struct {
@@ -62,7 +67,39 @@
 // ServeHTTP implements http.Handler.
 func (a *ObjectAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a.setUpOnce.Do(a.setUp)
-	a.mux.ServeHTTP(w, r)
+	a.mux.ServeHTTP(&eraWriter{ResponseWriter: w, objects: &a.MemoryObjects}, r)
+}
+
+// eraWriter adds the era to a response. The era is read when the response is
+// written, because a watch may wait through a restore.
+type eraWriter struct {
+	http.ResponseWriter
+	objects *MemoryObjects
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.written && w.Header().Get(adapter.EraHeader) == "" {
+		setEra(w, w.objects.Era())
+	}
+	w.written = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(b []byte) (int, error) {
+	if !w.written {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap supports http.ResponseController.
+func (w *eraWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(adapter.EraHeader, strconv.FormatUint(era, 10))
 }
 
 func (a *ObjectAPI) setUp() {
@@ -74,6 +111,8 @@
 	a.mux.HandleFunc("GET /v1/watch", a.serveWatch)
 	a.mux.HandleFunc("GET /stats", a.serveStats)
 	a.mux.HandleFunc("POST /faults", a.serveFaults)
+	a.mux.HandleFunc("POST /copy", a.serveCopy)
+	a.mux.HandleFunc("POST /restore", a.serveRestore)
 }
 
 func (a *ObjectAPI) serveGet(w http.ResponseWriter, r *http.Request) {
@@ -82,6 +121,7 @@
 		writeObjectError(w, err)
 		return
 	}
+	setEra(w, o.Era)
 	w.Header().Set("ETag", formatETag(o.Version))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = w.Write(o.Value)
@@ -95,6 +135,7 @@
 	}
 	body := listResponse{Objects: []objectJSON{}}
 	for _, o := range objects {
+		setEra(w, o.Era)
 		body.Objects = append(body.Objects, objectJSON{Key: o.Key, Value: o.Value, Version: o.Version})
 	}
 	writeJSONStatus(w, http.StatusOK, body)
@@ -127,6 +168,7 @@
 		writeObjectError(w, err)
 		return
 	}
+	setEra(w, o.Era)
 	w.Header().Set("ETag", formatETag(o.Version))
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -163,6 +205,7 @@
 	body := watchResponse{Changes: []objectJSON{}, Version: next}
 	for _, c := range changes {
 		o := c.Object
+		setEra(w, o.Era)
 		body.Changes = append(body.Changes, objectJSON{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: c.Deleted})
 	}
 	writeJSONStatus(w, http.StatusOK, body)
@@ -195,6 +238,20 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (a *ObjectAPI) serveCopy(w http.ResponseWriter, _ *http.Request) {
+	a.copyMu.Lock()
+	defer a.copyMu.Unlock()
+	a.copied = a.Copy()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *ObjectAPI) serveRestore(w http.ResponseWriter, _ *http.Request) {
+	a.copyMu.Lock()
+	defer a.copyMu.Unlock()
+	a.Restore(a.copied)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // writeObjectError writes the response of a failed call. For an unavailable API
 // it aborts the connection, as a crashed server does; only calls above the rate
 // limit get a response.
