Daemons carry the configuration over into a new era of the store

What operators would see: after a restore of the object API from a copy some seconds old, `lentil apply` reports "revision 13 published", but entry daemons keep their own revision 13 or higher, with other content, and the change never comes into force. Or the published set, built on the copy, lacks acknowledged changes and reverts them once its number has passed those in use.

Cause: a publish takes the head's number plus one, and the restored head is lower than what daemons have in force. Daemons refuse a lower revision and take an equal one for the same content.

Revision numbers now start at era times 10^9, so that the numbers of an era are above all that the store has lost. A head with a number of an earlier era may lack revisions. A relay that sees a new era first waits for the revisions that heartbeats announce, then publishes its own configuration again as the first revision of the era (Publisher.CarryOver); the head's history marks edits with an older base as conflicts. A publish that the restore interrupts writes its parts again and starts over, because its conditional update may have met a version that was assigned twice.

Ruled out: a pair of era and number would change heartbeats, statuses and every comparison. Continuing above the numbers in the statuses relies on objects that the same restore has set back, and loses the content.

Remains: a revision that no daemon had loaded when the store went down is lost. A conditional update can replace another publish of the new era if its version is the one that the update expects.

--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -140,7 +140,7 @@
 		d.membership.VMList = &adapter.HTTPVMList{BaseURL: d.cfg.VMList}
 	}
 	d.configuration = &broadcaster.Broadcaster{
-		API: d.api, Load: d.loadRevision, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
+		API: d.api, Load: d.loadRevision, CarryOver: d.carryOver, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: d.log,
 		LowerRevisions: daemonMetrics().lowerRevisions, PullFailures: daemonMetrics().pullFailures,
 	}
@@ -286,6 +286,11 @@
 	return "ready", true
 }
 
+// carryOver publishes the current revision again after a restore of the store.
+func (d *daemon) carryOver(ctx context.Context, current *parser.Revision) error {
+	return d.publisher.CarryOver(ctx, time.Now(), current)
+}
+
 // loadRevision reads the revision in force from the object API.
 func (d *daemon) loadRevision(ctx context.Context) (*parser.Revision, error) {
 	revision, _, err := d.publisher.Load(ctx)
--- /dev/null
+++ b/internal/daemon/router/restored_test.go
@@ -0,0 +1,170 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+
+	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
+)
+
+// revisionClient calls Entry.Revision of a daemon in the same process.
+type revisionClient struct {
+	messenger.EntryClient
+	peer *broadcaster.Broadcaster
+}
+
+func (r *revisionClient) Revision(ctx context.Context, req *messenger.RevisionRequest, _ ...grpc.CallOption) (*messenger.RevisionReply, error) {
+	return r.peer.Revision(ctx, req)
+}
+
+// configurations are the configuration components of entry daemons with one
+// store. The first one is the only relay.
+type configurations struct {
+	objects *emulator.MemoryObjects
+	names   []string
+
+	mu      sync.Mutex
+	daemons map[string]*broadcaster.Broadcaster
+	stops   map[string]context.CancelFunc
+}
+
+func startConfigurations(ctx context.Context, objects *emulator.MemoryObjects, names ...string) *configurations {
+	all := &configurations{objects: objects, names: names, daemons: map[string]*broadcaster.Broadcaster{}, stops: map[string]context.CancelFunc{}}
+	for _, name := range names {
+		all.start(ctx, name)
+	}
+	go waiter.Every(ctx, time.Second, all.heartbeat)
+	return all
+}
+
+// start starts a daemon, which replaces an earlier one of the same name.
+func (a *configurations) start(ctx context.Context, name string) {
+	d := &daemon{api: a.objects, publisher: &publisher.Publisher{Objects: a.objects, Author: name}}
+	b := &broadcaster.Broadcaster{
+		API: a.objects, Load: d.loadRevision, CarryOver: d.carryOver, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
+		IsRelay: func(time.Time) bool { return name == a.names[0] },
+		Peers:   func(time.Time) []string { return a.names },
+		Client:  a.client,
+	}
+	ctx, stop := context.WithCancel(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stops[name] != nil {
+		a.stops[name]()
+	}
+	a.daemons[name], a.stops[name] = b, stop
+	go b.Run(ctx)
+}
+
+func (a *configurations) daemon(name string) *broadcaster.Broadcaster {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.daemons[name]
+}
+
+func (a *configurations) client(name string) (messenger.EntryClient, error) {
+	return &revisionClient{peer: a.daemon(name)}, nil
+}
+
+func (a *configurations) heartbeat(time.Time) {
+	for _, from := range a.names {
+		for _, to := range a.names {
+			a.daemon(to).ObserveRevision(a.daemon(from).RevisionNumber(), from)
+		}
+	}
+}
+
+func publishTeam(ctx context.Context, objects *emulator.MemoryObjects, name string, weight int) (publisher.Result, error) {
+	p := &publisher.Publisher{Objects: objects, Author: "mali"}
+	base, _, err := p.Load(ctx)
+	if err != nil {
+		return publisher.Result{}, err
+	}
+	team := &parser.Team{Kind: parser.KindTeam, Name: name, Weight: weight}
+	return p.Publish(ctx, time.Now(), publisher.Request{Edits: []publisher.Edit{{Ref: team.Ref(), After: team}}, BaseRevision: base.Number})
+}
+
+// Guards against an acknowledged change that a restore of the store reverts or
+// that never comes into force because daemons have its number with other content.
+func TestAcknowledgedChangesSurviveRestoredStore(t *testing.T) {
+	const settled = 5 * time.Second
+	tests := []struct {
+		name string
+		// copyAfter is the number of changes in the copy, of 3.
+		copyAfter int
+		outage    time.Duration
+		restores  int
+		// late is how long after the restore the operator publishes again.
+		late time.Duration
+		// restart replaces the relay after the restore.
+		restart bool
+	}{
+		{"copy without the last change, operator at once", 2, 2 * time.Second, 1, 0, false},
+		{"copy without two changes, operator later", 1, 2 * time.Second, 1, time.Minute, false},
+		{"copy before the first change", 0, 2 * time.Second, 1, time.Minute, false},
+		{"complete copy", 3, 2 * time.Second, 1, 0, false},
+		{"restore without an outage", 2, 0, 1, 0, false},
+		{"long outage", 2, time.Hour, 1, time.Minute, false},
+		{"two restores", 1, 2 * time.Second, 2, 0, false},
+		{"relay that starts after the restore", 1, 2 * time.Second, 1, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				objects := &emulator.MemoryObjects{}
+				all := startConfigurations(ctx, objects, "entry-1", "entry-2", "entry-3")
+				teams := []string{"a", "b", "c"}
+				earlier := objects.Copy()
+				for i, name := range teams {
+					_, err := publishTeam(ctx, objects, name, 1)
+					c.Assert(err, qt.IsNil)
+					if i+1 == test.copyAfter {
+						earlier = objects.Copy()
+					}
+					time.Sleep(settled)
+				}
+				for range test.restores {
+					objects.SetDown(true)
+					time.Sleep(test.outage)
+					objects.Restore(earlier)
+					objects.SetDown(false)
+				}
+				if test.restart {
+					all.start(ctx, "entry-1")
+				}
+				time.Sleep(test.late)
+				result, err := publishTeam(ctx, objects, "d", 1)
+				var conflict *publisher.ConflictError
+				if errors.As(err, &conflict) {
+					// The first edit was based on the content of the copy.
+					result, err = publishTeam(ctx, objects, "d", 1)
+				}
+				c.Assert(err, qt.IsNil)
+				time.Sleep(settled)
+				for _, name := range all.names {
+					b := all.daemon(name)
+					c.Assert(b.RevisionNumber(), qt.Equals, result.Revision, qt.Commentf("%s", name))
+					c.Assert(b.Current().Set.Teams, qt.HasLen, 4, qt.Commentf("%s", name))
+				}
+				head, _, err := (&publisher.Publisher{Objects: objects}).ReadHead(ctx)
+				c.Assert(err, qt.IsNil)
+				c.Assert(head.Revision, qt.Equals, result.Revision)
+			})
+		})
+	}
+}
--- a/internal/operator/commander/exit.go
+++ b/internal/operator/commander/exit.go
@@ -78,12 +78,13 @@
 	var unavailable *adapter.UnavailableError
 	var unknown *publisher.UnknownOutcomeError
 	var notInForce *NotInForceError
+	var earlierEra *publisher.EarlierEraError
 	switch {
 	case errors.As(err, &usage), errors.As(err, &flagError), errors.As(err, &address):
 		return ExitUsage
 	case errors.As(err, &problems):
 		return ExitProblems
-	case errors.As(err, &unknown), errors.As(err, &unavailable), errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &unknown), errors.As(err, &unavailable), errors.As(err, &earlierEra), errors.Is(err, context.DeadlineExceeded):
 		return ExitUnavailable
 	case errors.As(err, &conflict), errors.As(err, &stale), errors.As(err, &writeConflict):
 		return ExitConflict
@@ -104,6 +105,7 @@
 	var corrupt *publisher.CorruptError
 	var tooLarge *publisher.SetTooLargeError
 	var notInForce *NotInForceError
+	var earlierEra *publisher.EarlierEraError
 	text := err.Error()
 	switch {
 	case errors.As(err, &conflict) && conflict.OtherDeleted:
@@ -125,6 +127,8 @@
 		return text + "; " + outcome + "; check --object-api or LENTIL_OBJECT_API and repeat the command"
 	case errors.Is(err, context.DeadlineExceeded):
 		return text + "; repeat the command"
+	case errors.As(err, &earlierEra):
+		return text + "; nothing was published; start an entry daemon and repeat the command"
 	case errors.As(err, &corrupt):
 		return text + "; restore this object of the object API, or use a lentil of the version that published it"
 	case errors.As(err, &tooLarge):
--- a/internal/operator/publisher/errors.go
+++ b/internal/operator/publisher/errors.go
@@ -71,6 +71,21 @@
 
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
+// EarlierEraError reports that the store was restored from an earlier copy and
+// that no daemon has published its configuration again since then. The store may
+// lack revisions that daemons have in force.
+type EarlierEraError struct {
+	// Revision is the revision in the head.
+	Revision uint64
+	// Era is the present era of the store.
+	Era uint64
+}
+
+func (e *EarlierEraError) Error() string {
+	return fmt.Sprintf("the object API was restored from a copy with revision %d, and no entry daemon has confirmed its configuration in era %d",
+		e.Revision, e.Era)
+}
+
 // CorruptError reports a stored head or part that is malformed or does not match
 // its digest.
 type CorruptError struct {
--- a/internal/operator/publisher/head.go
+++ b/internal/operator/publisher/head.go
@@ -43,6 +43,8 @@
 	Writer string `json:"writer"`
 	// History lists the latest publishes, oldest first.
 	History []HistoryEntry `json:"history"`
+	// Era is the era of the store from which the head was read.
+	Era uint64 `json:"-"`
 }
 
 // HistoryEntry records one publish.
@@ -59,6 +61,10 @@
 	Changes []HistoryChange `json:"changes,omitempty"`
 	// All marks every object as changed for conflict detection.
 	All bool `json:"all,omitempty"`
+	// CarriedOver is the earlier revision whose content a daemon published again
+	// after a restore of the store, or 0. With All, only edits with an older base
+	// conflict.
+	CarriedOver uint64 `json:"carried-over,omitempty"`
 }
 
 // HistoryChange records one changed object of a publish.
@@ -137,6 +143,9 @@
 		if entry.Revision <= base {
 			break
 		}
+		if entry.CarriedOver > 0 && base >= entry.CarriedOver {
+			continue
+		}
 		if entry.All {
 			return entry, HistoryChange{}, true
 		}
--- a/internal/operator/publisher/load.go
+++ b/internal/operator/publisher/load.go
@@ -20,12 +20,12 @@
 }
 
 // ReadHead returns the head and the version of the head object. If the head
-// does not exist, it returns the zero Head and version 0.
+// does not exist, it returns a Head with the era alone and version 0.
 func (p *Publisher) ReadHead(ctx context.Context) (Head, uint64, error) {
 	o, err := p.Objects.Get(ctx, HeadKey)
 	var notFound *adapter.NotFoundError
 	if errors.As(err, &notFound) {
-		return Head{}, 0, nil
+		return Head{Era: adapter.EraOf(p.Objects)}, 0, nil
 	}
 	if err != nil {
 		return Head{}, 0, err
@@ -34,6 +34,7 @@
 	if err != nil {
 		return Head{}, 0, err
 	}
+	head.Era = o.Era
 	return head, o.Version, nil
 }
 
@@ -66,7 +67,7 @@
 			return nil, Head{}, 0, err
 		}
 		if version == 0 {
-			return &parser.Revision{Set: parser.NewSet()}, Head{}, 0, nil
+			return &parser.Revision{Set: parser.NewSet()}, head, 0, nil
 		}
 		revision, err := p.LoadRevision(ctx, head)
 		if err == nil {
--- a/internal/operator/publisher/publisher.go
+++ b/internal/operator/publisher/publisher.go
@@ -112,7 +112,7 @@
 // result. It returns a *headChangedError if another writer updates the head
 // first.
 func (p *Publisher) publishOnce(ctx context.Context, now time.Time, request Request, writer string) (Result, error) {
-	current, head, headVersion, err := p.loadWithHead(ctx)
+	current, head, headVersion, err := p.loadCarriedOver(ctx)
 	if err != nil {
 		return Result{}, err
 	}
@@ -135,9 +135,17 @@
 	if err != nil {
 		return Result{}, err
 	}
-	entry := HistoryEntry{Revision: head.Revision + 1, Writer: writer, Author: p.Author, TimeMillis: now.UnixMilli(), Changes: changes}
-	newHead := Head{Revision: entry.Revision, Parts: digests, Writer: writer, History: appendHistory(head.History, entry)}
+	entry := HistoryEntry{Revision: nextRevision(head.Revision, head.Era), Writer: writer, Author: p.Author, TimeMillis: now.UnixMilli(), Changes: changes}
+	newHead := Head{Revision: entry.Revision, Parts: digests, Writer: writer, History: appendHistory(head.History, entry), Era: head.Era}
 	revision, err := p.updateHead(ctx, newHead, headVersion)
+	var restored *restoredError
+	if errors.As(err, &restored) {
+		// The store may have lost parts that the head lists now.
+		if _, err := p.writeParts(ctx, now, next, Head{}); err != nil {
+			return Result{}, &UnknownOutcomeError{Revision: newHead.Revision, Cause: err}
+		}
+		return Result{}, &headChangedError{}
+	}
 	if err != nil {
 		return Result{}, err
 	}
@@ -236,7 +244,8 @@
 	return digests, nil
 }
 
-// updateHead brings the revision into force. If the response is lost, it repeats
+// updateHead brings the revision into force. It returns a *restoredError if the
+// store was restored since the head was read. If the response is lost, it repeats
 // the same conditional update: if the first update was applied, the repetition
 // fails with a conflict, and the head's history contains this writer.
 func (p *Publisher) updateHead(ctx context.Context, head Head, version uint64) (uint64, error) {
@@ -245,12 +254,13 @@
 		return 0, err
 	}
 	mayHaveApplied := false
+	var written adapter.Object
 	err = p.retry(ctx, func() error {
 		var err error
 		if version == 0 {
-			_, err = p.Objects.Create(ctx, HeadKey, value)
+			written, err = p.Objects.Create(ctx, HeadKey, value)
 		} else {
-			_, err = p.Objects.Update(ctx, HeadKey, value, version)
+			written, err = p.Objects.Update(ctx, HeadKey, value, version)
 		}
 		var unavailable *adapter.UnavailableError
 		if errors.As(err, &unavailable) && !unavailable.Refused {
@@ -258,6 +268,9 @@
 		}
 		return err
 	})
+	if err == nil && written.Era != head.Era {
+		return 0, &restoredError{era: written.Era}
+	}
 	if err == nil {
 		return head.Revision, nil
 	}
@@ -287,6 +300,9 @@
 	if err != nil {
 		return 0, &UnknownOutcomeError{Revision: head.Revision, Cause: errors.Join(cause, err)}
 	}
+	if found.Era != head.Era {
+		return 0, &restoredError{era: found.Era}
+	}
 	if revision := found.revisionBy(head.Writer); revision > 0 {
 		return revision, nil
 	}
--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -45,6 +45,12 @@
 	// startupPeerCount is the number of peers that a starting daemon asks after
 	// each failed read from the object API.
 	startupPeerCount = 3
+	// carryOverDelay is the time in which heartbeats of peers announce their
+	// revisions, before a relay carries its own over into a new era.
+	// maxCarryOverDelays limits the wait for an announced revision that it does
+	// not have.
+	carryOverDelay     = 2 * time.Second
+	maxCarryOverDelays = 5
 )
 
 // Broadcaster keeps the current configuration. Its exported fields must be set
@@ -53,6 +59,9 @@
 	API adapter.ObjectAPI
 	// Load reads the head and the parts that it lists from the object API.
 	Load func(ctx context.Context) (*parser.Revision, error)
+	// CarryOver publishes the current revision again if the store was restored
+	// from an earlier copy, which may lack it. It is optional.
+	CarryOver func(ctx context.Context, current *parser.Revision) error
 	// Encode and Decode convert a revision to and from the format that daemons
 	// exchange.
 	Encode func(*parser.Revision) ([]byte, error)
@@ -84,7 +93,9 @@
 	// the peer that last announced a higher one than before.
 	highestKnown uint64
 	announcedBy  string
-	status       Status
+	// era is the era of the store into which the configuration was carried over.
+	era    uint64
+	status Status
 }
 
 // Status describes how current the configuration is.
--- a/pkg/broadcaster/broadcaster_test.go
+++ b/pkg/broadcaster/broadcaster_test.go
@@ -35,6 +35,7 @@
 	down     bool
 	gap      bool
 	replay   bool
+	era      uint64
 	changed  chan struct{}
 	calls    map[string]int
 }
@@ -55,6 +56,12 @@
 	f.set(func() { f.revision, f.version = revision, f.version+1 })
 }
 
+func (f *fakeObjects) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 func (f *fakeObjects) count(operations ...string) (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -404,3 +411,35 @@
 		d.stop()
 	})
 }
+
+// Guards against a relay whose watch goes on through a restore of the store and
+// that therefore never confirms its configuration.
+func TestWatchThroughRestoreCarriesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := newFakeObjects(3)
+		ctx, cancel := context.WithCancel(t.Context())
+		d := &daemon{cancel: cancel, done: make(chan struct{})}
+		var carriedOver, calls atomic.Uint64
+		d.Broadcaster = &broadcaster.Broadcaster{
+			API: head, Load: head.load, Encode: encode, Decode: decode,
+			CarryOver: func(_ context.Context, current *parser.Revision) error {
+				calls.Add(1)
+				carriedOver.Store(current.Number)
+				return nil
+			},
+		}
+		go d.run(ctx)
+		time.Sleep(10 * time.Second)
+		c.Assert(calls.Load(), qt.Equals, uint64(0))
+		head.mu.Lock()
+		head.era++
+		head.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		c.Assert(carriedOver.Load(), qt.Equals, uint64(3))
+		time.Sleep(time.Minute)
+		c.Assert(calls.Load(), qt.Equals, uint64(1))
+		c.Assert(d.Status().Watching, qt.IsTrue)
+		d.stop()
+	})
+}
--- a/pkg/broadcaster/watch.go
+++ b/pkg/broadcaster/watch.go
@@ -25,6 +25,11 @@
 			continue
 		}
 		after, err := b.poll(ctx)
+		if era, changed := b.newEra(); changed {
+			if err = b.carryOver(ctx, era); err == nil {
+				continue
+			}
+		}
 		if err == nil {
 			retry.Reset()
 			err = b.watch(ctx, after)
@@ -70,7 +75,7 @@
 // cause another load.
 func (b *Broadcaster) watch(ctx context.Context, after uint64) error {
 	from := after
-	for ctx.Err() == nil && b.isRelay(time.Now()) {
+	for ctx.Err() == nil && b.mayWatch(time.Now()) {
 		b.setWatching(true)
 		started := time.Now()
 		changes, next, err := b.watchOnce(ctx, from)
@@ -99,13 +104,52 @@
 	defer cancel()
 	go relayMonitor{b}.run(ctx, cancel)
 	changes, next, err := b.API.Watch(ctx, HeadKey, after)
-	if err != nil && !b.isRelay(time.Now()) {
+	if err != nil && !b.mayWatch(time.Now()) {
 		return nil, next, nil
 	}
 	return changes, next, err
 }
 
-// relayMonitor ends a watch when this daemon is no longer a relay. Every daemon
+// newEra returns the era of the store and whether the configuration was not yet
+// carried over into it.
+func (b *Broadcaster) newEra() (uint64, bool) {
+	era := adapter.EraOf(b.API)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return era, era > b.era
+}
+
+// carryOver publishes the current revision again after a restore of the store. It
+// first gives this daemon time to get a higher one that its peers have.
+func (b *Broadcaster) carryOver(ctx context.Context, era uint64) error {
+	for range maxCarryOverDelays {
+		b.sleep(ctx, carryOverDelay)
+		if _, _, behind := b.pendingRevision(); !behind {
+			break
+		}
+	}
+	current := b.Current()
+	if b.CarryOver != nil && current != nil {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := b.CarryOver(ctx, current); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.era = era
+	return nil
+}
+
+// mayWatch reports whether this daemon is a relay in an era into which the
+// configuration was carried over.
+func (b *Broadcaster) mayWatch(now time.Time) bool {
+	_, changed := b.newEra()
+	return b.isRelay(now) && !changed
+}
+
+// relayMonitor ends a watch when this daemon may no longer watch. Every daemon
 // is a relay until it has discovered the others, and a watch may block for 30
 // seconds. Without the monitor, all daemons that start together would watch for
 // that long.
@@ -116,7 +160,7 @@
 func (b relayMonitor) run(ctx context.Context, endWatch context.CancelFunc) {
 	for ctx.Err() == nil {
 		b.sleep(ctx, relayCheckInterval)
-		if !b.isRelay(time.Now()) {
+		if !b.mayWatch(time.Now()) {
 			endWatch()
 			return
 		}
