A claim that a restored store has lost is not granted again

What callers would see: an order sent again with its idempotency-key after a restore of the object API runs a second time. The store had acknowledged the claim, then came back from a copy without it. The next owner of the shard reads the copy; a daemon with an older index writes a segment whose number is free again; an owner that lost its index in the outage reads it anew. Records behind a gap in the sequence are not read by anyone else.

Daemons now remember for 5 minutes the claims that they made or granted, with their outcomes. In a new era a shard reads its segments again, writes the recent claims that are missing, and grants nothing for 6 s, so that the others can do the same; a daemon with recent claims reads the era every 2 s. Calls are refused as not run meanwhile. A batch whose write first shows the new era is withdrawn as not run and decided again.

Ruled out: refusing all keys of before the restore as unknown, because a daemon cannot tell them from new ones.

Remains: a claim whose daemons all end with the restore is lost; answers are not remembered, so a repeated call is told that it ran (409); a daemon that starts on a store with an era above 0 refuses claims for 6 s.

--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -102,6 +102,8 @@
 		wg.Add(1)
 		go s.run(ctx, wg.Done)
 	}
+	wg.Add(1)
+	go eraWatcher{c}.run(ctx, wg.Done)
 	wg.Wait()
 	return ctx.Err()
 }
@@ -116,6 +118,9 @@
 		reply, err := owner.Claim(forwardCtx, req)
 		cancel()
 		if err == nil {
+			if reply.GetState() == messenger.ClaimState_CLAIM_STATE_GRANTED {
+				c.shards[n].remember(newClaimRecord(req, c.Now()), c.Now())
+			}
 			return reply, nil
 		}
 		// The owner may have recorded the claim. It is granted in that case too,
@@ -140,6 +145,7 @@
 func (c *Claimer) CompleteClaim(ctx context.Context, req *messenger.CompleteClaimRequest) (*messenger.CompleteClaimReply, error) {
 	c.init()
 	n := ShardOf(req.GetKey())
+	c.shards[n].rememberOutcome(req, c.Now())
 	if owner := c.Owner(ShardName(n)); owner != nil {
 		forwardCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		reply, err := owner.CompleteClaim(forwardCtx, req)
--- /dev/null
+++ b/pkg/claimer/era_test.go
@@ -0,0 +1,198 @@
+package claimer_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
+	"github.com/lentilbridge/lentilbridge/pkg/claimer"
+	"github.com/lentilbridge/lentilbridge/pkg/emulator"
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// ownerClient calls the claimer of the daemon that owns all shards.
+type ownerClient struct {
+	messenger.EntryClient
+	owner *claimer.Claimer
+}
+
+func (o *ownerClient) Claim(ctx context.Context, req *messenger.ClaimRequest, _ ...grpc.CallOption) (*messenger.ClaimReply, error) {
+	if o.owner == nil {
+		return nil, status.Error(codes.Unavailable, "no connection")
+	}
+	return o.owner.ClaimLocally(ctx, req)
+}
+
+func (o *ownerClient) CompleteClaim(ctx context.Context, req *messenger.CompleteClaimRequest, _ ...grpc.CallOption) (*messenger.CompleteClaimReply, error) {
+	if o.owner == nil {
+		return nil, status.Error(codes.Unavailable, "no connection")
+	}
+	return o.owner.CompleteClaimLocally(ctx, req)
+}
+
+// eraOfResponses is a client that knows the era only from the responses that it
+// has received.
+type eraOfResponses struct {
+	*emulator.MemoryObjects
+	era atomic.Uint64
+}
+
+func (e *eraOfResponses) Era() uint64 { return e.era.Load() }
+
+// received records the era of a response. During an outage there is none.
+func (e *eraOfResponses) received(err error) {
+	var unavailable *adapter.UnavailableError
+	if !errors.As(err, &unavailable) {
+		e.era.Store(e.MemoryObjects.Era())
+	}
+}
+
+func (e *eraOfResponses) Get(ctx context.Context, key string) (adapter.Object, error) {
+	o, err := e.MemoryObjects.Get(ctx, key)
+	e.received(err)
+	return o, err
+}
+
+func (e *eraOfResponses) List(ctx context.Context, prefix string) ([]adapter.Object, error) {
+	objects, err := e.MemoryObjects.List(ctx, prefix)
+	e.received(err)
+	return objects, err
+}
+
+func (e *eraOfResponses) Create(ctx context.Context, key string, value []byte) (adapter.Object, error) {
+	o, err := e.MemoryObjects.Create(ctx, key, value)
+	e.received(err)
+	return o, err
+}
+
+// Guards against a second grant of a key whose claim or outcome a restore of the
+// store has lost.
+func TestClaimLostByRestoreIsNotGrantedAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		outage time.Duration
+		// newOwner replaces the owner, which has no memory of the claim then.
+		newOwner bool
+		// claimCopied is set if the copy has the claim, and lacks only its outcome.
+		claimCopied bool
+		outcome     string
+		restores    int
+		// others is the number of keys claimed between copy and restore.
+		others int
+		want   messenger.ClaimState
+	}{
+		{"claim", 0, false, false, "", 1, 0, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS},
+		{"claim among others", 0, false, false, "", 1, 20, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS},
+		{"claim, after an outage", 3 * time.Second, false, false, "", 1, 3, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS},
+		{"claim and owner", 3 * time.Second, true, false, "", 1, 3, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS},
+		{"claim and outcome", 0, false, false, claimer.OutcomeServed, 1, 3, messenger.ClaimState_CLAIM_STATE_DONE},
+		{"claim, outcome and owner", 0, true, false, claimer.OutcomeServed, 1, 3, messenger.ClaimState_CLAIM_STATE_DONE},
+		{"outcome", 0, true, true, claimer.OutcomeServed, 1, 3, messenger.ClaimState_CLAIM_STATE_DONE},
+		{"claim, twice", 3 * time.Second, false, false, "", 2, 3, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS},
+		{"claim of a call that was not run", 0, false, false, claimer.OutcomeNotRun, 1, 3, messenger.ClaimState_CLAIM_STATE_GRANTED},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api := &emulator.MemoryObjects{}
+				ownerCtx, stopOwner := context.WithCancel(ctx)
+				client := &ownerClient{owner: startClaimer(ownerCtx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)}
+				defer stopOwner()
+				forwarding := &claimer.Claimer{
+					API: &eraOfResponses{MemoryObjects: api}, VM: "entry-2", Log: zap.NewNop(),
+					Owner: func(string) messenger.EntryClient { return client },
+				}
+				go forwarding.Run(ctx)
+				c.Assert(claimState(c, forwarding, claimRequest(keyOfShard(4, 1), "b", "r0")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+
+				key := keyOfShard(4, 0)
+				earlier := api.Copy()
+				c.Assert(claimState(c, forwarding, claimRequest(key, "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				if test.claimCopied {
+					earlier = api.Copy()
+				}
+				if test.outcome != "" {
+					_, err := forwarding.CompleteClaim(ctx, completeRequest(key, "r1", test.outcome, "answer"))
+					c.Assert(err, qt.IsNil)
+				}
+				for n := range test.others {
+					claimState(c, client.owner, claimRequest(keyOfShard(4, n+2), "b", "other"))
+				}
+				for range test.restores {
+					api.SetDown(true)
+					if test.outage > 0 {
+						claimState(c, client.owner, claimRequest(keyOfShard(4, 99), "b", "during the outage"))
+					}
+					time.Sleep(test.outage)
+					api.Restore(earlier)
+					api.SetDown(false)
+				}
+				if test.newOwner {
+					stopOwner()
+					client.owner = startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-3", true)
+				}
+
+				// The caller sends its request again.
+				state := messenger.ClaimState_CLAIM_STATE_UNAVAILABLE
+				for tries := 0; state == messenger.ClaimState_CLAIM_STATE_UNAVAILABLE; tries++ {
+					c.Assert(tries < 150, qt.IsTrue)
+					time.Sleep(100 * time.Millisecond)
+					state = claimState(c, client.owner, claimRequest(key, "b", "r2"))
+				}
+				c.Assert(state, qt.Equals, test.want)
+				// All claims are stored again.
+				fresh := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-4", false)
+				time.Sleep(10 * time.Second)
+				claimState(c, fresh, claimRequest(key, "b", "r3"))
+				time.Sleep(10 * time.Second)
+				want := test.want
+				if want == messenger.ClaimState_CLAIM_STATE_GRANTED {
+					want = messenger.ClaimState_CLAIM_STATE_IN_PROGRESS
+				}
+				c.Assert(claimState(c, fresh, claimRequest(key, "b", "r3")), qt.Equals, want)
+				c.Assert(claimState(c, fresh, claimRequest(keyOfShard(4, 200), "b", "r4")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				if test.others > 0 && !test.newOwner {
+					c.Assert(claimState(c, fresh, claimRequest(keyOfShard(4, 2), "b", "r5")), qt.Equals, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a daemon with an index from before a lost claim, whose write the
+// restored store accepts because the sequence number is free again.
+func TestOutdatedWriterIsNotGrantedLostClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		api := &emulator.MemoryObjects{}
+		outdated := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-1", false)
+		owner := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-2", true)
+		c.Assert(claimState(c, outdated, claimRequest(keyOfShard(4, 1), "b", "r0")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+		key := keyOfShard(4, 0)
+		earlier := api.Copy()
+		c.Assert(claimState(c, owner, claimRequest(key, "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+		api.Restore(earlier)
+		time.Sleep(10 * time.Millisecond)
+		c.Assert(claimState(c, outdated, claimRequest(key, "b", "r2")), qt.Equals, messenger.ClaimState_CLAIM_STATE_UNAVAILABLE)
+		time.Sleep(20 * time.Second)
+		reply, err := outdated.Claim(ctx, claimRequest(key, "b", "r3"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetState(), qt.Equals, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS)
+		c.Assert(reply.GetAttempt().GetRequestId(), qt.Equals, "r1")
+	})
+}
--- a/pkg/claimer/shard.go
+++ b/pkg/claimer/shard.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +69,19 @@
 	// after a failed call to the object API, so that callers do not wait for the
 	// timeouts of earlier operations.
 	outageUntil time.Time
+	// era is the era of the store into which the recent claims were written, and
+	// grantsFrom the time from which the shard grants claims in it. Other
+	// goroutines read era.
+	era        atomic.Uint64
+	grantsFrom time.Time
+	// settling is set from the entry into an era until the shard grants claims.
+	settling atomic.Bool
+	// eraChanged holds a value after the store had another era than era.
+	eraChanged chan struct{}
+
+	recentMu sync.Mutex
+	// recent holds the claims by key that this daemon made or granted.
+	recent map[string]recentClaim
 }
 
 func newShard(c *Claimer, n int) *shard {
@@ -75,6 +90,9 @@
 		number:  n,
 		queue:   make(chan *operation, maxQueuedOperations),
 		limiter: rate.NewLimiter(rate.Limit(c.WritesPerSecond), writeBurst),
+		recent:  map[string]recentClaim{},
+
+		eraChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -105,6 +123,8 @@
 			return
 		case <-ticker.C:
 			s.maintain(ctx, s.claimer.Now())
+		case <-s.eraChanged:
+			s.enterEra(ctx, s.claimer.Now())
 		case first := <-s.queue:
 			s.commitBatch(ctx, s.collectBatch(ctx, first))
 		}
@@ -141,11 +161,18 @@
 		return
 	}
 	for range maxCreateAttempts {
+		if !s.enterEra(ctx, now) {
+			refuseAll(batch, messenger.ClaimState_CLAIM_STATE_UNAVAILABLE)
+			return
+		}
 		if err := s.load(ctx); err != nil {
 			s.recordOutage(s.claimer.Now(), err)
 			refuseAll(batch, messenger.ClaimState_CLAIM_STATE_UNAVAILABLE)
 			return
 		}
+		if s.isOutdated() {
+			continue
+		}
 		s.index.expire(now.Add(-s.claimer.Retention))
 		var pending []*operation
 		var records []record
@@ -156,8 +183,12 @@
 		err := s.write(ctx, records)
 		var conflict *adapter.ConflictError
 		switch {
+		case err == nil && s.isOutdated():
+			// The claims were decided without those that the store has lost.
+			s.withdraw(records, now)
+			batch = append(pending, batch...)
 		case err == nil:
-			s.reply(pending, records)
+			s.reply(pending, records, now)
 			s.compactIfDue(ctx, now)
 			if len(batch) == 0 {
 				return
@@ -364,8 +395,9 @@
 }
 
 // reply sends the replies to the operations of a stored segment.
-func (s *shard) reply(pending []*operation, records []record) {
+func (s *shard) reply(pending []*operation, records []record, now time.Time) {
 	for i, op := range pending {
+		s.remember(records[i], now)
 		if op.claim != nil {
 			op.claimReply = records[i].reply(messenger.ClaimState_CLAIM_STATE_GRANTED, s.claimer.Retention)
 		}
