Fencing epochs of a new era are above all of earlier ones

What operators would see: after a restore of the object API two entry daemons give rollout orders with the same fencing epoch, and agents accept both; or a shard has no holder for a minute and longer, so that rollouts and statuses stand still.

Cause: the epoch is the stored one plus one, and the restored record has a lower one; a daemon that starts knows no other. Daemons ignore records whose version is below the known one, so they renew and take over with versions that the store no longer has, until its counter has passed them.

Epochs start at era times 2^32. Records of a later era replace those known whatever their version. A write with an epoch of an earlier era gives no lease. A lease of an earlier era is taken over only after its duration and the drift margin, also if its record is missing or released, because its holder may use it until its own deadline.

No test notices two things: that a read record of an earlier era is not held, which saves a renewal without effect, and that a missing record starts the delay anew.

Ruled out: going on with the lease after the restore, because another daemon may read an older holder or none.

takeoverDelay has another argument, so FuzzDecodeRecord passes era 0; its checks are the same.

--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -51,6 +51,9 @@
 	maxConcurrentWrites = 8
 	// maxBackoff limits the time between rounds while the object API is down.
 	maxBackoff = 10 * time.Second
+	// epochsPerEra is the range of epochs of one era of the store. A restored store
+	// has lost epochs that were in use, so those of the next era are above them.
+	epochsPerEra = 1 << 32
 	// maxHandOverDoublings limits the exponential backoff between hand-overs of
 	// one shard.
 	maxHandOverDoublings = 6
@@ -107,9 +110,11 @@
 // leaseState is the known state of one lease.
 type leaseState struct {
 	shard string
-	// last and version are the newest record read or written and its version.
+	// last and version are the newest record read or written and its version, and
+	// era the era of the store that had it.
 	last    record
 	version uint64
+	era     uint64
 	exists  bool
 	// unchangedSince is the time at which this version was first read.
 	unchangedSince time.Time
--- a/pkg/leaser/record_test.go
+++ b/pkg/leaser/record_test.go
@@ -21,7 +21,7 @@
 			return
 		}
 		l := &Leaser{Duration: time.Second}
-		delay := l.takeoverDelay(&leaseState{exists: true, last: r}, 0)
+		delay := l.takeoverDelay(&leaseState{exists: true, last: r}, 0, 1)
 		if r.Shard != "claims-1" || r.Epoch+1 == 0 || delay < 0 || delay > 2*maxDuration {
 			t.Fatalf("%q gave %+v", value, r)
 		}
--- a/pkg/leaser/round.go
+++ b/pkg/leaser/round.go
@@ -169,7 +169,7 @@
 		s = &leaseState{shard: r.Shard}
 		l.leases[r.Shard] = s
 	}
-	changed := s.update(r, o.Version, now, l.writer)
+	changed := s.update(r, o, now, l.writer)
 	l.mu.Unlock()
 	if changed {
 		l.notify.Notify()
@@ -178,12 +178,12 @@
 
 // update records a version that was read. It reports whether the holder or the
 // epoch changed.
-func (s *leaseState) update(r record, version uint64, now time.Time, writer string) bool {
-	if s.exists && version <= s.version {
+func (s *leaseState) update(r record, o adapter.Object, now time.Time, writer string) bool {
+	if !s.isNewer(o) {
 		return false
 	}
-	s.exists, s.version, s.last, s.unchangedSince = true, version, r, now
-	held := r.Writer == writer && r.Holder != ""
+	s.exists, s.version, s.era, s.last, s.unchangedSince = true, o.Version, o.Era, r, now
+	held := r.Writer == writer && r.Holder != "" && r.Epoch > o.Era*epochsPerEra
 	if !held || !s.held {
 		// A write of this process that took effect late makes it the holder, but
 		// only a renewal with a known send time sets a deadline.
@@ -193,6 +193,11 @@
 	return s.updateHolder(r.Holder, r.Epoch)
 }
 
+// isNewer reports whether an object is newer than the known version.
+func (s *leaseState) isNewer(o adapter.Object) bool {
+	return !s.exists || o.Era > s.era || (o.Era == s.era && o.Version > s.version)
+}
+
 // updateHolder reports whether the holder or the epoch changed. It ignores a
 // lower epoch.
 func (s *leaseState) updateHolder(holder string, epoch uint64) bool {
@@ -208,6 +213,7 @@
 func (l *Leaser) takeovers(now time.Time, candidates []string) []*write {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	firstEpoch := adapter.EraOf(l.API)*epochsPerEra + 1
 	var writes []*write
 	for _, name := range l.Shards {
 		s := l.leases[name]
@@ -218,22 +224,24 @@
 			s.unchangedSince = now
 		}
 		position := min(l.position(name, candidates), maxTakeoverDelaySteps)
-		if now.Sub(s.unchangedSince) < l.takeoverDelay(s, position) {
+		if now.Sub(s.unchangedSince) < l.takeoverDelay(s, position, firstEpoch) {
 			continue
 		}
 		reason := "not renewed in time"
 		if s.last.Holder == "" {
 			reason = "held by nobody"
 		}
-		writes = append(writes, l.newWrite(s, max(s.last.Epoch, s.epoch)+1, reason))
+		writes = append(writes, l.newWrite(s, max(s.last.Epoch+1, s.epoch+1, firstEpoch), reason))
 	}
 	return writes
 }
 
 // takeoverDelay returns how long the version of a lease must be unchanged before
-// a daemon at this position in the order of preference takes it over.
-func (l *Leaser) takeoverDelay(s *leaseState, position int) time.Duration {
-	if !s.exists || s.last.Holder == "" {
+// a daemon at this position in the order of preference takes it over. A lease of
+// an earlier era may be in use without a record of it in the store.
+func (l *Leaser) takeoverDelay(s *leaseState, position int, firstEpoch uint64) time.Duration {
+	mayBeLost := firstEpoch > 1 && max(s.last.Epoch, s.epoch) < firstEpoch
+	if !mayBeLost && (!s.exists || s.last.Holder == "") {
 		// With half a renewal interval per position, the second daemon acquires
 		// the lease in its next round if the first one does not.
 		return time.Duration(position) * l.RenewInterval / 2
@@ -251,7 +259,7 @@
 	sent := time.Now()
 	object, err := w.send(ctx)
 	if err == nil {
-		w.recordWritten(object.Version, sent)
+		w.recordWritten(object, sent)
 		return nil
 	}
 	var unavailable *adapter.UnavailableError
@@ -289,7 +297,7 @@
 		return err
 	}
 	if r.Writer == w.next.Writer && r.Renewal == w.next.Renewal {
-		w.recordWritten(object.Version, sent)
+		w.recordWritten(object, sent)
 		return nil
 	}
 	w.leaser.recordRead(object, time.Now())
@@ -297,18 +305,19 @@
 }
 
 // recordWritten records a write that took effect. The deadline counts from the
-// time of sending, because other daemons may have read the version since then.
-func (w *write) recordWritten(version uint64, sent time.Time) {
+// time of sending, because other daemons may have read the version since then. A
+// write with an epoch of an earlier era gives no lease.
+func (w *write) recordWritten(o adapter.Object, sent time.Time) {
 	l := w.leaser
 	l.mu.Lock()
 	s := l.leases[w.next.Shard]
-	if s.exists && version <= s.version {
+	if !s.isNewer(o) {
 		l.mu.Unlock()
 		return
 	}
 	acquired := s.last.Epoch != w.next.Epoch
-	s.exists, s.version, s.last, s.unchangedSince = true, version, w.next, time.Now()
-	s.held = w.next.Holder != ""
+	s.exists, s.version, s.era, s.last, s.unchangedSince = true, o.Version, o.Era, w.next, time.Now()
+	s.held = w.next.Holder != "" && w.next.Epoch > o.Era*epochsPerEra
 	s.deadline = time.Time{}
 	if s.held {
 		s.deadline = sent.Add(l.Duration - l.DriftMargin)
@@ -331,7 +340,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.leases[shard]
-	s.exists, s.held, s.deadline = false, false, time.Time{}
+	s.exists, s.held, s.deadline, s.unchangedSince = false, false, time.Time{}, time.Now()
 }
 
 // releaseAll releases all held leases when the daemon stops.
