A restored store lifts no block of a crashing request

What operators would see: after a restore of the object API "block lifted by an operator" for a request that crashes backend servers, although nobody has lifted it, and the request crashes further servers. Or the block is missing in the stored list, so that later daemons do not know it.

Cause: the owner takes a block that was stored and no longer is for one that an operator has lifted. If the restored list has a lower version than the known one, the owner ignores it until the counter has passed.

In a new era the owner treats its blocks as not stored yet, so that they are kept and written again, and takes the version of the list as it is.

Evidence: TestRestoredStoreLiftsNoBlock failed in both cases before, with the block lifted and with the list left empty; it also lifts the block as an operator afterwards.

Remains: an owner whose lease ends with the restore forgets its blocks at the next refresh and reads the list without them. Daemons that know the block keep refusing the request until it ends; later ones do not know it.

--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -373,3 +373,48 @@
 	}
 	return fingerprints
 }
+
+// Guards against a block that is lifted because a restored store lacks it.
+func TestRestoredStoreLiftsNoBlock(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("list in the copy %v", listed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				net := newNetwork(2)
+				key := fmt.Sprintf("blocks/%d", isolator.ShardOf("mill/bad"))
+				if listed {
+					_, err := net.api.Create(ctx, key, []byte(`{"blocks":[]}`))
+					c.Assert(err, qt.IsNil)
+				}
+				earlier := net.api.Copy()
+				for k := range 2 {
+					net.sendRequest(c, k, "mill/bad", fmt.Sprint("vm-", k), true)
+				}
+				go net.isolators[0].Run(ctx)
+				time.Sleep(time.Second)
+				net.api.Restore(earlier)
+				// Other writes use the lost versions.
+				for n := range 20 {
+					_, err := net.api.Create(ctx, fmt.Sprint("other/", n), nil)
+					c.Assert(err, qt.IsNil)
+				}
+				time.Sleep(25 * time.Second)
+				for k := range 2 {
+					_, blocked, _ := net.isolators[k].Blocked("mill/bad", time.Now())
+					c.Assert(blocked, qt.IsTrue, qt.Commentf("daemon %d", k))
+				}
+				stored, err := net.api.Get(ctx, key)
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(stored.Value), qt.Contains, `"fingerprint":"mill/bad"`)
+				// Operators can lift it as before.
+				_, err = net.api.Update(ctx, key, []byte(`{"blocks":[]}`), stored.Version)
+				c.Assert(err, qt.IsNil)
+				time.Sleep(20 * time.Second)
+				_, blocked, _ := net.isolators[1].Blocked("mill/bad", time.Now())
+				c.Assert(blocked, qt.IsFalse)
+			})
+		})
+	}
+}
--- a/internal/request/isolator/shard.go
+++ b/internal/request/isolator/shard.go
@@ -15,7 +15,9 @@
 	loaded bool
 	// version is the version of the stored block list as last read or written, or
 	// 0 if there is none.
-	version  uint64
+	version uint64
+	// era is the era of the store that had this version.
+	era      uint64
 	suspects map[string]*suspect
 	// trials counts the granted trial permits.
 	trials uint64
--- a/internal/request/isolator/store.go
+++ b/internal/request/isolator/store.go
@@ -36,6 +36,7 @@
 		return
 	}
 	blocks, version, err := i.readBlocks(ctx, n)
+	era := adapter.EraOf(i.API)
 	if err != nil {
 		i.Log.Warn("failed to read blocks", zap.Int("shard", n), zap.Error(err))
 	}
@@ -50,7 +51,7 @@
 		s.suspects[b.Fingerprint] = blockedSuspect(b, now)
 	}
 	s.loaded = err == nil
-	s.version = version
+	s.version, s.era = version, era
 }
 
 func blockedSuspect(b parser.Block, now time.Time) *suspect {
@@ -125,6 +126,9 @@
 	}
 	i.mu.Lock()
 	s := &i.shards[n]
+	if era := adapter.EraOf(i.API); era != s.era {
+		s.forgetStored(era)
+	}
 	if version > 0 && version < s.version {
 		// This daemon has written the list since it was read above.
 		i.mu.Unlock()
@@ -149,6 +153,15 @@
 	}
 }
 
+// forgetStored prepares for the block list of a restored store, which may lack
+// blocks that nobody has lifted.
+func (s *shard) forgetStored(era uint64) {
+	s.era, s.version = era, 0
+	for _, known := range s.suspects {
+		known.isStored = false
+	}
+}
+
 // mergeStored applies a changed block list and returns the suspicions that announce
 // the lifted blocks. A block is lifted if it was in the stored list and no longer is.
 func (s *shard) mergeStored(stored []parser.Block, now time.Time) []*messenger.Suspicion {
