--- a/internal/operator/commander/exit.go
+++ b/internal/operator/commander/exit.go
@@ -66,6 +66,18 @@
 	return fmt.Sprintf("revision %d is published but in force at only %d of %d daemons", e.Revision, e.InForce, e.Daemons)
 }
 
+// LostRevisionError reports a published revision that a restore of the object API
+// has lost before any daemon had it.
+type LostRevisionError struct {
+	Revision uint64
+	// Earlier is the revision with which daemons went on.
+	Earlier uint64
+}
+
+func (e *LostRevisionError) Error() string {
+	return fmt.Sprintf("revision %d was lost in a restore of the object API, daemons went on with revision %d", e.Revision, e.Earlier)
+}
+
 // exitCode returns the exit code for an error.
 func exitCode(err error) int {
 	var usage *UsageError
@@ -78,6 +90,7 @@
 	var unavailable *adapter.UnavailableError
 	var unknown *publisher.UnknownOutcomeError
 	var notInForce *NotInForceError
+	var lost *LostRevisionError
 	var earlierEra *publisher.EarlierEraError
 	switch {
 	case errors.As(err, &usage), errors.As(err, &flagError), errors.As(err, &address):
@@ -88,7 +101,7 @@
 		return ExitUnavailable
 	case errors.As(err, &conflict), errors.As(err, &stale), errors.As(err, &writeConflict):
 		return ExitConflict
-	case errors.As(err, &notInForce):
+	case errors.As(err, &notInForce), errors.As(err, &lost):
 		return ExitNotInForce
 	}
 	return ExitFailed
@@ -105,6 +118,7 @@
 	var corrupt *publisher.CorruptError
 	var tooLarge *publisher.SetTooLargeError
 	var notInForce *NotInForceError
+	var lost *LostRevisionError
 	var earlierEra *publisher.EarlierEraError
 	text := err.Error()
 	switch {
@@ -133,6 +147,8 @@
 		return text + "; restore this object of the object API, or use a lentil of the version that published it"
 	case errors.As(err, &tooLarge):
 		return text + "; delete objects that are not used"
+	case errors.As(err, &lost):
+		return text + "; repeat the command"
 	case errors.As(err, &notInForce):
 		return text + "; type lentil status to see which daemons lag"
 	}
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -148,7 +148,8 @@
 }
 
 // waitInForce waits until all daemons that have reported have the revision or a
-// later one. After the timeout it returns a *NotInForceError.
+// later one. After the timeout it returns a *NotInForceError, and a
+// *LostRevisionError if a restore of the object API has lost the revision.
 func (s *session) waitInForce(ctx context.Context, revision uint64, timeout time.Duration) (inForce, daemons int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -161,7 +162,13 @@
 			d.show(fmt.Sprintf("revision %d in force at %d of %d daemons", revision, inForce, daemons), inForce, daemons)
 		}
 		if daemons > 0 && inForce == daemons {
-			return inForce, daemons, nil
+			head, _, err := s.publisher.ReadHead(ctx)
+			if earlier := head.CarriedOverWithout(revision); earlier > 0 {
+				return 0, daemons, &LostRevisionError{Revision: revision, Earlier: earlier}
+			}
+			if err == nil {
+				return inForce, daemons, nil
+			}
 		}
 		if ctx.Err() != nil {
 			return inForce, daemons, &NotInForceError{Revision: revision, InForce: inForce, Daemons: daemons}
--- a/internal/operator/publisher/era.go
+++ b/internal/operator/publisher/era.go
@@ -41,6 +41,18 @@
 	return h.Revision > 0 && h.Revision/revisionsPerEra < h.Era
 }
 
+// CarriedOverWithout returns the revision with which a daemon went on after a
+// restore of the store that lost the given, later revision, or 0 if it was not
+// lost.
+func (h Head) CarriedOverWithout(revision uint64) uint64 {
+	for _, entry := range h.History {
+		if entry.CarriedOver > 0 && entry.CarriedOver < revision && revision < entry.Revision {
+			return entry.CarriedOver
+		}
+	}
+	return 0
+}
+
 // loadCarriedOver is loadWithHead that waits until the head is from the present
 // era. It returns an *EarlierEraError if no daemon carries the configuration
 // over.
