Failing tests of what a restored store still breaks in the product

A claim whose daemons all end with the restore is granted again, and an owner of blocks that has lost its lease forgets them.

--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -418,3 +418,30 @@
 		})
 	}
 }
+
+// Guards against a block that is missing in the stored list because the owner's
+// lease ended with the restore of the store.
+func TestBlockOutlastsLeaseLostByRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		net := newNetwork(2)
+		key := fmt.Sprintf("blocks/%d", isolator.ShardOf("mill/bad"))
+		earlier := net.api.Copy()
+		for k := range 2 {
+			net.sendRequest(c, k, "mill/bad", fmt.Sprint("vm-", k), true)
+		}
+		net.owner = -1
+		net.api.Restore(earlier)
+		go net.isolators[0].Run(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		net.owner = 0
+		time.Sleep(25 * time.Second)
+		synctest.Wait()
+		stored, err := net.api.Get(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(stored.Value), qt.Contains, `"fingerprint":"mill/bad"`)
+	})
+}
--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -196,3 +196,26 @@
 		c.Assert(reply.GetAttempt().GetRequestId(), qt.Equals, "r1")
 	})
 }
+
+// Guards against a second grant of a claim whose daemons end together with the
+// store that loses it.
+func TestClaimLostWithItsDaemonsIsNotGrantedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		api := &emulator.MemoryObjects{}
+		ownerCtx, stopOwner := context.WithCancel(ctx)
+		owner := startClaimer(ownerCtx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+		earlier := api.Copy()
+		c.Assert(claimState(c, owner, claimRequest("key", "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+		stopOwner()
+		api.Restore(earlier)
+		other := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-2", true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			state := claimState(c, other, claimRequest("key", "b", "r2"))
+			c.Assert(state, qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
+		}
+	})
+}
