Pass copies on in the order of their changes

What callers would see: a daemon changes the list of replicas or a configuration, and then goes back to the one before until the next change of that kind. After a restore, living replicas that are missing in the restored list are dropped at once instead of kept until they register again, because the catalog gets the list before it is told of the restore.

Cause: Run, Probe and CatchUpWithPeers change a copy under the lock, but called OnRestore and OnChange after it, each with its own copy. A goroutine that was overtaken there passed its older copy on last. The era was counted under the lock before OnRestore was called, so a second goroutine saw no restore any more and called OnChange first.

Evidence: TestLaterChangeOvertakesCopy lets a change arrive while a copy is passed on. Before the fix it failed in all three cases, with a change from a watch or from another daemon: order 11, 13, 12 in one era, and "era 2 revision 9, restored, era 2 revision 8" over a restore. Found by reading.

Ruled out: applyConfiguration compares versions, but its load and store are not one step; the catalog compares nothing.

Why it works: copies are queued under the lock that changes them, and one goroutine at a time passes them on in that order. No lock is held during the calls, so a callback may read or change the mirror. No copy is left out, as ChangedAfter belongs to the changes of one copy.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -27,9 +27,10 @@
 	}
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
+	m.queue(now)
 	m.mu.Unlock()
 	m.logReplaced(s, "list")
-	m.notify(s, now)
+	m.notify()
 }
 
 // replaceFromPeer replaces the copy with that of another daemon unless the copy has the
@@ -43,9 +44,10 @@
 	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), m.currentAt
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
+	m.queue(now)
 	m.mu.Unlock()
 	m.logReplaced(s, "peer")
-	m.notify(s, now)
+	m.notify()
 }
 
 // setSnapshot sets the copy. The history is kept if the content is the same. It is
@@ -86,9 +88,9 @@
 	}
 	m.snapshot.Objects = objects
 	m.countVersions()
-	copied := m.snapshot
+	m.queue(now)
 	m.mu.Unlock()
-	m.notify(copied, now)
+	m.notify()
 }
 
 // countVersions sums up the versions of the copy. It is called with the lock held.
@@ -140,10 +142,11 @@
 		return
 	}
 	c.Revision = max(m.contentAfter(c), m.snapshot.ContentRevision)
-	s := m.merge(c, changedAfter)
+	m.merge(c, changedAfter)
+	m.queue(now)
 	m.mu.Unlock()
 	m.logChanged(c, "watch")
-	m.notify(s, now)
+	m.notify()
 }
 
 // applyFromPeer applies the changes of another daemon to the copy unless the copy has
@@ -155,15 +158,16 @@
 		return
 	}
 	m.snapshot.Revision = max(m.snapshot.Revision, c.Revision)
-	s := m.merge(c, m.currentAt)
+	m.merge(c, m.currentAt)
+	m.queue(now)
 	m.mu.Unlock()
 	m.logChanged(c, "peer")
-	m.notify(s, now)
+	m.notify()
 }
 
 // merge applies changes to the copy, whose content then has the revision of the
 // changes. It is called with the lock held.
-func (m *Mirror) merge(c Changes, changedAfter time.Time) Snapshot {
+func (m *Mirror) merge(c Changes, changedAfter time.Time) {
 	objects := maps.Clone(m.snapshot.Objects)
 	if objects == nil {
 		objects = map[string]Object{}
@@ -184,7 +188,6 @@
 	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: changedAfter}
 	m.loaded = true
 	m.countVersions()
-	return m.snapshot
 }
 
 // contentAfter returns the content revision after changes of the store: the revision of
@@ -214,8 +217,40 @@
 	m.Log.Info("objects changed", zap.String("kind", m.Kind), zap.String("from", origin), zap.Uint64("content", c.Revision), zap.Int("changes", len(c.List)))
 }
 
-// notify passes the copy on. A panic over one object must not end the process.
-func (m *Mirror) notify(s Snapshot, now time.Time) {
+// delivery is a copy that has not been passed on yet, and the time of its change.
+type delivery struct {
+	snapshot Snapshot
+	at       time.Time
+}
+
+// queue adds the copy to those that notify passes on. It is called with the lock held, so
+// that copies are passed on in the order of their changes.
+func (m *Mirror) queue(now time.Time) {
+	m.deliveries = append(m.deliveries, delivery{snapshot: m.snapshot, at: now})
+}
+
+// notify passes on the queued copies, one at a time. If another goroutine does so already,
+// it passes on those of this one too.
+func (m *Mirror) notify() {
+	m.mu.Lock()
+	if m.delivering {
+		m.mu.Unlock()
+		return
+	}
+	m.delivering = true
+	for len(m.deliveries) > 0 {
+		d := m.deliveries[0]
+		m.deliveries = m.deliveries[1:]
+		m.mu.Unlock()
+		m.deliver(d.snapshot, d.at)
+		m.mu.Lock()
+	}
+	m.delivering = false
+	m.mu.Unlock()
+}
+
+// deliver passes a copy on. A panic over one object must not end the process.
+func (m *Mirror) deliver(s Snapshot, now time.Time) {
 	defer recoverer.Contain(m.Log, "objects "+m.Kind)
 	if from, restored := m.enterEra(Era(s.Revision), now); restored {
 		m.Log.Warn("store restored", zap.String("kind", m.Kind), zap.Uint64("from-era", from), zap.Uint64("era", Era(s.Revision)),
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -186,6 +186,10 @@
 	eraKnown bool
 	// currentAt is when the copy was last known to have all changes of the source.
 	currentAt time.Time
+	// deliveries holds the copies that are to be passed on, and delivering is set while a
+	// goroutine does so.
+	deliveries []delivery
+	delivering bool
 }
 
 // Get returns the copy, and false if there is none yet. The caller must not modify
--- a/internal/coordination/mirrorer/mirrorer_test.go
+++ b/internal/coordination/mirrorer/mirrorer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -310,3 +311,54 @@
 		qt.Assert(t, spec(m, "a"), qt.Equals, "3")
 	})
 }
+
+// TestLaterChangeOvertakesCopy guards against an older copy that is passed on after a newer
+// one, and against a copy of a restored store that is passed on before the restore, when two
+// goroutines change the copy.
+func TestLaterChangeOvertakesCopy(t *testing.T) {
+	at := func(era, revision uint64) Changes {
+		p := JoinRevision(era, revision)
+		return Changes{Revision: p, List: []Change{{Object: Object{Name: "a", Revision: p}}}}
+	}
+	tests := []struct {
+		name string
+		// list is the revision of a list, while which is passed on changes arrive.
+		list    uint64
+		changes Changes
+		want    []string
+	}{
+		{"of the same era", JoinRevision(1, 12), at(1, 13), []string{"1000000000011", "1000000000012", "1000000000013"}},
+		{"of a restored store", JoinRevision(2, 8), at(2, 9), []string{"1000000000011", "restored", "2000000000008", "2000000000009"}},
+		{"of a later restore", JoinRevision(2, 8), at(3, 5), []string{"1000000000011", "restored", "2000000000008", "restored", "3000000000005"}},
+	}
+	sources := []struct {
+		name  string
+		apply func(*Mirror, Changes, time.Time)
+	}{{"watch", (*Mirror).apply}, {"peer", (*Mirror).applyFromPeer}}
+	for _, tc := range tests {
+		for _, source := range sources {
+			t.Run(tc.name+" from a "+source.name, func(t *testing.T) {
+				c := qt.New(t)
+				now := time.Unix(1000, 0)
+				var got []string
+				m := &Mirror{Kind: "k", Log: zap.NewNop()}
+				interrupt := func() {
+					if s, _ := m.Get(); s.Revision == tc.list {
+						source.apply(m, tc.changes, now)
+					}
+				}
+				m.OnRestore = func(time.Time) {
+					interrupt()
+					got = append(got, "restored")
+				}
+				m.OnChange = func(s Snapshot, _ time.Time) {
+					interrupt()
+					got = append(got, strconv.FormatUint(s.Revision, 10))
+				}
+				m.replace(Snapshot{Revision: JoinRevision(1, 11), Objects: map[string]Object{}}, now)
+				m.replace(Snapshot{Revision: tc.list, Objects: map[string]Object{}}, now)
+				c.Assert(got, qt.DeepEquals, tc.want)
+			})
+		}
+	}
+}
