Pass on that a restored store lost the last object of a kind

What callers would see: requests to a replica whose registration a restore lost and that is gone. A daemon that another one watches for keeps that registration until it reads the store itself.

Cause: an empty list counted as the same content as an empty copy of an earlier era, so the copy kept its old content revision and its history. A follower with a later content revision of the old era, which has an object that the restore lost, took the watcher for older. After the next change it got that change only, because the history seemed to reach back over the restore. The watcher has to have missed the object before the restore and the kind has to be empty in the restored store, so this needs a very small deployment.

Ruled out: late answers of the same daemon, histories of copies with objects, and updates over several restores; the second test draws them. Kinds whose objects are never deleted keep their contents on purpose.

Why it works: objects have the era in their revisions, so copies with objects always differ over a restore. An empty copy now does too: its content begins anew, and daemons of an earlier era get it whole.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -20,7 +20,7 @@
 	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
 	m.recordRead(s.ReadAt)
 	switch {
-	case m.loaded && sameObjects(m.snapshot.Objects, s.Objects):
+	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
 		s.ContentRevision = m.snapshot.ContentRevision
 	case m.Permanent:
 		s.ContentRevision = max(newestObject(s.Objects), m.snapshot.ContentRevision)
--- /dev/null
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -0,0 +1,176 @@
+package mirrorer
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+// restoredStore is a store that can be restored from copies of its earlier states.
+type restoredStore struct {
+	era, revision uint64
+	objects       map[string]Object
+	history       []Change
+	copies        []restoredStore
+}
+
+func (s *restoredStore) write(name string, deleted bool) {
+	s.revision++
+	o := object(name, JoinRevision(s.era, s.revision))
+	if deleted {
+		delete(s.objects, name)
+	} else {
+		s.objects[name] = o
+	}
+	s.history = append(s.history, Change{Object: o, Deleted: deleted})
+}
+
+func (s *restoredStore) copied() restoredStore {
+	return restoredStore{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+func (s *restoredStore) restore(from restoredStore) {
+	s.era++
+	s.revision, s.objects, s.history = from.revision, map[string]Object{}, nil
+	for name, o := range from.objects {
+		o.Revision = JoinRevision(s.era, StoreRevision(o.Revision))
+		s.objects[name] = o
+	}
+}
+
+// update returns what a mirror reads whose copy has a revision: changes, or a list if the
+// store does not have the history since then.
+func (s *restoredStore) update(since uint64) Update {
+	at := JoinRevision(s.era, s.revision)
+	out := Changes{Revision: at}
+	for _, c := range s.history {
+		if c.Object.Revision > since {
+			out.List = append(out.List, c)
+		}
+	}
+	if Era(since) != s.era || at-since != uint64(len(out.List)) {
+		return Snapshot{Revision: at, Objects: maps.Clone(s.objects)}
+	}
+	return out
+}
+
+// read applies an answer of the store.
+func (m *Mirror) read(u Update, now time.Time) {
+	switch u := u.(type) {
+	case Snapshot:
+		u.Objects = maps.Clone(u.Objects)
+		m.replace(u, now)
+	case Changes:
+		m.apply(u, now)
+	}
+}
+
+// followNewer updates the copy from another daemon whose content is newer.
+func (m *Mirror) followNewer(from *Mirror, now time.Time) {
+	if from.ContentRevision() <= m.ContentRevision() {
+		return
+	}
+	switch u, _ := from.UpdateSince(m.ContentRevision()); u := u.(type) {
+	case Snapshot:
+		u.Objects = maps.Clone(u.Objects)
+		m.replaceFromPeer(u, now)
+	case Changes:
+		m.applyFromPeer(u, now)
+	}
+}
+
+// TestRestoresLeaveOldObjects guards against objects of before a restore in a copy that is
+// up to date, after any sequence of changes, restores, late answers of the store and updates
+// from other daemons.
+func TestRestoresLeaveOldObjects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := &restoredStore{era: 1, revision: 10, objects: map[string]Object{}}
+		s.copies = append(s.copies, s.copied())
+		mirrors := []*Mirror{newEmptyMirror(), newEmptyMirror(), newEmptyMirror()}
+		answers := map[*Mirror][]Update{}
+		read := func(m *Mirror) {
+			u := s.update(m.Revision())
+			answers[m] = append(answers[m], u)
+			m.read(u, now)
+		}
+		check := func(m *Mirror) {
+			if got, _ := m.Get(); !sameObjects(got.Objects, s.objects) {
+				t.Fatalf("copy has %v, store %v", got.Objects, s.objects)
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			m := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")]
+			switch rapid.SampledFrom([]string{"write", "delete", "copy", "restore", "read", "late answer", "follow"}).Draw(t, "step") {
+			case "write":
+				s.write(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), false)
+			case "delete":
+				name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+				if _, ok := s.objects[name]; ok {
+					s.write(name, true)
+				}
+			case "copy":
+				s.copies = append(s.copies, s.copied())
+			case "restore":
+				s.restore(s.copies[rapid.IntRange(0, len(s.copies)-1).Draw(t, "copy")])
+			case "read":
+				read(m)
+				check(m)
+			case "late answer":
+				if n := len(answers[m]); n > 0 {
+					m.read(answers[m][rapid.IntRange(0, n-1).Draw(t, "answer")], now)
+				}
+			case "follow":
+				m.followNewer(mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "peer")], now)
+			}
+		}
+		read(mirrors[0])
+		check(mirrors[0])
+		for _, m := range mirrors[1:] {
+			m.followNewer(mirrors[0], now)
+			check(m)
+		}
+	})
+}
+
+func newEmptyMirror() *Mirror { return &Mirror{Kind: "k", Log: zap.NewNop()} }
+
+// TestFollowerKeepsObjectLostInRestore guards against an object that a daemon keeps because
+// the daemon that it follows had no objects before and after the restore that lost it.
+func TestFollowerKeepsObjectLostInRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// later is the change after the restore, if any.
+		later []Change
+		want  []string
+	}{
+		{"no change since", nil, nil},
+		{"another object since", []Change{put("b", JoinRevision(2, 12))}, []string{"b"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			watcher, follower := newEmptyMirror(), newEmptyMirror()
+			for _, m := range []*Mirror{watcher, follower} {
+				m.replace(Snapshot{Revision: JoinRevision(1, 10), Objects: map[string]Object{}}, now)
+			}
+			follower.apply(Changes{Revision: JoinRevision(1, 15), List: []Change{put("a", JoinRevision(1, 15))}}, now)
+			watcher.replace(Snapshot{Revision: JoinRevision(2, 11), Objects: map[string]Object{}}, now)
+			if tc.later != nil {
+				watcher.apply(Changes{Revision: JoinRevision(2, 12), List: tc.later}, now)
+			}
+			follower.followNewer(watcher, now)
+			got, _ := follower.Get()
+			var names []string
+			for name := range got.Objects {
+				names = append(names, name)
+			}
+			c.Assert(names, qt.DeepEquals, tc.want)
+		})
+	}
+}
