Emulator: a request has ended before its last line is written

Cause: the emulated engine wrote the last line of a stream, and removed the request from the running ones when its handler returned. A caller that reads the line and sends the ID again can come first.

Evidence: TestEndedRequestCountsAsRunning sends the request again from within the write of the last line.

request r1 is running got: int(409) want: int(200)

Ruled out: a fault of the daemons; the test runs the emulator alone.

Now the request is removed, and its slot is free, before the last line is written. The same held for streams that end with an error.

--- a/pkg/emulator/engine.go
+++ b/pkg/emulator/engine.go
@@ -182,7 +182,6 @@
 		http.Error(w, message, status)
 		return
 	}
-	defer e.removeRequest(req.ID)
 	g.run(ctx)
 }
 
--- a/pkg/emulator/engine_test.go
+++ b/pkg/emulator/engine_test.go
@@ -68,6 +68,35 @@
 	c.Assert(emulator.Answer("v2", "p", 8, 7), qt.Not(qt.DeepEquals), emulator.Answer("v1", "p", 8, 7))
 }
 
+// resendingWriter sends a request again as soon as the last line of its stream is written.
+type resendingWriter struct {
+	*httptest.ResponseRecorder
+	engine *emulator.Engine
+	body   string
+	resent *httptest.ResponseRecorder
+}
+
+func (w *resendingWriter) Write(p []byte) (int, error) {
+	if w.resent == nil && strings.Contains(string(p), `"end":true`) {
+		w.resent = httptest.NewRecorder()
+		w.engine.ServeHTTP(w.resent, httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/generate", strings.NewReader(w.body)))
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against an engine that refuses a request whose stream the caller has read to its end.
+func TestEndedRequestCountsAsRunning(t *testing.T) {
+	c := qt.New(t)
+	engine := &emulator.Engine{Slots: 1}
+	client, _ := startEngine(t, engine)
+	load(c, client, 1, "v1")
+	w := &resendingWriter{ResponseRecorder: httptest.NewRecorder(), engine: engine, body: `{"id": "r1", "prompt": "p", "max-tokens": 2}`}
+	engine.ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/generate", strings.NewReader(w.body)))
+	c.Assert(w.Code, qt.Equals, http.StatusOK)
+	c.Assert(w.resent, qt.IsNotNil)
+	c.Assert(w.resent.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.resent.Body))
+}
+
 // Guards against an engine that loads weights whose digest or size does not match.
 func TestWrongWeightsAreRefused(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/emulator/generation.go
+++ b/pkg/emulator/generation.go
@@ -19,34 +19,45 @@
 	controller *http.ResponseController
 }
 
-// run waits for a slot, emulates the prefill and streams the tokens.
+// run streams the tokens. The request has ended when the caller reads the last line, so
+// that the caller can use its ID again.
 func (g *generation) run(ctx context.Context) {
 	g.w.Header().Set("Content-Type", contentTypeTokenStream)
 	g.w.WriteHeader(http.StatusOK)
 	_ = g.controller.Flush()
+	last := g.generate(ctx)
+	g.engine.removeRequest(g.req.ID)
+	if last != nil {
+		g.writeLine(*last)
+	}
+}
+
+// generate waits for a slot, emulates the prefill and streams the tokens. It returns the
+// last line of the stream, or nil if there is none.
+func (g *generation) generate(ctx context.Context) *generateLine {
 	defer g.engine.recordLoad()
 	queueCtx, leaveQueue := context.WithCancel(ctx)
 	defer context.AfterFunc(g.versionCtx, leaveQueue)()
 	defer leaveQueue()
 	g.engine.recordLoad()
 	if err := g.engine.slots.acquire(queueCtx, g.req.Priority); err != nil {
-		g.writeError("canceled in the queue")
-		return
+		return g.errorLine("canceled in the queue")
 	}
 	defer g.engine.slots.release()
 	g.engine.recordLoad()
 	if g.engine.shouldCrash(g.req.Prompt) {
 		g.engine.Crash()
-		return
+		return nil
 	}
 	prefill := time.Duration(g.engine.cachePrompt(g.req.Prompt)) * g.engine.PrefillTime
-	if !g.sleep(ctx, prefill) {
-		return
+	if reason := g.sleep(ctx, prefill); reason != "" {
+		return g.errorLine(reason)
 	}
-	g.writeTokens(ctx)
+	return g.writeTokens(ctx)
 }
 
-func (g *generation) writeTokens(ctx context.Context) {
+// writeTokens streams the tokens, and returns the last line of the stream.
+func (g *generation) writeTokens(ctx context.Context) *generateLine {
 	finishReason := finishReasonLength
 	limit := g.req.MaxTokens
 	if n := g.engine.AnswerTokens; n > 0 && n < limit {
@@ -55,8 +66,8 @@
 	}
 	offset := g.req.ResumeOffset
 	for ; offset < limit; offset++ {
-		if !g.sleep(ctx, g.engine.TokenTime) {
-			return
+		if reason := g.sleep(ctx, g.engine.TokenTime); reason != "" {
+			return g.errorLine(reason)
 		}
 		token := Token(g.version, g.req.Prompt, offset, g.req.Seed)
 		if g.containsStopSequence(token) {
@@ -64,19 +75,19 @@
 			break
 		}
 		if !g.writeLine(generateLine{Offset: offset, Tokens: []string{token}, Version: g.version}) && !g.engine.IgnoreCancel {
-			return
+			return nil
 		}
 		g.countToken()
 	}
-	g.writeLine(generateLine{
+	return &generateLine{
 		Offset: offset, End: true, TokenCount: offset, PromptTokens: countPromptTokens(g.req.Prompt),
 		FinishReason: finishReason, Version: g.version,
-	})
+	}
 }
 
-// sleep waits for d. If the request was canceled or the version was replaced,
-// it writes the error to the stream and returns false.
-func (g *generation) sleep(ctx context.Context, d time.Duration) bool {
+// sleep waits for d. It returns why the request ends if it was canceled or the version was
+// replaced.
+func (g *generation) sleep(ctx context.Context, d time.Duration) (endReason string) {
 	if d > 0 {
 		timer := time.NewTimer(d)
 		defer timer.Stop()
@@ -87,14 +98,12 @@
 		}
 	}
 	if g.versionCtx.Err() != nil {
-		g.writeError("the engine switched to another version")
-		return false
+		return "the engine switched to another version"
 	}
 	if ctx.Err() != nil {
-		g.writeError("canceled")
-		return false
+		return "canceled"
 	}
-	return true
+	return ""
 }
 
 func (g *generation) containsStopSequence(token string) bool {
@@ -106,8 +115,8 @@
 	return false
 }
 
-func (g *generation) writeError(reason string) {
-	g.writeLine(generateLine{Version: g.version, Error: reason})
+func (g *generation) errorLine(reason string) *generateLine {
+	return &generateLine{Version: g.version, Error: reason}
 }
 
 func (g *generation) countToken() {
