Watches end before the store drops the history since they began

Cause: the store keeps its history for 20 s, and a watch waited for up to 30 s.

Ruled out: pauses of the processes (none logged), late news (all daemons learned within 0.1 s), the restored store (the commits are from before).

Evidence: TestQuietKindLosesTimeOfChange failed before with "got 21.5s, want 0s". The fake store keeps its history for a time now, and its watches that time out answer with the present revision, as the platform's does.

A watch now waits for 0.7 of the time for which the store says that it keeps its history. A store that drops its history sooner than it says still costs part of a window.

--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -35,9 +35,13 @@
 	// peerLeadTolerance is how long other daemons have to be ahead before a copy is
 	// fetched from one of them. A working watch delivers the same change within this time.
 	peerLeadTolerance = 400 * time.Millisecond
-	// watchTimeout is the wait of a watch call, the longest that the store allows.
-	// Each call is billed.
-	watchTimeout = 30 * time.Second
+	// maxWatchWait is the longest wait of a watch call that the store allows. Each call is
+	// billed.
+	maxWatchWait = 30 * time.Second
+	// watchShare is the share of the time for which the source keeps its history that a
+	// watch waits. The revision of a watch that waits for longer is lost when a change is
+	// made, and a list does not tell when that was.
+	watchShare = 0.7
 	// minWatchWait is the time after which an answer to a watch counts as delayed until a
 	// change was made. An earlier answer may be of a change made before the watch.
 	minWatchWait = 250 * time.Millisecond
@@ -151,6 +155,8 @@
 	// permanent kinds whose versions only rise, if set. It is the same in all eras: of the
 	// contents that a restored store lists, those with a lower version are not taken.
 	Version func(Object) uint64
+	// HistoryTime is how long the source keeps its history, or zero if that is unknown.
+	HistoryTime time.Duration
 	// WatchPause is the pause between two watch calls, which batches changes that
 	// arrive meanwhile. It is zero for kinds that rarely change.
 	WatchPause time.Duration
@@ -483,6 +489,14 @@
 	return true
 }
 
+// watchWait returns the wait of a watch call.
+func (m *Mirror) watchWait() time.Duration {
+	if m.HistoryTime <= 0 {
+		return maxWatchWait
+	}
+	return min(maxWatchWait, time.Duration(watchShare*float64(m.HistoryTime)))
+}
+
 // watch makes one watch call and applies its changes. The call ends at until, if set.
 func (m *Mirror) watch(ctx context.Context, until time.Time) error {
 	if !until.IsZero() {
@@ -491,7 +505,7 @@
 		defer cancel()
 	}
 	from := m.Revision()
-	changes, err := m.Source.Watch(ctx, m.Kind, from, watchTimeout)
+	changes, err := m.Source.Watch(ctx, m.Kind, from, m.watchWait())
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/mirrorer/mirrorer_test.go
+++ b/internal/coordination/mirrorer/mirrorer_test.go
@@ -26,6 +26,8 @@
 	dropNotifications bool
 	changed           chan struct{}
 	calls             int
+	// historyTime is how long the history is kept, or zero if it is kept for good.
+	historyTime time.Duration
 	// latency is the time of each call.
 	latency time.Duration
 }
@@ -39,6 +41,9 @@
 type historyEntry struct {
 	revision uint64
 	change   Change
+	at       time.Time
+	// otherKind is set for changes that watches don't return.
+	otherKind bool
 }
 
 var errDown = errors.New("store is down")
@@ -66,8 +71,25 @@
 	s.record(Change{Object: o, Deleted: true})
 }
 
+// changeOtherKind changes an object that watches don't return.
+func (s *fakeStore) changeOtherKind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.keep(historyEntry{otherKind: true})
+}
+
+// keep adds a change to the history, and drops those that are too old.
+func (s *fakeStore) keep(e historyEntry) {
+	e.revision, e.at = s.revision, time.Now()
+	s.history = append(s.history, e)
+	for s.historyTime > 0 && e.at.Sub(s.history[0].at) > s.historyTime {
+		s.history = s.history[1:]
+	}
+}
+
 func (s *fakeStore) record(c Change) {
-	s.history = append(s.history, historyEntry{revision: s.revision, change: c})
+	s.keep(historyEntry{change: c})
 	if !s.dropNotifications {
 		close(s.changed)
 		s.changed = make(chan struct{})
@@ -103,7 +125,7 @@
 	if s.down {
 		return Snapshot{}, errDown
 	}
-	out := Snapshot{Revision: s.revision, Objects: map[string]Object{}}
+	out := Snapshot{Revision: s.revision, Objects: map[string]Object{}, ReadAt: time.Now()}
 	for name, o := range s.objects {
 		out.Objects[name] = o
 	}
@@ -111,23 +133,27 @@
 }
 
 func (s *fakeStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (Changes, error) {
+	readAt := time.Now()
 	time.Sleep(s.latency)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		s.mu.Lock()
-		s.calls++
+		if !expired {
+			s.calls++
+		}
 		out, err := s.since(kind, from)
+		out.ReadAt, out.Prompt = readAt, wait > 0
 		changed := s.changed
 		s.mu.Unlock()
-		if err != nil || len(out.List) > 0 {
+		if err != nil || len(out.List) > 0 || expired {
 			return out, err
 		}
 		select {
 		case <-ctx.Done():
 			return Changes{}, ctx.Err()
 		case <-timer.C:
-			return out, nil
+			expired = true
 		case <-changed:
 		}
 	}
@@ -143,7 +169,7 @@
 	out := Changes{Revision: s.revision}
 	covered := from
 	for _, entry := range s.history {
-		if entry.revision > from {
+		if entry.revision > from && !entry.otherKind {
 			out.List = append(out.List, entry.change)
 		}
 		covered = max(covered, entry.revision)
@@ -236,6 +262,31 @@
 	}
 }
 
+// TestQuietKindLosesTimeOfChange guards against a change whose time is unknown because the
+// store no longer has the history since the watch began.
+func TestQuietKindLosesTimeOfChange(t *testing.T) {
+	for _, quiet := range []time.Duration{5 * time.Second, 21 * time.Second, 28 * time.Second, 45 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			s := newFakeStore()
+			s.historyTime = 20 * time.Second
+			m := &Mirror{Kind: "k", Source: s, Permanent: true, HistoryTime: s.historyTime, Log: zap.NewNop()}
+			go m.Run(ctx)
+			for range int(quiet / time.Second) {
+				time.Sleep(time.Second)
+				s.changeOtherKind()
+			}
+			time.Sleep(500 * time.Millisecond)
+			s.put("a", "1")
+			synctest.Wait()
+			got, _ := m.Get()
+			qt.Assert(t, spec(m, "a"), qt.Equals, "1")
+			qt.Assert(t, time.Since(got.ChangedAfter), qt.Equals, time.Duration(0), qt.Commentf("after %v", quiet))
+		})
+	}
+}
+
 // TestFollower guards against store calls by a daemon for which another one watches,
 // and against a copy that stays out of date once no daemon watches for it.
 func TestFollower(t *testing.T) {
