A probe that the store does not answer ends before the next one is due

Cause: the time limit of a poll was longer than the interval in which the others rely on it.

Evidence: TestHungProbeKeepsOthersFromProbing failed before: the daemon still says that it reaches the store 1.2 s after the store has stopped to answer.

A poll now ends after one interval (0.6 s on small sites), the daemon says that it does not reach the store, and the next one takes over. A failed poll is logged once an outage; it was not logged before.

--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -450,26 +450,36 @@
 func (m *Mirror) Probe(ctx context.Context, active func() bool) {
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, m.ProbeInterval)
-		if !active() {
-			continue
+		if active() {
+			m.probe(ctx)
 		}
-		before := m.ContentRevision()
-		changes, err := m.Source.Watch(ctx, m.Kind, m.Revision(), 0)
-		var compacted *CompactedError
-		switch {
-		case err == nil:
-			now := time.Now()
-			m.recordAnswer(now)
-			m.apply(changes, now)
-		case errors.As(err, &compacted):
-			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
-			m.list(ctx)
-		case ctx.Err() == nil:
-			m.setReachable(false)
-		}
-		if m.ContentRevision() != before && m.OnProbeChange != nil {
-			m.OnProbeChange()
+	}
+}
+
+// probe polls the store once. Another daemon takes over from one whose store does not
+// answer, so the poll ends before the next one is due.
+func (m *Mirror) probe(ctx context.Context) {
+	before := m.ContentRevision()
+	callCtx, cancel := context.WithTimeout(ctx, m.ProbeInterval)
+	defer cancel()
+	changes, err := m.Source.Watch(callCtx, m.Kind, m.Revision(), 0)
+	var compacted *CompactedError
+	switch {
+	case err == nil:
+		now := time.Now()
+		m.recordAnswer(now)
+		m.apply(changes, now)
+	case errors.As(err, &compacted):
+		m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
+		m.list(ctx)
+	case ctx.Err() == nil:
+		if m.StoreReachable() {
+			m.Log.Info("probe failed", zap.String("kind", m.Kind), zap.Uint64("revision", m.Revision()), zap.Error(err))
 		}
+		m.setReachable(false)
+	}
+	if m.ContentRevision() != before && m.OnProbeChange != nil {
+		m.OnProbeChange()
 	}
 }
 
--- a/internal/coordination/mirrorer/mirrorer_test.go
+++ b/internal/coordination/mirrorer/mirrorer_test.go
@@ -30,6 +30,25 @@
 	historyTime time.Duration
 	// latency is the time of each call.
 	latency time.Duration
+	// hung is set if the store does not answer, so that calls end after callTimeout.
+	hung bool
+}
+
+// callTimeout is the time after which a call that is not answered ends.
+const callTimeout = 2 * time.Second
+
+// waitWhileHung waits for the end of a call that is not answered.
+func (s *fakeStore) waitWhileHung(ctx context.Context) error {
+	s.mu.Lock()
+	hung := s.hung
+	s.mu.Unlock()
+	if !hung {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (s *fakeStore) countCalls() int {
@@ -135,6 +154,9 @@
 func (s *fakeStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (Changes, error) {
 	readAt := time.Now()
 	time.Sleep(s.latency)
+	if err := s.waitWhileHung(ctx); err != nil {
+		return Changes{}, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for expired := false; ; {
@@ -287,6 +309,27 @@
 	}
 }
 
+// TestHungProbeKeepsOthersFromProbing guards against changes that arrive late because the
+// daemon that probes the store for all waits for an answer.
+func TestHungProbeKeepsOthersFromProbing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := newFakeStore()
+		m := &Mirror{Kind: "k", Source: s, ProbeInterval: 600 * time.Millisecond, Log: zap.NewNop()}
+		go m.Run(ctx)
+		go m.Probe(ctx, func() bool { return true })
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, m.StoreReachable(), qt.IsTrue)
+		s.mu.Lock()
+		s.hung = true
+		s.mu.Unlock()
+		time.Sleep(2 * m.ProbeInterval)
+		synctest.Wait()
+		qt.Assert(t, m.StoreReachable(), qt.IsFalse)
+	})
+}
+
 // TestFollower guards against store calls by a daemon for which another one watches,
 // and against a copy that stays out of date once no daemon watches for it.
 func TestFollower(t *testing.T) {
