Ask other daemons for changes instead of one that does not answer

After edge-ayutthaya-a-2 had found the configuration at 6.9 s and was suspended at 7.5 s, the two other daemons of its failure domain asked it, and nobody else, until it no longer counted as live: 0.8 s for each request, "update not read" at 8.3, 8.4, 9.4 and 9.4 s. They applied the configuration at 9.72 s, 5.5 s after it was acknowledged.

Cause: a daemon takes changes from the one with the highest revision in its failure domain, and did not remember that it had failed.

TestNewestMember has the order of choice.

--- a/internal/coordination/gossiper/gossiper_test.go
+++ b/internal/coordination/gossiper/gossiper_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -31,12 +32,13 @@
 	older := a
 	older.Incarnation = 1
 	m.RecordMessage(older, map[string]uint64{"k": 9}, now)
-	got, ok := m.Newest("k", 5, "", true, now)
+	none := func(*Member) bool { return false }
+	got, ok := m.Newest("k", 5, "", true, none, now)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(got.Incarnation, qt.Equals, int64(2))
-	_, ok = m.Newest("k", 6, "", true, now)
+	_, ok = m.Newest("k", 6, "", true, none, now)
 	c.Assert(ok, qt.IsFalse)
-	_, ok = m.Newest("k", 5, "elsewhere", false, now)
+	_, ok = m.Newest("k", 5, "elsewhere", false, none, now)
 	c.Assert(ok, qt.IsFalse)
 	m.AddReported([]Member{{VM: "b", Role: Entry, Address: "b:1"}}, now)
 	c.Assert(m.Live(Entry, now), qt.HasLen, 1)
@@ -45,6 +47,36 @@
 	c.Assert(m.Known(Entry, now.Add(memberRetention+time.Second)), qt.HasLen, 0)
 }
 
+// TestNewestMember guards against a copy that is fetched from a daemon to avoid while
+// another one has it, or from none although one to avoid has it.
+func TestNewestMember(t *testing.T) {
+	tests := []struct {
+		name       string
+		revisions  map[string]uint64
+		avoid      string
+		includeFar bool
+		want       string
+	}{
+		{"near before far", map[string]uint64{"near-1": 5, "far-1": 9}, "", true, "near-1"},
+		{"highest of several", map[string]uint64{"near-1": 5, "near-2": 6}, "", true, "near-2"},
+		{"lower instead of avoided", map[string]uint64{"near-1": 5, "near-2": 6}, "near-2", true, "near-1"},
+		{"far instead of avoided", map[string]uint64{"near-1": 6, "far-1": 5}, "near-1", true, "far-1"},
+		{"avoided if far ones are not asked", map[string]uint64{"near-1": 6, "far-1": 5}, "near-1", false, "near-1"},
+		{"avoided if it is the only one", map[string]uint64{"far-1": 6, "far-2": 4}, "far-1", true, "far-1"},
+		{"none is newer", map[string]uint64{"near-1": 4}, "near-1", true, ""},
+	}
+	now := time.Unix(1000, 0)
+	for _, tc := range tests {
+		var m Members
+		for vm, revision := range tc.revisions {
+			failureDomain, _, _ := strings.Cut(vm, "-")
+			m.RecordMessage(Member{VM: vm, Role: Entry, FailureDomain: failureDomain, Address: vm, QueryAddress: vm}, map[string]uint64{"k": revision}, now)
+		}
+		got, _ := m.Newest("k", 4, "near", tc.includeFar, func(m *Member) bool { return m.VM == tc.avoid }, now)
+		qt.Check(t, got.VM, qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
+
 // messageRecorder records what a daemon received.
 type messageRecorder struct {
 	mu      sync.Mutex
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -216,44 +216,51 @@
 
 // Newest returns a live member with the highest revision of a kind, if that is above
 // the given one. Members of other failure domains are considered only if includeFar is
-// set and there is none in the given one. One of several is chosen at random, so that
-// a change spreads as along a tree. Members that answer no queries are left out.
-func (m *Members) Newest(kind string, above uint64, failureDomain string, includeFar bool, now time.Time) (Member, bool) {
+// set and there is none in the given one, and those to avoid if there is no other. One of
+// several is chosen at random, so that a change spreads as along a tree. Members that answer
+// no queries are left out.
+func (m *Members) Newest(kind string, above uint64, failureDomain string, includeFar bool, avoid func(*Member) bool, now time.Time) (Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var near, far []Member
-	var nearRevision, farRevision uint64
+	var near, far, avoided newestMembers
 	for _, s := range m.known {
 		revision := s.revisions[kind]
 		if s.QueryAddress == "" || now.Sub(s.lastMessageAt) > livenessTimeout || revision <= above {
 			continue
 		}
+		isNear := s.FailureDomain == failureDomain
 		switch {
-		case s.FailureDomain == failureDomain:
-			near, nearRevision = keepNewest(near, nearRevision, s.Member, revision)
-		case includeFar:
-			far, farRevision = keepNewest(far, farRevision, s.Member, revision)
+		case !isNear && !includeFar:
+		case avoid(&s.Member):
+			avoided.add(s.Member, revision)
+		case isNear:
+			near.add(s.Member, revision)
+		default:
+			far.add(s.Member, revision)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return Member{}, false
+	for _, list := range [][]Member{near.list, far.list, avoided.list} {
+		if len(list) > 0 {
+			return list[rand.IntN(len(list))], true
+		}
 	}
-	return near[rand.IntN(len(near))], true
+	return Member{}, false
+}
+
+// newestMembers are the members with the highest revision.
+type newestMembers struct {
+	list     []Member
+	revision uint64
 }
 
-// keepNewest adds a member to a list of members with the same revision, or replaces the
-// list if the member has a higher one.
-func keepNewest(list []Member, newest uint64, m Member, revision uint64) ([]Member, uint64) {
+// add adds a member, or replaces the list if the member has a higher revision.
+func (n *newestMembers) add(m Member, revision uint64) {
 	switch {
-	case revision > newest:
-		return []Member{m}, revision
-	case revision == newest:
-		return append(list, m), newest
+	case revision > n.revision:
+		n.list, n.revision = []Member{m}, revision
+	case revision == n.revision:
+		n.list = append(n.list, m)
 	}
-	return list, newest
 }
 
 func sortMembers(list []Member) {
