Notice a pause before recording what another daemon knows

Callers could lose all replicas of a version seconds too early, at all daemons: a daemon that was suspended after a naming is told of its age before it notices the suspension, which takes it up to 250 ms. That age is right by the clock of after the suspension. When the pause was noticed, the times were moved by its length once more, and since the daemon then seemed to have learned first, all others took its time.

The tracker asks for a pause before it records or reports anything, as it did for news of the store. So whatever it holds when a pause is noticed is from before it.

TestReportBeforePauseIsNoticedShortensWindow failed before: a naming 3.2 s ago counted as 5.2 s old, and was reported so.

--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -30,6 +30,8 @@
 	// Window is how long requests may start on an older version after a newer one
 	// was announced.
 	Window time.Duration
+	// CheckPause calls RecordPause if this process has just not run, if set.
+	CheckPause func()
 
 	mu     sync.Mutex
 	models map[string]*modelHistory
@@ -81,6 +83,7 @@
 // this daemon while it waited, or zero if the time is unknown. The versions of the first call are treated as announced a window
 // ago until another daemon reports more: a daemon that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
+	n.checkPause()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a := Announcement{After: n.earliest(after, now), By: now}
@@ -195,6 +198,7 @@
 	if n.vague(r) {
 		return false
 	}
+	n.checkPause()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m := n.models[r.Model]; m != nil && r.Version <= m.newest {
@@ -231,6 +235,14 @@
 	}
 }
 
+// checkPause records a pause that has just ended. What is recorded after it has other times
+// than what was recorded before.
+func (n *VersionTracker) checkPause() {
+	if n.CheckPause != nil {
+		n.CheckPause()
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -245,6 +257,7 @@
 // Announcements returns the announcements of the last window, for the other daemons. Vague
 // ones are left out: they would end the windows of daemons that know more.
 func (n *VersionTracker) Announcements(now time.Time) []Announcement {
+	n.checkPause()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []Announcement
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -200,6 +200,32 @@
 	}
 }
 
+// TestReportBeforePauseIsNoticedShortensWindow guards against callers that lose all replicas
+// of a version too early because a daemon was told of its age before it noticed a pause.
+func TestReportBeforePauseIsNoticedShortensWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+	n.Update(map[string]int{"m": 2}, at(8), at(8))
+	// The clock stops for 2 s.
+	paused := true
+	n.CheckPause = func() {
+		if paused {
+			paused = false
+			n.RecordPause(at(9), at(9.2), 2*time.Second)
+		}
+	}
+	n.RecordReport(Announcement{Model: "m", Version: 2, After: at(6), By: at(6), Observed: true})
+	n.CheckPause()
+	end := at(6).Add(window - margin)
+	qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2)
+	qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Equals, 1)
+	sent := n.Announcements(at(9.2))
+	qt.Assert(t, sent, qt.HasLen, 1)
+	qt.Check(t, sent[0].By, qt.Equals, at(6))
+}
+
 // TestVersionSkippedByLateNews guards against requests that start on a version after its
 // window because this daemon learned only of the last of two versions named meanwhile.
 func TestVersionSkippedByLateNews(t *testing.T) {
