Count a suspension for reports of unknown versions too

Callers could get answers of an old version after its window: a daemon that was told of a naming by another one, and was suspended before the news itself came, kept the report with a time from before the suspension, which its clock did not count. When the news came, the window began as much too late, until the next message of another daemon.

A pause moves the reports that are kept like the versions that are known.

The row "reported before the clock stopped" of TestWindowFromLateNews failed before: at the end of the window, version 1 was allowed.

--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -233,6 +233,10 @@
 			a.After, a.By = a.After.Add(-suspended), a.By.Add(-suspended)
 		}
 	}
+	for model, r := range n.reported {
+		r.After, r.By = r.After.Add(-suspended), r.By.Add(-suspended)
+		n.reported[model] = r
+	}
 }
 
 // checkPause records a pause that has just ended. What is recorded after it has other times
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -95,6 +95,11 @@
 			n.Update(map[string]int{"m": 2}, at(9.1), at(9.1))
 			n.RecordPause(at(9), at(9.2), 4*time.Second)
 		}, 5},
+		{"reported before the clock stopped", func(n *VersionTracker) {
+			report(n, 8.3, 8.3)
+			n.RecordPause(at(9), at(9.2), 4*time.Second)
+			n.Update(map[string]int{"m": 2}, at(9.2), at(9.2))
+		}, 4.3},
 		{"reported after the news", func(n *VersionTracker) {
 			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
 			report(n, 8.3, 8.3)
