Count the wait for vanished registrations from when they vanished

A daemon that follows another one learns late while that one is suspended.

Updates that daemons give each other now carry the time since the first of their changes may have been made, as announcements do, and the wait counts from then. After an outage the age begins with its end, as before; if the time is unknown, there is no wait, as for a daemon that takes over from a suspended one after 1.6 s.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -140,9 +140,15 @@
 	c.Log.Info("store restored", zap.Int("replicas", len(c.entries)), zap.Int("departures", len(c.departures)), zap.Time("at", now))
 }
 
-// SetRegistrations replaces the registrations. Vanished ones are kept for a while if
-// the store may have lost them.
+// SetRegistrations replaces the registrations, which changed now. Vanished ones are kept
+// for a while if the store may have lost them.
 func (c *Catalog) SetRegistrations(list []placer.Replica, now time.Time) {
+	c.SetChangedRegistrations(list, now, now)
+}
+
+// SetChangedRegistrations is SetRegistrations with the earliest time at which they changed.
+// The time within which requests to a replica that left must stop began then.
+func (c *Catalog) SetChangedRegistrations(list []placer.Replica, changedAfter, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.entries == nil {
@@ -157,7 +163,7 @@
 		present[r.ID] = true
 		c.register(r, owners[r.Address], restored, now)
 	}
-	c.removeVanished(present, restored, now)
+	c.removeVanished(present, restored, changedAfter, now)
 	c.forgetDepartures(now)
 }
 
@@ -253,7 +259,7 @@
 
 // removeVanished removes the replicas whose registrations have vanished, or lets them
 // wait for their return.
-func (c *Catalog) removeVanished(present map[string]bool, restored bool, now time.Time) {
+func (c *Catalog) removeVanished(present map[string]bool, restored bool, changedAfter, now time.Time) {
 	vanished, total := map[string]int{}, map[string]int{}
 	for id, e := range c.entries {
 		total[e.replica.Service]++
@@ -277,7 +283,7 @@
 			case afterOutage:
 				e.keepUntil = earlier(c.lastOutage.Add(reregistrationTime), now.Add(c.maxWait()))
 			case massLoss:
-				e.keepUntil = now.Add(c.maxWait())
+				e.keepUntil = changedAfter.Add(c.maxWait())
 			}
 			if now.Before(e.keepUntil) {
 				c.logChange("registration vanished, waiting for its return", e.replica, now)
--- a/internal/coordination/cataloger/cataloger_test.go
+++ b/internal/coordination/cataloger/cataloger_test.go
@@ -294,6 +294,23 @@
 	qt.Assert(t, c.departures, qt.HasLen, 0)
 }
 
+// TestRemovalLearnedLateIsWaitedFor guards against requests to replicas that left more than
+// the drain time ago, because this daemon learned of it late and waited for their return.
+func TestRemovalLearnedLateIsWaitedFor(t *testing.T) {
+	left := time.Unix(1000, 0)
+	end := left.Add(drainTime - detectionDelay)
+	for _, late := range []time.Duration{0, 800 * time.Millisecond, 1800 * time.Millisecond} {
+		c := Catalog{DrainTime: drainTime, Log: zap.NewNop()}
+		c.SetRegistrations(registrations(4), left.Add(-time.Minute))
+		c.SetChangedRegistrations(registrations(1), left, left.Add(late))
+		if learned := left.Add(late); learned.Before(end) {
+			qt.Check(t, usable(&c, learned), qt.HasLen, 4, qt.Commentf("%v late", late))
+			qt.Check(t, usable(&c, end.Add(-time.Millisecond)), qt.HasLen, 4, qt.Commentf("%v late", late))
+		}
+		qt.Check(t, usable(&c, left.Add(max(late, drainTime-detectionDelay))), qt.DeepEquals, []string{"r0"}, qt.Commentf("%v late", late))
+	}
+}
+
 // TestWaitFollowsDrainTime guards against a wait for registrations that exceeds the
 // drain time, and against one that ends too early if the drain time is long.
 func TestWaitFollowsDrainTime(t *testing.T) {
--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -17,7 +17,7 @@
 		m.logIgnored("list", s.Revision)
 		return
 	}
-	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
+	s.ContentRevision, s.ChangedAfter, s.MadeAfter = s.Revision, m.currentAt, later(m.currentAt, m.outageAt)
 	m.recordRead(s.ReadAt)
 	switch {
 	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
@@ -115,6 +115,13 @@
 		zap.Uint64("revision", revision), zap.Uint64("copy", m.Revision()))
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordRead records that the source had nothing newer than the copy when it was asked. It
 // is called with the lock held.
 func (m *Mirror) recordRead(at time.Time) {
@@ -141,7 +148,7 @@
 		m.mu.Unlock()
 		return
 	}
-	c.Revision = max(m.contentAfter(c), m.snapshot.ContentRevision)
+	c.Revision, c.MadeAfter = max(m.contentAfter(c), m.snapshot.ContentRevision), later(changedAfter, m.outageAt)
 	m.merge(c, changedAfter)
 	m.queue(now)
 	m.mu.Unlock()
@@ -185,7 +192,7 @@
 		}
 	}
 	m.history.add(c)
-	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: changedAfter}
+	m.snapshot = Snapshot{Revision: m.snapshot.Revision, ContentRevision: c.Revision, Objects: objects, ChangedAfter: changedAfter, MadeAfter: c.MadeAfter}
 	m.loaded = true
 	m.countVersions()
 }
--- a/internal/coordination/mirrorer/history.go
+++ b/internal/coordination/mirrorer/history.go
@@ -1,5 +1,7 @@
 package mirrorer
 
+import "time"
+
 // maxHistoryChanges is the maximum number of changes that are kept for other daemons.
 // It covers a restart of a fleet of some hundred replicas.
 const maxHistoryChanges = 1024
@@ -22,18 +24,21 @@
 	}
 }
 
-// since returns the changes after a content revision, and false if they are not all
-// known. The revision may lie within a batch, whose changes are then returned again:
-// applying a change twice has no effect.
-func (h *history) since(content uint64) ([]Change, bool) {
+// since returns the changes after a content revision, the earliest time of the first one,
+// and false if they are not all known. The revision may lie within a batch, whose changes
+// are then returned again: applying a change twice has no effect.
+func (h *history) since(content uint64) (list []Change, madeAfter time.Time, ok bool) {
 	if content == 0 || content < h.start {
-		return nil, false
+		return nil, time.Time{}, false
 	}
-	var out []Change
 	for _, b := range h.batches {
-		if b.Revision > content {
-			out = append(out, b.List...)
+		if b.Revision <= content {
+			continue
+		}
+		if len(list) == 0 || b.MadeAfter.Before(madeAfter) {
+			madeAfter = b.MadeAfter
 		}
+		list = append(list, b.List...)
 	}
-	return out, true
+	return list, madeAfter, true
 }
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -71,6 +71,10 @@
 	// was last asked and answered without them, or when a prompt watch delivered them. It
 	// is zero if that is unknown.
 	ChangedAfter time.Time `json:"-"`
+	// MadeAfter is the earliest time at which a store that had no outage since made the
+	// latest changes, also if another daemon learned of them first. It is zero if that is
+	// unknown.
+	MadeAfter time.Time `json:"-"`
 }
 
 // Change is the new state of an object, or its deletion.
@@ -87,6 +91,8 @@
 	ReadAt time.Time `json:"-"`
 	// Prompt is set if the watch would have waited at the store for changes.
 	Prompt bool `json:"-"`
+	// MadeAfter is that of the first of the changes, as in Snapshot.
+	MadeAfter time.Time `json:"-"`
 }
 
 // Update brings the copy of another daemon up to date: Snapshot or Changes.
@@ -179,6 +185,8 @@
 	unreachable bool
 	// versions is the sum of the versions of the objects, which rises with each change.
 	versions uint64
+	// outageAt is when a call last failed, or an outage ended.
+	outageAt time.Time
 	// restoredAt is when a copy of a restored store was last passed on.
 	restoredAt time.Time
 	// era is that of the last copy that was passed on, if any was.
@@ -356,8 +364,8 @@
 	if !m.loaded {
 		return nil, false
 	}
-	if list, ok := m.history.since(content); ok {
-		return Changes{Revision: m.snapshot.ContentRevision, List: list}, true
+	if list, madeAfter, ok := m.history.since(content); ok {
+		return Changes{Revision: m.snapshot.ContentRevision, List: list, MadeAfter: madeAfter}, true
 	}
 	return m.snapshot, true
 }
@@ -369,17 +377,18 @@
 	return !m.unreachable
 }
 
-func (m *Mirror) setReachable(ok bool) {
+func (m *Mirror) setUnreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unreachable = !ok
+	m.unreachable, m.outageAt = true, now
 }
 
 // recordFailure records a failed call and logs the first one of an outage.
 func (m *Mirror) recordFailure(ctx context.Context, reachable *bool) {
-	m.setReachable(false)
+	now := time.Now()
+	m.setUnreachable(now)
 	if m.OnOutage != nil && ctx.Err() == nil {
-		m.OnOutage(time.Now())
+		m.OnOutage(now)
 	}
 	if *reachable && ctx.Err() == nil {
 		m.Log.Warn("dependency lost", zap.String("dependency", "object store"), zap.String("kind", m.Kind), zap.Uint64("revision", m.Revision()))
@@ -459,7 +468,7 @@
 			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
 			m.list(ctx)
 		case ctx.Err() == nil:
-			m.setReachable(false)
+			m.setUnreachable(time.Now())
 		}
 		if m.ContentRevision() != before && m.OnProbeChange != nil {
 			m.OnProbeChange()
@@ -508,6 +517,9 @@
 	m.mu.Lock()
 	wasUnreachable := m.unreachable
 	m.unreachable = false
+	if wasUnreachable {
+		m.outageAt = now
+	}
 	m.mu.Unlock()
 	if wasUnreachable && m.OnOutage != nil {
 		m.OnOutage(now)
