Test of registrations that are lost in an outage

The time since which vanished registrations are missing begins with the end of an outage: without that, daemons that follow another one drop at once what the store lost in it. TestOutageCountsAsLateNews fails with the call of setUnreachable left out (1000 s, the last answer before the outage, instead of 1005 s).

--- a/internal/coordination/mirrorer/update_test.go
+++ b/internal/coordination/mirrorer/update_test.go
@@ -197,3 +197,18 @@
 	c.Assert(got.Objects, qt.DeepEquals, want.Objects)
 	c.Assert(got.Revision, qt.Equals, want.Revision)
 }
+
+// TestOutageCountsAsLateNews guards against replicas that are dropped at once because their
+// registrations were lost in an outage, before which this daemon had its last answer.
+func TestOutageCountsAsLateNews(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := &Mirror{Kind: "k", Log: zap.NewNop()}
+	m.replace(Snapshot{Revision: 10, Objects: map[string]Object{"a": object("a", 10)}, ReadAt: start}, start)
+	m.setUnreachable(start.Add(3 * time.Second))
+	ended := start.Add(5 * time.Second)
+	m.recordAnswer(ended)
+	m.apply(Changes{Revision: 12, List: []Change{deletion("a", 12)}, ReadAt: ended, Prompt: true}, ended)
+	update, ok := m.UpdateSince(10)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, update.(Changes).MadeAfter, qt.Equals, ended)
+}
