Bound the time of a naming by the last answered poll

Callers could get answers of an old version after its window: a naming that is delivered to a waiting watch counts as made at that moment. All daemons then agree on the late time.

One daemon polls the store for all, every 0.6 s. If its polls were left unanswered for longer, it no longer takes a delivery for an observation: the naming may have been made since its last answered poll, and it says so to the others. Daemons that learned at the same time take that; one that observed the naming half a second earlier is believed before it. Polls that were missed because of a pause of the daemon itself say nothing.

The functions that poll move to a file of their own.

--- a/internal/coordination/gossiper/announcements.go
+++ b/internal/coordination/gossiper/announcements.go
@@ -17,13 +17,15 @@
 	MaxAgeMs int64 `json:"max-age-ms"`
 	// Observed is set if the announcement was made at MaxAgeMs, not only since.
 	Observed bool `json:"observed,omitempty"`
+	// Unanswered is set if the store answered no polls between MaxAgeMs and AgeMs.
+	Unanswered bool `json:"unanswered,omitempty"`
 }
 
 // ReportAnnouncements returns announcements as they are sent to other daemons.
 func ReportAnnouncements(list []selector.Announcement, now time.Time) []AnnouncementReport {
 	var out []AnnouncementReport
 	for _, a := range list {
-		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.By, now), MaxAgeMs: ageMs(a.After, now), Observed: a.Observed})
+		out = append(out, AnnouncementReport{Model: a.Model, Version: a.Version, AgeMs: ageMs(a.By, now), MaxAgeMs: ageMs(a.After, now), Observed: a.Observed, Unanswered: a.Unanswered})
 	}
 	return out
 }
@@ -36,7 +38,7 @@
 		by, plausible := fromAge(r.AgeMs, now)
 		after, afterPlausible := fromAge(r.MaxAgeMs, now)
 		if plausible && afterPlausible && !after.After(by) {
-			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, After: after, By: by, Observed: r.Observed})
+			out = append(out, selector.Announcement{Model: r.Model, Version: r.Version, After: after, By: by, Observed: r.Observed, Unanswered: r.Unanswered})
 		}
 	}
 	return out
--- a/internal/coordination/gossiper/announcements_test.go
+++ b/internal/coordination/gossiper/announcements_test.go
@@ -16,6 +16,7 @@
 	announced := []selector.Announcement{
 		{Model: "m", Version: 2, After: now.Add(-4 * time.Second), By: now.Add(-time.Second)},
 		{Model: "m", Version: 3, After: now.Add(-time.Second), By: now.Add(-time.Second), Observed: true},
+		{Model: "m", Version: 4, After: now.Add(-3 * time.Second), By: now.Add(-time.Second), Unanswered: true},
 	}
 	tests := []struct {
 		name    string
--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -18,6 +18,7 @@
 		return
 	}
 	s.ContentRevision, s.ChangedAfter, s.MadeAfter = s.Revision, m.currentAt, later(m.currentAt, m.outageAt)
+	s.Unanswered = m.isUnanswered(now)
 	m.recordRead(s.ReadAt)
 	switch {
 	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
@@ -138,8 +139,8 @@
 		m.logIgnored("watch", c.Revision)
 		return
 	}
-	changedAfter := m.currentAt
-	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait {
+	changedAfter, unanswered := m.currentAt, m.isUnanswered(now)
+	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait && !unanswered {
 		changedAfter, c.ReadAt = now, now
 	}
 	m.recordRead(c.ReadAt)
@@ -150,6 +151,7 @@
 	}
 	c.Revision, c.MadeAfter = max(m.contentAfter(c), m.snapshot.ContentRevision), later(changedAfter, m.outageAt)
 	m.merge(c, changedAfter)
+	m.snapshot.Unanswered = unanswered
 	m.queue(now)
 	m.mu.Unlock()
 	m.logChanged(c, "watch")
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -75,6 +75,9 @@
 	// latest changes, also if another daemon learned of them first. It is zero if that is
 	// unknown.
 	MadeAfter time.Time `json:"-"`
+	// Unanswered is set if this daemon polls the source, and the source answered none of
+	// its polls between ChangedAfter and the latest changes.
+	Unanswered bool `json:"-"`
 }
 
 // Change is the new state of an object, or its deletion.
@@ -194,6 +197,8 @@
 	eraKnown bool
 	// currentAt is when the copy was last known to have all changes of the source.
 	currentAt time.Time
+	// polledAt is when the last answered poll was made while this daemon polls, or zero.
+	polledAt time.Time
 	// deliveries holds the copies that are to be passed on, and delivering is set while a
 	// goroutine does so.
 	deliveries []delivery
@@ -446,36 +451,6 @@
 	}
 }
 
-// Probe polls the store at each ProbeInterval while active returns true, until ctx is
-// canceled. A watch may miss changes without an error when the store compacts its
-// history, and then returns only at the next change. One daemon probes for all: the
-// others learn from it that their copies are out of date.
-func (m *Mirror) Probe(ctx context.Context, active func() bool) {
-	for ctx.Err() == nil {
-		waiter.Wait(ctx, m.ProbeInterval)
-		if !active() {
-			continue
-		}
-		before := m.ContentRevision()
-		changes, err := m.Source.Watch(ctx, m.Kind, m.Revision(), 0)
-		var compacted *CompactedError
-		switch {
-		case err == nil:
-			now := time.Now()
-			m.recordAnswer(now)
-			m.apply(changes, now)
-		case errors.As(err, &compacted):
-			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
-			m.list(ctx)
-		case ctx.Err() == nil:
-			m.setUnreachable(time.Now())
-		}
-		if m.ContentRevision() != before && m.OnProbeChange != nil {
-			m.OnProbeChange()
-		}
-	}
-}
-
 // list replaces the copy with the objects that the store lists, and reports whether
 // the call succeeded.
 func (m *Mirror) list(ctx context.Context) bool {
--- /dev/null
+++ b/internal/coordination/mirrorer/probe.go
@@ -0,0 +1,59 @@
+package mirrorer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+)
+
+// maxPollTime is the time after which a poll counts as left without an answer.
+const maxPollTime = 250 * time.Millisecond
+
+// Probe polls the store at each ProbeInterval while active returns true, until ctx is
+// canceled. A watch may miss changes without an error when the store compacts its
+// history, and then returns only at the next change. One daemon probes for all: the
+// others learn from it that their copies are out of date.
+func (m *Mirror) Probe(ctx context.Context, active func() bool) {
+	for ctx.Err() == nil {
+		waiter.Wait(ctx, m.ProbeInterval)
+		if !active() {
+			m.recordPoll(time.Time{})
+			continue
+		}
+		before := m.ContentRevision()
+		changes, err := m.Source.Watch(ctx, m.Kind, m.Revision(), 0)
+		var compacted *CompactedError
+		switch {
+		case err == nil:
+			now := time.Now()
+			m.recordAnswer(now)
+			m.apply(changes, now)
+			m.recordPoll(changes.ReadAt)
+		case errors.As(err, &compacted):
+			m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
+			m.list(ctx)
+		case ctx.Err() == nil:
+			m.setUnreachable(time.Now())
+		}
+		if m.ContentRevision() != before && m.OnProbeChange != nil {
+			m.OnProbeChange()
+		}
+	}
+}
+
+// recordPoll records when the last answered poll was made, or that this daemon polls no more.
+func (m *Mirror) recordPoll(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.polledAt = at
+}
+
+// isUnanswered reports whether the source left polls without an answer. It is called with
+// the lock held.
+func (m *Mirror) isUnanswered(now time.Time) bool {
+	return !m.polledAt.IsZero() && now.Sub(m.polledAt) > m.ProbeInterval+maxPollTime
+}
--- a/internal/coordination/mirrorer/update_test.go
+++ b/internal/coordination/mirrorer/update_test.go
@@ -1,8 +1,12 @@
 package mirrorer
 
 import (
+	"context"
 	"fmt"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -212,3 +216,47 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, update.(Changes).MadeAfter, qt.Equals, ended)
 }
+
+// TestWatchHeldUpByCut guards against a change that counts as made when it was delivered,
+// although this daemon had been cut off from the store since its last poll.
+func TestWatchHeldUpByCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		copies := make(chan Snapshot, 8)
+		s := &cutStore{fakeStore: newFakeStore()}
+		s.put("a", "1")
+		m := &Mirror{Kind: "k", Source: s, ProbeInterval: 600 * time.Millisecond, Log: zap.NewNop(), OnChange: func(s Snapshot, _ time.Time) { copies <- s }}
+		go m.Run(ctx)
+		<-copies
+		go m.Probe(ctx, func() bool { return true })
+		for i, held := range []time.Duration{0, 1500 * time.Millisecond} {
+			time.Sleep(5 * time.Second)
+			changed := time.Now()
+			s.cutUntil.Store(changed.Add(held).UnixNano())
+			s.put("a", strconv.Itoa(i))
+			copied := <-copies
+			qt.Check(t, copied.Unanswered, qt.Equals, held > 0, qt.Commentf("held up for %v", held))
+			age := changed.Sub(copied.ChangedAfter)
+			qt.Check(t, age >= 0 && age <= m.ProbeInterval, qt.IsTrue, qt.Commentf("held up for %v: made up to %v before", held, age))
+			time.Sleep(held)
+			for len(copies) > 0 {
+				<-copies
+			}
+		}
+	})
+}
+
+// cutStore is a store whose answers are held up while this daemon is cut off from it.
+type cutStore struct {
+	*fakeStore
+	cutUntil atomic.Int64
+}
+
+func (s *cutStore) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Changes, error) {
+	asked := time.Now()
+	c, err := s.fakeStore.Watch(ctx, kind, revision, wait)
+	time.Sleep(time.Until(time.Unix(0, s.cutUntil.Load())))
+	c.ReadAt, c.Prompt = asked, wait > 0
+	return c, err
+}
--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -50,6 +50,9 @@
 	// Observed is set if After is when the announcement was delivered to a daemon that
 	// waited for it, and not only the earliest possible time.
 	Observed bool
+	// Unanswered is set if the store answered none of the polls of a daemon between After
+	// and By. What was delivered to other daemons at the same time may have been held up.
+	Unanswered bool
 }
 
 // modelHistory holds the announced versions of one model.
@@ -83,13 +86,24 @@
 // this daemon while it waited, or zero if the time is unknown. The versions of the first call are treated as announced a window
 // ago until another daemon reports more: a daemon that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
+	return n.update(versions, after, false, now)
+}
+
+// UpdateUnanswered is Update on a daemon that polls the store, after which the store
+// answered none of its polls until now.
+func (n *VersionTracker) UpdateUnanswered(versions map[string]int, after, now time.Time) []Announcement {
+	return n.update(versions, after, true, now)
+}
+
+func (n *VersionTracker) update(versions map[string]int, after time.Time, unanswered bool, now time.Time) []Announcement {
 	n.checkPause()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	a := Announcement{After: n.earliest(after, now), By: now}
+	// Polls that this process did not make say nothing about the store.
+	a := Announcement{After: n.earliest(after, now), By: now, Unanswered: unanswered && !n.isAfterPause(now)}
 	if n.models == nil {
 		n.models = map[string]*modelHistory{}
-		a.After = now.Add(-n.Window)
+		a.After, a.Unanswered = now.Add(-n.Window), false
 	}
 	var unknown []Announcement
 	a.Observed = a.After.Equal(now)
@@ -106,8 +120,7 @@
 // have been announced.
 func (n *VersionTracker) earliest(after, now time.Time) time.Time {
 	limit := now.Add(-time.Duration(maxDiscoveryShare * float64(n.Window)))
-	aftermath := max(minPauseAftermath, n.pauseEnded.Sub(n.pauseBegan))
-	if !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= aftermath {
+	if n.isAfterPause(now) {
 		limit, after = earlier(limit, n.pauseBegan), earlier(after, n.pauseBegan)
 	}
 	if after.Before(limit) {
@@ -116,6 +129,12 @@
 	return after
 }
 
+// isAfterPause reports whether news may be from before the end of a pause.
+func (n *VersionTracker) isAfterPause(now time.Time) bool {
+	aftermath := max(minPauseAftermath, n.pauseEnded.Sub(n.pauseBegan))
+	return !n.pauseEnded.IsZero() && now.Sub(n.pauseEnded) <= aftermath
+}
+
 // Initialized reports whether Update was called.
 func (n *VersionTracker) Initialized() bool {
 	n.mu.Lock()
@@ -145,27 +164,50 @@
 }
 
 // correct takes the times of a report if it is of a daemon that learned of the announcement
-// earlier. An observed time is kept, or taken, unless it is too late to agree with the other
-// daemon. It reports whether that moves the beginning of the window noticeably.
+// earlier. Times that are not only the earliest possible ones are kept, or taken, unless
+// they are too late to agree with the other daemon. It reports whether that moves the
+// beginning of the window noticeably.
 func (a *Announcement) correct(r Announcement) bool {
 	old := a.After
 	switch {
-	case r.Observed && !a.Observed && r.agrees(*a):
-		a.After, a.By, a.Observed = earlier(r.After, a.By), earlier(r.By, a.By), true
+	case r.Unanswered && a.Observed:
+		if !r.agrees(*a) {
+			return false
+		}
+		a.take(earlier(r.After, a.After), earlier(r.By, a.By), r)
+	case a.Unanswered && r.Observed:
+		if a.agrees(r) {
+			return false
+		}
+		a.take(r.After, r.By, r)
+	case r.isInformed() && !a.isInformed() && r.agrees(*a):
+		a.take(earlier(r.After, a.By), earlier(r.By, a.By), r)
 	case !r.By.Before(a.By):
 		return false
-	case a.Observed && !r.Observed && a.agrees(r):
+	case a.isInformed() && !r.isInformed() && a.agrees(r):
 		a.After, a.By = earlier(a.After, r.By), r.By
 	default:
-		a.After, a.By, a.Observed = r.After, r.By, r.Observed
+		a.take(r.After, r.By, r)
 	}
 	return old.Sub(a.After).Abs() >= minCorrection
 }
 
-// agrees reports whether an observed announcement may be the one that another daemon
-// learned of.
+// take sets the times, and takes what they rest on from a report.
+func (a *Announcement) take(after, by time.Time, r Announcement) {
+	a.After, a.By, a.Observed, a.Unanswered = after, by, r.Observed, r.Unanswered
+}
+
+// isInformed reports whether the times are not only the earliest possible ones.
+func (a *Announcement) isInformed() bool { return a.Observed || a.Unanswered }
+
+// agrees reports whether an announcement may be the one that another daemon learned of:
+// whether it was observed, or found by a daemon without answers, at that time or before.
 func (a *Announcement) agrees(other Announcement) bool {
-	return !a.After.After(other.By.Add(maxDeliverySpread))
+	at := a.After
+	if a.Unanswered {
+		at = a.By
+	}
+	return !at.After(other.By.Add(maxDeliverySpread))
 }
 
 // correct takes the times of a report of a version that is not newer than the newest. A
@@ -227,7 +269,7 @@
 		for i := range m.history {
 			a := &m.history[i]
 			if a.By.After(began) {
-				a.After, a.Observed = earlier(a.After, n.pauseBegan), false
+				a.After, a.Observed, a.Unanswered = earlier(a.After, n.pauseBegan), false, false
 				continue
 			}
 			a.After, a.By = a.After.Add(-suspended), a.By.Add(-suspended)
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -205,6 +205,54 @@
 	}
 }
 
+// TestNamingWhileStoreIsCutOffExtendsWindow guards against requests that start on a version
+// after its window because all daemons were cut off from the store when the next one was named.
+func TestNamingWhileStoreIsCutOffExtendsWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := []struct {
+		name string
+		// polled is when the polling daemon had its last answer before version 2, found is when
+		// it learned of it, and delivered when the waiting daemon did.
+		polled, found, delivered float64
+		// want is when version 2 counts as announced on both.
+		want float64
+	}{
+		{"delivered first", 7.8, 9.61, 9.6, 7.8},
+		{"found first", 7.8, 9.6, 9.65, 7.8},
+		{"only the polling daemon was cut off", 7.8, 9.61, 8.26, 8.26},
+	}
+	for _, tc := range tests {
+		polling, waiting, started := &VersionTracker{Window: window}, &VersionTracker{Window: window}, &VersionTracker{Window: window}
+		all := []*VersionTracker{polling, waiting, started}
+		for _, n := range all {
+			n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+		}
+		polling.UpdateUnanswered(map[string]int{"m": 2}, at(tc.polled), at(tc.found))
+		waiting.Update(map[string]int{"m": 2}, at(tc.delivered), at(tc.delivered))
+		started.Update(map[string]int{"m": 2}, time.Time{}, at(9.7))
+		for range 3 {
+			for _, from := range all {
+				for _, to := range all {
+					if from != to {
+						to.RecordReport(from.Announcements(at(9.8))[0])
+					}
+				}
+			}
+		}
+		end := at(tc.want).Add(window - margin)
+		for i, n := range all {
+			qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf("%s, daemon %d at the end", tc.name, i))
+			qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Not(qt.Equals), 2, qt.Commentf("%s, daemon %d before the end", tc.name, i))
+		}
+	}
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+	n.RecordPause(at(4), at(8), 0)
+	found := n.UpdateUnanswered(map[string]int{"m": 2}, at(3.9), at(8.04))
+	qt.Check(t, found[0].Unanswered, qt.IsFalse)
+}
+
 // TestReportBeforePauseIsNoticedShortensWindow guards against callers that lose all replicas
 // of a version too early because a daemon was told of its age before it noticed a pause.
 func TestReportBeforePauseIsNoticedShortensWindow(t *testing.T) {
