A lease expires while the VM of its holder is suspended

After a suspension of any length the lease seemed to have the rest of its 5 s until the next renewal, up to 2 s later, failed. Agents refuse orders of the former epoch; work that the store does not check, as the owner's permits for suspected requests, is not fenced.

The deadline now counts suspensions: the difference of the two clocks of the system, which is exact at each call and needs no detection.

TestSuspendedHolderUsesExpiredLease failed before (held after a suspension of 6 s). TestPausedHolderLosesExpiredLease covers only pauses that the clock counts. Takeovers are not concerned: a clock that stops only makes them later.

--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/shared/connector"
 	"github.com/lentilbridge/lentilbridge/internal/shared/inspector"
 	"github.com/lentilbridge/lentilbridge/internal/shared/recoverer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/timekeeper"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
 	"github.com/lentilbridge/lentilbridge/pkg/claimer"
@@ -146,6 +147,7 @@
 	}
 	d.leases = &leaser.Leaser{
 		API: d.api, VM: d.cfg.VM, Shards: leaseShards(d.cfg.Region), Candidates: d.membership.ActiveEntryNames, Log: d.log,
+		Suspended: timekeeper.Suspended,
 	}
 	d.membership.Revision = d.configuration.RevisionNumber
 	d.membership.RevisionChanged = d.configuration.Changed
--- a/internal/shared/timekeeper/timekeeper.go
+++ b/internal/shared/timekeeper/timekeeper.go
@@ -89,6 +89,22 @@
 	return time.Duration(t.Nano()), nil
 }
 
+// Suspended returns for how long the VM has been suspended since its start: what the
+// monotonic clock has not counted.
+func Suspended() time.Duration {
+	for {
+		before, err := sinceBoot()
+		var monotonic unix.Timespec
+		if err != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
+			return 0 // Linux has both clocks since version 2.6.39.
+		}
+		// The clocks are read again if the process paused in between.
+		if boot, err := sinceBoot(); err == nil && boot-before < minSuspension/2 {
+			return boot - time.Duration(monotonic.Nano())
+		}
+	}
+}
+
 // check compares the present times with those of the last check. boot is the time since
 // the start of the VM.
 func (k *Timekeeper) check(now time.Time, boot time.Duration) {
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -87,6 +87,9 @@
 	// the holder releases the lease. Hand-overs distribute work to daemons that
 	// start later.
 	HandOverDelay time.Duration
+	// Suspended returns for how long the VM has been suspended since its start, which the
+	// clock does not count, if set.
+	Suspended func() time.Duration
 	// Jitter returns a number in [0, 1); rand.Float64 when nil.
 	Jitter func() float64
 
@@ -119,7 +122,8 @@
 	// unchangedSince is the time at which this version was first read.
 	unchangedSince time.Time
 	// held is set while this process wrote the newest version and has not
-	// released the lease. The lease may be used until deadline.
+	// released the lease. The lease may be used until deadline, which counts
+	// suspensions.
 	held     bool
 	deadline time.Time
 	// holder and epoch are the newest known ones, including those passed to
@@ -175,7 +179,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.leases[shard]
-	if s == nil || !s.held || !now.Before(s.deadline) {
+	if s == nil || !s.held || !l.withSuspensions(now).Before(s.deadline) {
 		return Lease{}, false
 	}
 	return Lease{Shard: shard, Epoch: s.last.Epoch}, true
@@ -310,11 +314,19 @@
 	return ranker.Position("lease/"+shard, candidates, l.VM)
 }
 
+// withSuspensions adds the suspensions that the clock has not counted to a time.
+func (l *Leaser) withSuspensions(now time.Time) time.Time {
+	if l.Suspended == nil {
+		return now
+	}
+	return now.Add(l.Suspended())
+}
+
 func (l *Leaser) holdsAny(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.leases {
-		if s.held && now.Before(s.deadline) {
+		if s.held && l.withSuspensions(now).Before(s.deadline) {
 			return true
 		}
 	}
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,6 +108,34 @@
 	})
 }
 
+// Guards against a holder that uses its expired lease because its VM was suspended, which
+// its clock does not count.
+func TestSuspendedHolderUsesExpiredLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var suspended atomic.Int64
+		ctx, cancel := context.WithCancel(t.Context())
+		d := &daemon{
+			Leaser: &leaser.Leaser{
+				API: &emulator.FaultyObjects{}, VM: "vm-1", Shards: []string{"claims-0"},
+				Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+			},
+			cancel: cancel, done: make(chan struct{}),
+		}
+		go d.run(ctx)
+		time.Sleep(5 * time.Second)
+		_, held := d.Held("claims-0", time.Now())
+		c.Assert(held, qt.IsTrue)
+		suspended.Add(int64(leaser.DefaultDuration))
+		_, held = d.Held("claims-0", time.Now())
+		c.Assert(held, qt.IsFalse)
+		time.Sleep(2 * leaser.DefaultRenewInterval)
+		_, held = d.Held("claims-0", time.Now())
+		c.Assert(held, qt.IsTrue)
+		d.stop()
+	})
+}
+
 // Guards against a holder that loses its lease to its own write: the renewal
 // took effect, but its response was lost and the next write conflicts.
 func TestLostRenewalResponseIsReadBack(t *testing.T) {
--- a/pkg/leaser/round.go
+++ b/pkg/leaser/round.go
@@ -256,7 +256,7 @@
 func (w *write) run() error {
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := w.leaser.withSuspensions(time.Now())
 	object, err := w.send(ctx)
 	if err == nil {
 		w.recordWritten(object, sent)
