--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -75,6 +75,13 @@
 	// was last asked and answered without them, or when a prompt watch delivered them. It
 	// is zero if that is unknown.
 	ChangedAfter time.Time `json:"-"`
+	// MadeAfter is the earliest time at which a store that had no outage since made the
+	// latest changes, also if another daemon learned of them first. It is zero if that is
+	// unknown.
+	MadeAfter time.Time `json:"-"`
+	// Unanswered is set if this daemon polls the source, and the source answered none of
+	// its polls between ChangedAfter and the latest changes.
+	Unanswered bool `json:"-"`
 }
 
 // Change is the new state of an object, or its deletion.
@@ -91,6 +98,8 @@
 	ReadAt time.Time `json:"-"`
 	// Prompt is set if the watch would have waited at the store for changes.
 	Prompt bool `json:"-"`
+	// MadeAfter is that of the first of the changes, as in Snapshot.
+	MadeAfter time.Time `json:"-"`
 }
 
 // Update brings the copy of another daemon up to date: Snapshot or Changes.
@@ -185,6 +194,8 @@
 	unreachable bool
 	// versions is the sum of the versions of the objects, which rises with each change.
 	versions uint64
+	// outageAt is when a call last failed, or an outage ended.
+	outageAt time.Time
 	// restoredAt is when a copy of a restored store was last passed on.
 	restoredAt time.Time
 	// era is that of the last copy that was passed on, if any was.
@@ -192,6 +203,8 @@
 	eraKnown bool
 	// currentAt is when the copy was last known to have all changes of the source.
 	currentAt time.Time
+	// polledAt is when the last answered poll was made while this daemon polls, or zero.
+	polledAt time.Time
 	// deliveries holds the copies that are to be passed on, and delivering is set while a
 	// goroutine does so.
 	deliveries []delivery
@@ -362,8 +375,8 @@
 	if !m.loaded {
 		return nil, false
 	}
-	if list, ok := m.history.since(content); ok {
-		return Changes{Revision: m.snapshot.ContentRevision, List: list}, true
+	if list, madeAfter, ok := m.history.since(content); ok {
+		return Changes{Revision: m.snapshot.ContentRevision, List: list, MadeAfter: madeAfter}, true
 	}
 	return m.snapshot, true
 }
@@ -375,17 +388,18 @@
 	return !m.unreachable
 }
 
-func (m *Mirror) setReachable(ok bool) {
+func (m *Mirror) setUnreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unreachable = !ok
+	m.unreachable, m.outageAt = true, now
 }
 
 // recordFailure records a failed call and logs the first one of an outage.
 func (m *Mirror) recordFailure(ctx context.Context, reachable *bool) {
-	m.setReachable(false)
+	now := time.Now()
+	m.setUnreachable(now)
 	if m.OnOutage != nil && ctx.Err() == nil {
-		m.OnOutage(time.Now())
+		m.OnOutage(now)
 	}
 	if *reachable && ctx.Err() == nil {
 		m.Log.Warn("dependency lost", zap.String("dependency", "object store"), zap.String("kind", m.Kind), zap.Uint64("revision", m.Revision()))
@@ -443,46 +457,6 @@
 	}
 }
 
-// Probe polls the store at each ProbeInterval while active returns true, until ctx is
-// canceled. A watch may miss changes without an error when the store compacts its
-// history, and then returns only at the next change. One daemon probes for all: the
-// others learn from it that their copies are out of date.
-func (m *Mirror) Probe(ctx context.Context, active func() bool) {
-	for ctx.Err() == nil {
-		waiter.Wait(ctx, m.ProbeInterval)
-		if active() {
-			m.probe(ctx)
-		}
-	}
-}
-
-// probe polls the store once. Another daemon takes over from one whose store does not
-// answer, so the poll ends before the next one is due.
-func (m *Mirror) probe(ctx context.Context) {
-	before := m.ContentRevision()
-	callCtx, cancel := context.WithTimeout(ctx, m.ProbeInterval)
-	defer cancel()
-	changes, err := m.Source.Watch(callCtx, m.Kind, m.Revision(), 0)
-	var compacted *CompactedError
-	switch {
-	case err == nil:
-		now := time.Now()
-		m.recordAnswer(now)
-		m.apply(changes, now)
-	case errors.As(err, &compacted):
-		m.Log.Info("history compacted, listing again", zap.String("kind", m.Kind), zap.Uint64("revision", compacted.Revision))
-		m.list(ctx)
-	case ctx.Err() == nil:
-		if m.StoreReachable() {
-			m.Log.Info("probe failed", zap.String("kind", m.Kind), zap.Uint64("revision", m.Revision()), zap.Error(err))
-		}
-		m.setReachable(false)
-	}
-	if m.ContentRevision() != before && m.OnProbeChange != nil {
-		m.OnProbeChange()
-	}
-}
-
 // list replaces the copy with the objects that the store lists, and reports whether
 // the call succeeded.
 func (m *Mirror) list(ctx context.Context) bool {
@@ -532,6 +506,9 @@
 	m.mu.Lock()
 	wasUnreachable := m.unreachable
 	m.unreachable = false
+	if wasUnreachable {
+		m.outageAt = now
+	}
 	m.mu.Unlock()
 	if wasUnreachable && m.OnOutage != nil {
 		m.OnOutage(now)
--- a/internal/weights/selector/selector_test.go
+++ b/internal/weights/selector/selector_test.go
@@ -95,6 +95,11 @@
 			n.Update(map[string]int{"m": 2}, at(9.1), at(9.1))
 			n.RecordPause(at(9), at(9.2), 4*time.Second)
 		}, 5},
+		{"reported before the clock stopped", func(n *VersionTracker) {
+			report(n, 8.3, 8.3)
+			n.RecordPause(at(9), at(9.2), 4*time.Second)
+			n.Update(map[string]int{"m": 2}, at(9.2), at(9.2))
+		}, 4.3},
 		{"reported after the news", func(n *VersionTracker) {
 			n.Update(map[string]int{"m": 2}, at(11.8), at(11.8))
 			report(n, 8.3, 8.3)
@@ -200,6 +205,80 @@
 	}
 }
 
+// TestNamingWhileStoreIsCutOffExtendsWindow guards against requests that start on a version
+// after its window because all daemons were cut off from the store when the next one was named.
+func TestNamingWhileStoreIsCutOffExtendsWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := []struct {
+		name string
+		// polled is when the polling daemon had its last answer before version 2, found is when
+		// it learned of it, and delivered when the waiting daemon did.
+		polled, found, delivered float64
+		// want is when version 2 counts as announced on both.
+		want float64
+	}{
+		{"delivered first", 7.8, 9.61, 9.6, 7.8},
+		{"found first", 7.8, 9.6, 9.65, 7.8},
+		{"only the polling daemon was cut off", 7.8, 9.61, 8.26, 8.26},
+	}
+	for _, tc := range tests {
+		polling, waiting, started := &VersionTracker{Window: window}, &VersionTracker{Window: window}, &VersionTracker{Window: window}
+		all := []*VersionTracker{polling, waiting, started}
+		for _, n := range all {
+			n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+		}
+		polling.UpdateUnanswered(map[string]int{"m": 2}, at(tc.polled), at(tc.found))
+		waiting.Update(map[string]int{"m": 2}, at(tc.delivered), at(tc.delivered))
+		started.Update(map[string]int{"m": 2}, time.Time{}, at(9.7))
+		for range 3 {
+			for _, from := range all {
+				for _, to := range all {
+					if from != to {
+						to.RecordReport(from.Announcements(at(9.8))[0])
+					}
+				}
+			}
+		}
+		end := at(tc.want).Add(window - margin)
+		for i, n := range all {
+			qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2, qt.Commentf("%s, daemon %d at the end", tc.name, i))
+			qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Not(qt.Equals), 2, qt.Commentf("%s, daemon %d before the end", tc.name, i))
+		}
+	}
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+	n.RecordPause(at(4), at(8), 0)
+	found := n.UpdateUnanswered(map[string]int{"m": 2}, at(3.9), at(8.04))
+	qt.Check(t, found[0].Unanswered, qt.IsFalse)
+}
+
+// TestReportBeforePauseIsNoticedShortensWindow guards against callers that lose all replicas
+// of a version too early because a daemon was told of its age before it noticed a pause.
+func TestReportBeforePauseIsNoticedShortensWindow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	n := &VersionTracker{Window: window}
+	n.Update(map[string]int{"m": 1}, at(-60), at(-60))
+	n.Update(map[string]int{"m": 2}, at(8), at(8))
+	// The clock stops for 2 s.
+	paused := true
+	n.CheckPause = func() {
+		if paused {
+			paused = false
+			n.RecordPause(at(9), at(9.2), 2*time.Second)
+		}
+	}
+	n.RecordReport(Announcement{Model: "m", Version: 2, After: at(6), By: at(6), Observed: true})
+	n.CheckPause()
+	end := at(6).Add(window - margin)
+	qt.Check(t, n.OldestAllowed("m", end), qt.Equals, 2)
+	qt.Check(t, n.OldestAllowed("m", end.Add(-time.Millisecond)), qt.Equals, 1)
+	sent := n.Announcements(at(9.2))
+	qt.Assert(t, sent, qt.HasLen, 1)
+	qt.Check(t, sent[0].By, qt.Equals, at(6))
+}
+
 // TestVersionSkippedByLateNews guards against requests that start on a version after its
 // window because this daemon learned only of the last of two versions named meanwhile.
 func TestVersionSkippedByLateNews(t *testing.T) {
