Count changes written again after a restore from before it

What callers would see: requests that begin on an old model version after its time, or on one that an agent loads late. A version that is named just before the store goes down, and that no daemon has heard of by then, is missing in the restored store. The operator writes it again, and all daemons take the second write for the naming: they count its time from there.

A copy keeps when the store was last asked and had nothing newer, and a watch that waited counts as having seen the change being made. Both hold within one history. A restored store that has no change says nothing about what it acknowledged before, and what it delivers next may be the second write.

Evidence: TestRewrittenChangeCountsAsNew, before:

a poll got 7, want 5 a watch that began after the change got 7, want 5 a watch that waited got 8, want 5 a poll long after the restore got 7, want 5

Ruled out: the times that daemons tell each other. They correct this as soon as one daemon knew the version before.

Why it works: for three seconds after the first copy of a later era, answers don't count as proof that there was nothing newer, so such a change may be as old as the last answer before the restore. A version that is named first in these seconds counts as named up to half of its time too early, which only ends the old version sooner.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -17,6 +17,7 @@
 		m.logIgnored("list", s.Revision)
 		return
 	}
+	m.recordRestore(s.Revision, now)
 	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
 	m.recordRead(s.ReadAt)
 	switch {
@@ -41,6 +42,7 @@
 		m.mu.Unlock()
 		return
 	}
+	m.recordRestore(s.Revision, now)
 	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), m.currentAt
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
@@ -115,14 +117,32 @@
 		zap.Uint64("revision", revision), zap.Uint64("copy", m.Revision()))
 }
 
+// recordRestore records a restore of the store before a copy of a later era replaces that of
+// an earlier one. It is called with the lock held.
+func (m *Mirror) recordRestore(revision uint64, now time.Time) {
+	if m.loaded && Era(revision) > Era(m.snapshot.Revision) {
+		m.restoredAt = now
+	}
+}
+
 // recordRead records that the source had nothing newer than the copy when it was asked. It
 // is called with the lock held.
 func (m *Mirror) recordRead(at time.Time) {
-	if at.After(m.currentAt) {
+	if at.After(m.currentAt) && !m.mayLackChanges(at) {
 		m.currentAt = at
 	}
 }
 
+// rewriteTime is how long after a restore the store may lack changes that it acknowledged
+// before, until they are written again.
+const rewriteTime = 3 * time.Second
+
+// mayLackChanges reports whether the source may have lacked changes at a time, because it
+// was restored and they had not been written again. It is called with the lock held.
+func (m *Mirror) mayLackChanges(at time.Time) bool {
+	return !m.restoredAt.IsZero() && at.Sub(m.restoredAt) < rewriteTime
+}
+
 // apply applies changes of the store to the copy unless the copy is newer.
 func (m *Mirror) apply(c Changes, now time.Time) {
 	m.mu.Lock()
@@ -132,7 +152,7 @@
 		return
 	}
 	changedAfter := m.currentAt
-	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait {
+	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait && !m.mayLackChanges(now) {
 		changedAfter, c.ReadAt = now, now
 	}
 	m.recordRead(c.ReadAt)
@@ -157,6 +177,7 @@
 		m.mu.Unlock()
 		return
 	}
+	m.recordRestore(c.Revision, now)
 	m.snapshot.Revision = max(m.snapshot.Revision, c.Revision)
 	m.merge(c, m.currentAt)
 	m.queue(now)
@@ -252,7 +273,7 @@
 // deliver passes a copy on. A panic over one object must not end the process.
 func (m *Mirror) deliver(s Snapshot, now time.Time) {
 	defer recoverer.Contain(m.Log, "objects "+m.Kind)
-	if from, restored := m.enterEra(Era(s.Revision), now); restored {
+	if from, restored := m.enterEra(Era(s.Revision)); restored {
 		m.Log.Warn("store restored", zap.String("kind", m.Kind), zap.Uint64("from-era", from), zap.Uint64("era", Era(s.Revision)),
 			zap.Uint64("revision", StoreRevision(s.Revision)))
 		if m.OnRestore != nil {
@@ -267,14 +288,11 @@
 
 // enterEra records the era of a copy, and reports whether the store was restored since the
 // one before.
-func (m *Mirror) enterEra(era uint64, now time.Time) (from uint64, restored bool) {
+func (m *Mirror) enterEra(era uint64) (from uint64, restored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	from, restored = m.era, m.eraKnown && era > m.era
 	m.era, m.eraKnown = max(m.era, era), true
-	if restored {
-		m.restoredAt = now
-	}
 	return from, restored
 }
 
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -68,8 +68,8 @@
 	// than that.
 	ReadAt time.Time `json:"-"`
 	// ChangedAfter is the earliest time of the latest changes of a copy: when the source
-	// was last asked and answered without them, or when a prompt watch delivered them. It
-	// is zero if that is unknown.
+	// was last asked and answered without them, or when a prompt watch delivered them. Soon
+	// after a restore neither shows that they are new. It is zero if that is unknown.
 	ChangedAfter time.Time `json:"-"`
 }
 
@@ -179,7 +179,7 @@
 	unreachable bool
 	// versions is the sum of the versions of the objects, which rises with each change.
 	versions uint64
-	// restoredAt is when a copy of a restored store was last passed on.
+	// restoredAt is when the first copy of a restored store was last received.
 	restoredAt time.Time
 	// era is that of the last copy that was passed on, if any was.
 	era      uint64
--- a/internal/coordination/mirrorer/restore_test.go
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -174,3 +174,33 @@
 		})
 	}
 }
+
+// TestRewrittenChangeCountsAsNew guards against a change that counts as made after a restore,
+// because the restored store did not have it until it was written again.
+func TestRewrittenChangeCountsAsNew(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	const lastRead, restored = 5, 7
+	tests := []struct {
+		name            string
+		asked, answered float64
+		prompt          bool
+		// want is the earliest time of the change.
+		want float64
+	}{
+		{"a poll", 7.2, 7.3, false, lastRead},
+		{"a watch that began after the change", 7.2, 7.3, true, lastRead},
+		{"a watch that waited", 7.2, 8, true, lastRead},
+		{"a watch that waited for long", 7.2, 30, true, 30},
+		{"a poll long after the restore", 30, 30.1, false, lastRead},
+	}
+	for _, tc := range tests {
+		m := newEmptyMirror()
+		m.replace(Snapshot{Revision: JoinRevision(1, 10), Objects: map[string]Object{}, ReadAt: start}, start)
+		m.apply(Changes{Revision: JoinRevision(1, 12), ReadAt: at(lastRead)}, at(lastRead))
+		m.replace(Snapshot{Revision: JoinRevision(2, 11), Objects: map[string]Object{}, ReadAt: at(restored)}, at(restored))
+		m.apply(Changes{Revision: JoinRevision(2, 12), ReadAt: at(tc.asked), Prompt: tc.prompt, List: []Change{put("a", JoinRevision(2, 12))}}, at(tc.answered))
+		s, _ := m.Get()
+		qt.Check(t, s.ChangedAfter.Sub(start).Seconds(), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
