Pause after watches whose answers are older than the copy

What operators would see: hundreds of calls a second from each entry daemon to a store whose answers to watches are of an earlier era than the copy.

Cause: such an answer is dropped, as it has to be, and the watch is made again from the same revision without a pause.

Evidence: TestOlderAnswersFloodStore, before: 2500 watches in ten seconds with 4 ms for a call, want less than 60. A single late answer costs one call.

Ruled out: copies that other daemons make newer while a watch waits. The answer is compared with the revision from which the call watches.

Why it works: the pause is the one after a failed call, from 50 ms up to 0.4 s.

--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -266,9 +266,12 @@
 			}
 			continue
 		}
-		err := m.watch(ctx, relistAt)
+		older, err := m.watch(ctx, relistAt)
 		var compacted *CompactedError
 		switch {
+		case older:
+			waiter.Wait(ctx, withJitter(retryDelay))
+			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err == nil:
 			if !reachable {
 				m.Log.Info("dependency regained", zap.String("dependency", "object store"), zap.String("kind", m.Kind))
@@ -483,8 +486,9 @@
 	return true
 }
 
-// watch makes one watch call and applies its changes. The call ends at until, if set.
-func (m *Mirror) watch(ctx context.Context, until time.Time) error {
+// watch makes one watch call and applies its changes, unless the answer is older than the
+// revision from which it watches, which it reports. The call ends at until, if set.
+func (m *Mirror) watch(ctx context.Context, until time.Time) (older bool, err error) {
 	if !until.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, until)
@@ -493,12 +497,12 @@
 	from := m.Revision()
 	changes, err := m.Source.Watch(ctx, m.Kind, from, watchTimeout)
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
 	m.recordAnswer(now)
 	m.apply(changes, now)
-	return nil
+	return changes.Revision < from, nil
 }
 
 // recordAnswer records that the store answered. If that ends an outage, it calls
--- a/internal/coordination/mirrorer/restore_test.go
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -1,8 +1,10 @@
 package mirrorer
 
 import (
+	"context"
 	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -204,3 +206,35 @@
 		qt.Check(t, s.ChangedAfter.Sub(start).Seconds(), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
 }
+
+// olderStore answers watches with changes of an earlier era than lists.
+type olderStore struct {
+	watches int
+}
+
+func (s *olderStore) List(context.Context, string, bool) (Snapshot, error) {
+	return Snapshot{Revision: JoinRevision(2, 10), Objects: map[string]Object{}}, nil
+}
+
+func (s *olderStore) Watch(context.Context, string, uint64, time.Duration) (Changes, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.watches++
+	return Changes{Revision: JoinRevision(1, 11), List: []Change{put("a", JoinRevision(1, 11))}}, nil
+}
+
+// TestOlderAnswersFloodStore guards against watches without a pause while their answers are
+// older than the copy.
+func TestOlderAnswersFloodStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &olderStore{}
+		m := newEmptyMirror()
+		m.Source = s
+		go m.Run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		// One for each of the longest pauses, and those of the first second.
+		qt.Assert(t, s.watches < 60, qt.IsTrue, qt.Commentf("%d watches", s.watches))
+	})
+}
