Log versions of operators that are lower than the copy's

What operators would see: a configuration that they wrote after a restore, with a version below the one that the restore lost, is in force nowhere, and no log line says why.

Evidence: TestOlderVersionIsIgnoredSilently, before: no line in any of its four rows, want 1.

Ruled out: lines in a loop. Each list and each change gives at most one for an object, and lists have pauses.

Why it works: the copy logs the version that it does not take beside the one that it keeps.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -153,7 +153,11 @@
 	for _, change := range c.List {
 		// A copy from another daemon may already contain a later revision of the object.
 		known, ok := objects[change.Object.Name]
-		if ok && (known.Revision > change.Object.Revision || m.isLater(known, change.Object)) {
+		if ok && known.Revision > change.Object.Revision {
+			continue
+		}
+		if ok && m.isLater(known, change.Object) {
+			m.logOlderVersion(known, change.Object)
 			continue
 		}
 		if change.Deleted {
--- a/internal/coordination/mirrorer/restore_test.go
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 )
 
@@ -238,3 +241,48 @@
 		qt.Assert(t, s.watches < 60, qt.IsTrue, qt.Commentf("%d watches", s.watches))
 	})
 }
+
+// TestOlderVersionIsIgnoredSilently guards against a version that operators wrote after a
+// restore, that is not in force because it is lower, and of which no log line tells.
+func TestOlderVersionIsIgnoredSilently(t *testing.T) {
+	now := time.Unix(1000, 0)
+	versioned := func(version, revision uint64) Object {
+		return Object{Name: "a", Revision: revision, Spec: strconv.AppendUint(nil, version, 10)}
+	}
+	list := func(o Object) Snapshot {
+		return Snapshot{Revision: o.Revision, ContentRevision: o.Revision, Objects: map[string]Object{"a": o}}
+	}
+	change := func(o Object) Changes {
+		return Changes{Revision: o.Revision, List: []Change{{Object: o}}}
+	}
+	older := versioned(7, JoinRevision(2, 30))
+	tests := []struct {
+		name  string
+		write func(*Mirror)
+	}{
+		{"in a list", func(m *Mirror) { m.replace(list(older), now) }},
+		{"in a change", func(m *Mirror) { m.apply(change(older), now) }},
+		{"in the list of another daemon", func(m *Mirror) { m.replaceFromPeer(list(older), now) }},
+		{"in a change of another daemon", func(m *Mirror) { m.applyFromPeer(change(older), now) }},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			core, logs := observer.New(zapcore.WarnLevel)
+			m := newEmptyMirror()
+			m.Log = zap.New(core)
+			m.Version = func(o Object) uint64 {
+				version, _ := strconv.ParseUint(string(o.Spec), 10, 64)
+				return version
+			}
+			m.replace(list(versioned(10, JoinRevision(1, 31))), now)
+			tc.write(m)
+			got, _ := m.Get()
+			c.Assert(string(got.Objects["a"].Spec), qt.Equals, "10")
+			lines := logs.FilterMessage("older version ignored").All()
+			c.Assert(lines, qt.HasLen, 1)
+			c.Assert(lines[0].ContextMap()["version"], qt.Equals, uint64(7))
+			c.Assert(lines[0].ContextMap()["known"], qt.Equals, uint64(10))
+		})
+	}
+}
--- a/internal/coordination/mirrorer/versions.go
+++ b/internal/coordination/mirrorer/versions.go
@@ -51,6 +51,7 @@
 func (m *Mirror) keepLater(objects map[string]Object) {
 	for name, known := range m.snapshot.Objects {
 		if m.isLater(known, objects[name]) {
+			m.logOlderVersion(known, objects[name])
 			objects[name] = known
 		}
 	}
@@ -61,6 +62,13 @@
 	return m.Version != nil && m.Version(o) > m.Version(other)
 }
 
+// logOlderVersion logs a version of the store that is not taken. It may have been written after
+// a restore, and is then not in force until a later one is.
+func (m *Mirror) logOlderVersion(known, older Object) {
+	m.Log.Warn("older version ignored", zap.String("kind", m.Kind), zap.String("object", known.Name),
+		zap.Uint64("version", m.Version(older)), zap.Uint64("known", m.Version(known)))
+}
+
 // adoptLater adds contents of later versions to the copy, whose revisions stay.
 func (m *Mirror) adoptLater(s Snapshot, now time.Time) {
 	m.mu.Lock()
