Pass on a version that was taken from another daemon and then listed

What callers would see: an agent, or a daemon that another one watches for, learns late of a version that was named again after a restore.

Cause: a daemon that takes a later version from another one keeps its content revision, which the store's answer raises. If that answer is a list, the copy has the same objects already, so the list counts as the same content and the content revision stays. Others with that content revision get nothing from this daemon, until it gets the change from yet another one.

Ruled out: answers to watches, which raise the content revision.

Why it works: the content revision of a kind whose objects are never deleted is that of the newest object, also if the copy has that object already.

--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -21,10 +21,10 @@
 	s.ContentRevision, s.ChangedAfter = s.Revision, m.currentAt
 	m.recordRead(s.ReadAt)
 	switch {
-	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
-		s.ContentRevision = m.snapshot.ContentRevision
 	case m.Permanent:
 		s.ContentRevision = max(newestObject(s.Objects), m.snapshot.ContentRevision)
+	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
+		s.ContentRevision = m.snapshot.ContentRevision
 	}
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
--- a/internal/coordination/mirrorer/restore_test.go
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -271,10 +271,7 @@
 			core, logs := observer.New(zapcore.WarnLevel)
 			m := newEmptyMirror()
 			m.Log = zap.New(core)
-			m.Version = func(o Object) uint64 {
-				version, _ := strconv.ParseUint(string(o.Spec), 10, 64)
-				return version
-			}
+			m.Version = versionOf
 			m.replace(list(versioned(10, JoinRevision(1, 31))), now)
 			tc.write(m)
 			got, _ := m.Get()
