--- a/internal/coordination/mirrorer/copy.go
+++ b/internal/coordination/mirrorer/copy.go
@@ -17,14 +17,15 @@
 		m.logIgnored("list", s.Revision)
 		return
 	}
+	m.recordRestore(s.Revision, now)
 	s.ContentRevision, s.ChangedAfter, s.MadeAfter = s.Revision, m.currentAt, later(m.currentAt, m.outageAt)
 	s.Unanswered = m.isUnanswered(now)
 	m.recordRead(s.ReadAt)
 	switch {
-	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
-		s.ContentRevision = m.snapshot.ContentRevision
 	case m.Permanent:
 		s.ContentRevision = max(newestObject(s.Objects), m.snapshot.ContentRevision)
+	case m.loaded && Era(s.Revision) == Era(m.snapshot.Revision) && sameObjects(m.snapshot.Objects, s.Objects):
+		s.ContentRevision = m.snapshot.ContentRevision
 	}
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
@@ -42,6 +43,7 @@
 		m.mu.Unlock()
 		return
 	}
+	m.recordRestore(s.Revision, now)
 	s.Revision, s.ChangedAfter = max(s.Revision, m.snapshot.Revision), m.currentAt
 	m.keepLater(s.Objects)
 	m.setSnapshot(s)
@@ -62,49 +64,6 @@
 	m.countVersions()
 }
 
-// keepLater adds the contents of the copy to objects that are to replace it where their
-// versions are later. It is called with the lock held.
-func (m *Mirror) keepLater(objects map[string]Object) {
-	for name, known := range m.snapshot.Objects {
-		if m.isLater(known, objects[name]) {
-			objects[name] = known
-		}
-	}
-}
-
-// isLater reports whether the contents of an object are of a later version than others.
-func (m *Mirror) isLater(o, other Object) bool {
-	return m.Version != nil && m.Version(o) > m.Version(other)
-}
-
-// adoptLater adds contents of later versions to the copy, whose revisions stay.
-func (m *Mirror) adoptLater(s Snapshot, now time.Time) {
-	m.mu.Lock()
-	objects := maps.Clone(m.snapshot.Objects)
-	for name, o := range s.Objects {
-		if m.isLater(o, objects[name]) {
-			objects[name] = o
-			m.Log.Info("later version taken", zap.String("kind", m.Kind), zap.String("object", name), zap.Uint64("version", m.Version(o)))
-		}
-	}
-	m.snapshot.Objects = objects
-	m.countVersions()
-	m.queue(now)
-	m.mu.Unlock()
-	m.notify()
-}
-
-// countVersions sums up the versions of the copy. It is called with the lock held.
-func (m *Mirror) countVersions() {
-	m.versions = 0
-	if m.Version == nil {
-		return
-	}
-	for _, o := range m.snapshot.Objects {
-		m.versions += m.Version(o)
-	}
-}
-
 func (m *Mirror) logReplaced(s Snapshot, origin string) {
 	m.Log.Info("objects replaced", zap.String("kind", m.Kind), zap.String("from", origin),
 		zap.Uint64("revision", s.Revision), zap.Uint64("content", s.ContentRevision), zap.Int("objects", len(s.Objects)))
@@ -123,14 +82,32 @@
 	return b
 }
 
+// recordRestore records a restore of the store before a copy of a later era replaces that of
+// an earlier one. It is called with the lock held.
+func (m *Mirror) recordRestore(revision uint64, now time.Time) {
+	if m.loaded && Era(revision) > Era(m.snapshot.Revision) {
+		m.restoredAt = now
+	}
+}
+
 // recordRead records that the source had nothing newer than the copy when it was asked. It
 // is called with the lock held.
 func (m *Mirror) recordRead(at time.Time) {
-	if at.After(m.currentAt) {
+	if at.After(m.currentAt) && !m.mayLackChanges(at) {
 		m.currentAt = at
 	}
 }
 
+// rewriteTime is how long after a restore the store may lack changes that it acknowledged
+// before, until they are written again.
+const rewriteTime = 3 * time.Second
+
+// mayLackChanges reports whether the source may have lacked changes at a time, because it
+// was restored and they had not been written again. It is called with the lock held.
+func (m *Mirror) mayLackChanges(at time.Time) bool {
+	return !m.restoredAt.IsZero() && at.Sub(m.restoredAt) < rewriteTime
+}
+
 // apply applies changes of the store to the copy unless the copy is newer.
 func (m *Mirror) apply(c Changes, now time.Time) {
 	m.mu.Lock()
@@ -140,7 +117,7 @@
 		return
 	}
 	changedAfter, unanswered := m.currentAt, m.isUnanswered(now)
-	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait && !unanswered {
+	if c.Prompt && len(c.List) > 0 && now.Sub(c.ReadAt) >= minWatchWait && !unanswered && !m.mayLackChanges(now) {
 		changedAfter, c.ReadAt = now, now
 	}
 	m.recordRead(c.ReadAt)
@@ -166,6 +143,7 @@
 		m.mu.Unlock()
 		return
 	}
+	m.recordRestore(c.Revision, now)
 	m.snapshot.Revision = max(m.snapshot.Revision, c.Revision)
 	m.merge(c, m.currentAt)
 	m.queue(now)
@@ -184,7 +162,11 @@
 	for _, change := range c.List {
 		// A copy from another daemon may already contain a later revision of the object.
 		known, ok := objects[change.Object.Name]
-		if ok && (known.Revision > change.Object.Revision || m.isLater(known, change.Object)) {
+		if ok && known.Revision > change.Object.Revision {
+			continue
+		}
+		if ok && m.isLater(known, change.Object) {
+			m.logOlderVersion(known, change.Object)
 			continue
 		}
 		if change.Deleted {
@@ -261,7 +243,7 @@
 // deliver passes a copy on. A panic over one object must not end the process.
 func (m *Mirror) deliver(s Snapshot, now time.Time) {
 	defer recoverer.Contain(m.Log, "objects "+m.Kind)
-	if from, restored := m.enterEra(Era(s.Revision), now); restored {
+	if from, restored := m.enterEra(Era(s.Revision)); restored {
 		m.Log.Warn("store restored", zap.String("kind", m.Kind), zap.Uint64("from-era", from), zap.Uint64("era", Era(s.Revision)),
 			zap.Uint64("revision", StoreRevision(s.Revision)))
 		if m.OnRestore != nil {
@@ -276,14 +258,11 @@
 
 // enterEra records the era of a copy, and reports whether the store was restored since the
 // one before.
-func (m *Mirror) enterEra(era uint64, now time.Time) (from uint64, restored bool) {
+func (m *Mirror) enterEra(era uint64) (from uint64, restored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	from, restored = m.era, m.eraKnown && era > m.era
 	m.era, m.eraKnown = max(m.era, era), true
-	if restored {
-		m.restoredAt = now
-	}
 	return from, restored
 }
 
--- a/internal/coordination/mirrorer/mirrorer.go
+++ b/internal/coordination/mirrorer/mirrorer.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -72,8 +71,8 @@
 	// than that.
 	ReadAt time.Time `json:"-"`
 	// ChangedAfter is the earliest time of the latest changes of a copy: when the source
-	// was last asked and answered without them, or when a prompt watch delivered them. It
-	// is zero if that is unknown.
+	// was last asked and answered without them, or when a prompt watch delivered them. Soon
+	// after a restore neither shows that they are new. It is zero if that is unknown.
 	ChangedAfter time.Time `json:"-"`
 	// MadeAfter is the earliest time at which a store that had no outage since made the
 	// latest changes, also if another daemon learned of them first. It is zero if that is
@@ -196,7 +195,7 @@
 	versions uint64
 	// outageAt is when a call last failed, or an outage ended.
 	outageAt time.Time
-	// restoredAt is when a copy of a restored store was last passed on.
+	// restoredAt is when the first copy of a restored store was last received.
 	restoredAt time.Time
 	// era is that of the last copy that was passed on, if any was.
 	era      uint64
@@ -233,28 +232,6 @@
 	return m.snapshot.ContentRevision
 }
 
-// versionsTime is how long after a restore daemons tell each other the versions of their
-// contents. In that time operators write them to the store again.
-const versionsTime = time.Minute
-
-// VersionsKind is the name under which daemons tell each other Versions of a kind.
-func VersionsKind(kind string) string { return kind + versionsSuffix }
-
-// KindOf returns the kind of objects that a name in HaveNewer and FetchNewer stands for, and
-// whether that is of VersionsKind.
-func KindOf(name string) (kind string, versions bool) { return strings.CutSuffix(name, versionsSuffix) }
-
-const versionsSuffix = "/versions"
-
-// Versions returns the sum of the versions of all contents, and false unless the store was
-// restored lately. A daemon that started since then has earlier contents from the store
-// until operators have written the later ones again.
-func (m *Mirror) Versions(now time.Time) (uint64, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.versions, m.Version != nil && !m.restoredAt.IsZero() && now.Sub(m.restoredAt) < versionsTime
-}
-
 // Changed returns a channel that is closed at the next change of the copy.
 func (m *Mirror) Changed() <-chan struct{} { return m.changed.Changed() }
 
@@ -285,9 +262,12 @@
 			}
 			continue
 		}
-		err := m.watch(ctx, relistAt)
+		older, err := m.watch(ctx, relistAt)
 		var compacted *CompactedError
 		switch {
+		case older:
+			waiter.Wait(ctx, withJitter(retryDelay))
+			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err == nil:
 			if !reachable {
 				m.Log.Info("dependency regained", zap.String("dependency", "object store"), zap.String("kind", m.Kind))
@@ -442,21 +422,6 @@
 	}
 }
 
-// CatchUpWithVersions takes contents of later versions from another daemon that tells of
-// them.
-func (m *Mirror) CatchUpWithVersions(ctx context.Context) {
-	m.mu.Lock()
-	known, versions := m.loaded && m.Version != nil, m.versions
-	m.mu.Unlock()
-	if !known || !m.Peers.HaveNewer(VersionsKind(m.Kind), versions, All) {
-		return
-	}
-	update, ok := m.Peers.FetchNewer(ctx, VersionsKind(m.Kind), versions, All)
-	if s, isSnapshot := update.(Snapshot); ok && isSnapshot {
-		m.adoptLater(s, time.Now())
-	}
-}
-
 // list replaces the copy with the objects that the store lists, and reports whether
 // the call succeeded.
 func (m *Mirror) list(ctx context.Context) bool {
@@ -481,8 +446,9 @@
 	return min(maxWatchWait, time.Duration(watchShare*float64(m.HistoryTime)))
 }
 
-// watch makes one watch call and applies its changes. The call ends at until, if set.
-func (m *Mirror) watch(ctx context.Context, until time.Time) error {
+// watch makes one watch call and applies its changes, unless the answer is older than the
+// revision from which it watches, which it reports. The call ends at until, if set.
+func (m *Mirror) watch(ctx context.Context, until time.Time) (older bool, err error) {
 	if !until.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, until)
@@ -491,12 +457,12 @@
 	from := m.Revision()
 	changes, err := m.Source.Watch(ctx, m.Kind, from, m.watchWait())
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
 	m.recordAnswer(now)
 	m.apply(changes, now)
-	return nil
+	return changes.Revision < from, nil
 }
 
 // recordAnswer records that the store answered. If that ends an outage, it calls
--- a/internal/coordination/mirrorer/restore_test.go
+++ b/internal/coordination/mirrorer/restore_test.go
@@ -1,12 +1,17 @@
 package mirrorer
 
 import (
+	"context"
 	"maps"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 )
 
@@ -174,3 +179,107 @@
 		})
 	}
 }
+
+// TestRewrittenChangeCountsAsNew guards against a change that counts as made after a restore,
+// because the restored store did not have it until it was written again.
+func TestRewrittenChangeCountsAsNew(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	const lastRead, restored = 5, 7
+	tests := []struct {
+		name            string
+		asked, answered float64
+		prompt          bool
+		// want is the earliest time of the change.
+		want float64
+	}{
+		{"a poll", 7.2, 7.3, false, lastRead},
+		{"a watch that began after the change", 7.2, 7.3, true, lastRead},
+		{"a watch that waited", 7.2, 8, true, lastRead},
+		{"a watch that waited for long", 7.2, 30, true, 30},
+		{"a poll long after the restore", 30, 30.1, false, lastRead},
+	}
+	for _, tc := range tests {
+		m := newEmptyMirror()
+		m.replace(Snapshot{Revision: JoinRevision(1, 10), Objects: map[string]Object{}, ReadAt: start}, start)
+		m.apply(Changes{Revision: JoinRevision(1, 12), ReadAt: at(lastRead)}, at(lastRead))
+		m.replace(Snapshot{Revision: JoinRevision(2, 11), Objects: map[string]Object{}, ReadAt: at(restored)}, at(restored))
+		m.apply(Changes{Revision: JoinRevision(2, 12), ReadAt: at(tc.asked), Prompt: tc.prompt, List: []Change{put("a", JoinRevision(2, 12))}}, at(tc.answered))
+		s, _ := m.Get()
+		qt.Check(t, s.ChangedAfter.Sub(start).Seconds(), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
+
+// olderStore answers watches with changes of an earlier era than lists.
+type olderStore struct {
+	watches int
+}
+
+func (s *olderStore) List(context.Context, string, bool) (Snapshot, error) {
+	return Snapshot{Revision: JoinRevision(2, 10), Objects: map[string]Object{}}, nil
+}
+
+func (s *olderStore) Watch(context.Context, string, uint64, time.Duration) (Changes, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.watches++
+	return Changes{Revision: JoinRevision(1, 11), List: []Change{put("a", JoinRevision(1, 11))}}, nil
+}
+
+// TestOlderAnswersFloodStore guards against watches without a pause while their answers are
+// older than the copy.
+func TestOlderAnswersFloodStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &olderStore{}
+		m := newEmptyMirror()
+		m.Source = s
+		go m.Run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		// One for each of the longest pauses, and those of the first second.
+		qt.Assert(t, s.watches < 60, qt.IsTrue, qt.Commentf("%d watches", s.watches))
+	})
+}
+
+// TestOlderVersionIsIgnoredSilently guards against a version that operators wrote after a
+// restore, that is not in force because it is lower, and of which no log line tells.
+func TestOlderVersionIsIgnoredSilently(t *testing.T) {
+	now := time.Unix(1000, 0)
+	versioned := func(version, revision uint64) Object {
+		return Object{Name: "a", Revision: revision, Spec: strconv.AppendUint(nil, version, 10)}
+	}
+	list := func(o Object) Snapshot {
+		return Snapshot{Revision: o.Revision, ContentRevision: o.Revision, Objects: map[string]Object{"a": o}}
+	}
+	change := func(o Object) Changes {
+		return Changes{Revision: o.Revision, List: []Change{{Object: o}}}
+	}
+	older := versioned(7, JoinRevision(2, 30))
+	tests := []struct {
+		name  string
+		write func(*Mirror)
+	}{
+		{"in a list", func(m *Mirror) { m.replace(list(older), now) }},
+		{"in a change", func(m *Mirror) { m.apply(change(older), now) }},
+		{"in the list of another daemon", func(m *Mirror) { m.replaceFromPeer(list(older), now) }},
+		{"in a change of another daemon", func(m *Mirror) { m.applyFromPeer(change(older), now) }},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			core, logs := observer.New(zapcore.WarnLevel)
+			m := newEmptyMirror()
+			m.Log = zap.New(core)
+			m.Version = versionOf
+			m.replace(list(versioned(10, JoinRevision(1, 31))), now)
+			tc.write(m)
+			got, _ := m.Get()
+			c.Assert(string(got.Objects["a"].Spec), qt.Equals, "10")
+			lines := logs.FilterMessage("older version ignored").All()
+			c.Assert(lines, qt.HasLen, 1)
+			c.Assert(lines[0].ContextMap()["version"], qt.Equals, uint64(7))
+			c.Assert(lines[0].ContextMap()["known"], qt.Equals, uint64(10))
+		})
+	}
+}
