Ask agents for their calls before granting claims in a new era

What callers would see: an object API is restored from a copy without a claim, and the entry daemons that made and granted it end at that time. Nobody is left who knows the claim. Six seconds later the key is granted again, and a call that must not be repeated runs twice.

Cause: claims that a restore loses are written again only by the daemons that remember them. The agents that ran the calls got the claim key with the call and did not keep it.

Change: an agent remembers the keys of the calls that it has started (10 min, at most 65,536). A shard that has entered an era asks the agents of all services for them before it grants, and writes the missing claims again. The question follows the 6 s without grants: reservations of the earlier era have expired by then, so no call of that era starts after the answer. New keys of a service are refused while one of its agents does not answer or has forgotten calls, at most for 5 min. An agent also refuses a second start with a key; the status of the refused attempt is that of the earlier one, so that the claim never becomes not-run, which would allow a third attempt.

TestClaimLostWithItsDaemonsIsNotGrantedAgain (red before: "unexpected success, got CLAIM_STATE_GRANTED" in the sixth second) had no agents. Its claims now run at fake agents which survive the daemons; the assertion that no claim is granted in 30 s is the same, and it also requires that the reply names the first call and that other keys are granted. With StartedCalls nil it fails as before, as do TestSilentAgentHoldsBackGrants (192 grants in 30 s instead of 0) and TestStartedCallReplacesEarlierClaim.

Ruled out: only refusing at the agent (the second call may reach another agent); a question to all agents for each claim (one call per request for 5 min); a second replicated store.

--- a/internal/daemon/agent/rpc.go
+++ b/internal/daemon/agent/rpc.go
@@ -123,6 +123,11 @@
 	return s.Executor.AttemptStatus(ctx, req)
 }
 
+// ClaimedCalls implements messenger.AgentServer.
+func (s *rpcServer) ClaimedCalls(ctx context.Context, req *messenger.ClaimedCallsRequest) (*messenger.ClaimedCallsReply, error) {
+	return s.Executor.ClaimedCalls(ctx, req)
+}
+
 // Order implements messenger.AgentServer.
 func (s *rpcServer) Order(ctx context.Context, req *messenger.OrderRequest) (*messenger.OrderReply, error) {
 	return s.Orders.Order(ctx, req)
--- a/internal/daemon/executor/attempt.go
+++ b/internal/daemon/executor/attempt.go
@@ -133,6 +133,7 @@
 		deadline: a.deadline(now), limit: a.limit(now), fingerprint: a.start.GetFingerprint(),
 		service: a.start.GetService().GetService(), reservation: a.start.GetReservation(),
 		cancel: cancel, mustRunToEnd: a.mustRunToEnd(),
+		claimKey: a.start.GetService().GetClaimKey(), bodyDigest: a.start.GetService().GetBodyDigest(),
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/daemon/executor/retention.go
+++ b/internal/daemon/executor/retention.go
@@ -53,6 +53,7 @@
 // canceled or had a reservation. A refused attempt is not sent a second time, and
 // under overload its records would leave no room for those of canceled attempts.
 func (t *table) recordNotStarted(rec *record, now time.Time) {
+	t.claims.remove(rec.claimKey, rec.key)
 	if rec.canceled || rec.reservation != "" {
 		t.recordEnd(rec, phaseNeverStarted, nil, now)
 		return
--- a/internal/daemon/executor/rpc.go
+++ b/internal/daemon/executor/rpc.go
@@ -75,7 +75,7 @@
 	}
 	e.mu.Lock()
 	rec, recorded := e.table.cancel(keyOf(req.GetId()), time.Now())
-	state := attemptState(rec)
+	state := attemptState(e.table.resolveEarlier(rec))
 	var stop context.CancelCauseFunc
 	if rec != nil && !rec.mustRunToEnd {
 		stop = rec.cancel
@@ -105,7 +105,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.advance(time.Now())
-	rec := e.table.records[keyOf(req.GetId())]
+	rec := e.table.resolveEarlier(e.table.records[keyOf(req.GetId())])
 	reply := &messenger.AttemptStatusReply{State: attemptState(rec)}
 	if rec != nil {
 		reply.Answer = rec.answer
--- a/internal/daemon/executor/table.go
+++ b/internal/daemon/executor/table.go
@@ -48,6 +48,11 @@
 	limit       time.Time
 	fingerprint string
 	version     ActiveVersion
+	// claimKey and bodyDigest are the claim of a call that must not be repeated.
+	claimKey   string
+	bodyDigest []byte
+	// earlier is the attempt that has used the claim key before this one.
+	earlier *attemptKey
 
 	// reservation, service and expires describe a reservation.
 	reservation string
@@ -126,6 +131,7 @@
 	// lastEviction is when a finished record was last removed before
 	// RetentionTime.
 	lastEviction time.Time
+	claims       claimedCalls
 
 	// changed is closed and replaced when an attempt ends.
 	changed chan struct{}
@@ -136,7 +142,7 @@
 		maxRunning: maxRunning, maxWaiting: maxWaiting,
 		records: map[attemptKey]*record{}, reservations: list.New(),
 		finished: list.New(), neverStarted: list.New(), answers: list.New(),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), claims: newClaimedCalls(),
 	}
 }
 
@@ -171,6 +177,9 @@
 		if r := t.useReservation(existing, rec, reservation); r != nil {
 			return r
 		}
+		if r := t.addClaimedCall(rec, existing, now); r != nil {
+			return r
+		}
 	} else {
 		if existing != nil {
 			return refusalForExisting(existing)
--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -158,7 +158,9 @@
 // initLeasedWork creates the components whose work is divided by leases: only
 // the holder of a shard's lease does the work of the shard.
 func (d *daemon) initLeasedWork() {
-	d.claims = &claimer.Claimer{API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease, Log: d.log}
+	d.claims = &claimer.Claimer{
+		API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease, StartedCalls: d.startedCalls, Log: d.log,
+	}
 	d.isolation = &isolator.Isolator{
 		API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease,
 		Spread: d.membership.BroadcastSuspicions, Now: time.Now, Log: d.log,
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -23,6 +23,9 @@
 	finished     = messenger.AttemptState_ATTEMPT_STATE_FINISHED
 	forgotten    = messenger.AttemptState_ATTEMPT_STATE_FORGOTTEN
 	overloaded   = messenger.RefuseReason_REFUSE_REASON_OVERLOADED
+	brokenOff    = messenger.AttemptState_ATTEMPT_STATE_BROKEN
+	keyUsed      = messenger.RefuseReason_REFUSE_REASON_CLAIM_KEY_USED
+	keyMismatch  = messenger.RefuseReason_REFUSE_REASON_CLAIM_KEY_MISMATCH
 	duplicate    = messenger.RefuseReason_REFUSE_REASON_DUPLICATE
 	draining     = messenger.RefuseReason_REFUSE_REASON_DRAINING
 )
@@ -306,6 +309,10 @@
 		{name: "broken stream of a finished call", key: "k", first: &fakeAgent{script: playEvents(acceptedV1), state: state(finished, "late")}, outcome: "served", body: "late", starts: 1, recorded: "served"},
 		{name: "broken stream of a call without a key", first: &fakeAgent{script: playEvents(acceptedV1), state: state(forgotten, ""), cancelState: forgotten}, outcome: "unknown", code: "outcome-unknown", starts: 1},
 		{name: "duplicate start of a finished call", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(duplicate) }), state: state(finished, "late")}, outcome: "served", body: "late", starts: 1},
+		{name: "key used at the agent by a call without a claim", key: "k", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(keyUsed) }), state: state(finished, "earlier")}, outcome: "served", body: "earlier", starts: 1, recorded: "served"},
+		{name: "key used at the agent by a call that runs, whose answer is not kept", key: "k", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(keyUsed) }), state: runningThen(10, finished)}, outcome: "unknown", code: "outcome-unknown", starts: 1},
+		{name: "key used at the agent by a broken call", key: "k", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(keyUsed) }), state: state(brokenOff, "")}, outcome: "unknown", code: "outcome-unknown", starts: 1, recorded: "unknown"},
+		{name: "key used at the agent with another body", key: "k", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(keyMismatch) })}, outcome: "not-run", code: "idempotency-key-reused", starts: 1, recorded: "unknown"},
 		{name: "no reservation on the first server", first: &fakeAgent{refusal: &messenger.AttemptRefused{Reason: overloaded}}, outcome: "served", body: "stored", starts: 1},
 		{name: "draining between reservation and start", key: "k", first: &fakeAgent{script: playEvents(func() *messenger.AttemptEvent { return refusal(draining) })}, outcome: "served", body: "stored", starts: 2, recorded: "not-run served"},
 	}
--- a/internal/request/forwarder/headers.go
+++ b/internal/request/forwarder/headers.go
@@ -32,6 +32,7 @@
 		Body:       call.Body,
 		Idempotent: req.Idempotent,
 		ClaimKey:   req.ClaimKey,
+		BodyDigest: req.BodyDigest,
 	}
 }
 
--- a/internal/request/forwarder/nonidempotent.go
+++ b/internal/request/forwarder/nonidempotent.go
@@ -224,6 +224,15 @@
 		c.completeClaim(ctx, a, identifier.OutcomeNotRun, nil)
 		return true, serverError(http.StatusServiceUnavailable, "not-sent", "the backend server could not be reached")
 	case refused:
+		// The store has lost the claim of an earlier call. The outcome not-run
+		// would allow a further call.
+		switch e.GetReason() {
+		case messenger.RefuseReason_REFUSE_REASON_CLAIM_KEY_USED:
+			return false, c.resolveLost(ctx, a)
+		case messenger.RefuseReason_REFUSE_REASON_CLAIM_KEY_MISMATCH:
+			c.completeClaim(ctx, a, identifier.OutcomeUnknown, nil)
+			return false, mismatchError()
+		}
 		c.completeClaim(ctx, a, identifier.OutcomeNotRun, nil)
 		if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_RESERVATION_EXPIRED {
 			// The reservation expired while an earlier call with the same key was
--- a/internal/shared/authenticator/roles.go
+++ b/internal/shared/authenticator/roles.go
@@ -19,6 +19,7 @@
 	messenger.Agent_Reserve_FullMethodName:       RoleEntry,
 	messenger.Agent_Cancel_FullMethodName:        RoleEntry,
 	messenger.Agent_AttemptStatus_FullMethodName: RoleEntry,
+	messenger.Agent_ClaimedCalls_FullMethodName:  RoleEntry,
 	messenger.Agent_Order_FullMethodName:         RoleEntry,
 	messenger.Chunks_Manifest_FullMethodName:     RoleAgent,
 	messenger.Chunks_Have_FullMethodName:         RoleAgent,
--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -67,8 +67,12 @@
 	// Held reports whether this daemon holds the lease of the shard. Only the
 	// holder compacts the shard.
 	Held func(shard string, now time.Time) bool
-	Now  func() time.Time
-	Log  *logger.Logger
+	// StartedCalls asks the agents of all services for the calls of the claim
+	// shards. It is called after the object API was restored. If it is nil, agents
+	// are not asked.
+	StartedCalls func(ctx context.Context, shards []uint32) StartedCalls
+	Now          func() time.Time
+	Log          *logger.Logger
 	// Retention, BatchDelay, MaxKeys, WritesPerSecond and CompactionThreshold
 	// default to the constants with the same names.
 	Retention       time.Duration
@@ -104,6 +108,10 @@
 	}
 	wg.Add(1)
 	go eraWatcher{c}.run(ctx, wg.Done)
+	if c.StartedCalls != nil {
+		wg.Add(1)
+		go callReader{c}.run(ctx, wg.Done)
+	}
 	wg.Wait()
 	return ctx.Err()
 }
--- a/pkg/claimer/era.go
+++ b/pkg/claimer/era.go
@@ -128,7 +128,7 @@
 	era := adapter.EraOf(s.claimer.API)
 	if era == s.era.Load() && !now.Before(s.grantsFrom) {
 		s.settling.Store(false)
-		return true
+		return era == 0 || s.calls.known
 	}
 	err := s.restoreClaims(ctx)
 	// The index is read again after the delay, with what other daemons write.
@@ -139,8 +139,9 @@
 		return false
 	}
 	if era != s.era.Load() && era == adapter.EraOf(s.claimer.API) {
-		s.era.Store(era)
 		s.grantsFrom = s.claimer.Now().Add(newEraDelay)
+		s.expectCalls()
+		s.era.Store(era)
 		s.settling.Store(true)
 	}
 	return false
@@ -207,6 +208,8 @@
 		return true
 	case existing.RequestID == r.RequestID && existing.Attempt == r.Attempt:
 		return existing.Outcome != r.Outcome && existing.Outcome != OutcomeServed && r.Outcome != ""
+	case r.started:
+		return existing.isUnstarted()
 	}
 	// A key is claimed again only after its earlier call was not run.
 	wasNotRun := existing.Outcome == OutcomeNotRun || (existing.Outcome == "" && r.ClaimedMS > existing.ClaimedMS)
--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -205,17 +205,24 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		api := &emulator.MemoryObjects{}
+		agents := &serviceAgents{}
 		ownerCtx, stopOwner := context.WithCancel(ctx)
-		owner := startClaimer(ownerCtx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+		owner := agents.startClaimer(ownerCtx, api, "entry-1")
 		earlier := api.Copy()
-		c.Assert(claimState(c, owner, claimRequest("key", "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+		c.Assert(agents.claim(c, owner, "key", "r1"), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 		stopOwner()
 		api.Restore(earlier)
-		other := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-2", true)
+		other := agents.startClaimer(ctx, api, "entry-2")
 		for range 300 {
 			time.Sleep(100 * time.Millisecond)
-			state := claimState(c, other, claimRequest("key", "b", "r2"))
+			state := agents.claim(c, other, "key", "r2")
 			c.Assert(state, qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
 		}
+		// The caller is told what became of the call, by its agent.
+		reply, err := other.Claim(ctx, claimRequest("key", "b", "r2"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetState(), qt.Equals, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS)
+		c.Assert(reply.GetAttempt().GetRequestId(), qt.Equals, "r1")
+		c.Assert(agents.claim(c, other, keyOfShard(claimer.ShardOf("key"), 1), "r3"), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 	})
 }
--- a/pkg/claimer/segment.go
+++ b/pkg/claimer/segment.go
@@ -30,6 +30,10 @@
 	Outcome     string        `json:"outcome,omitempty"`
 	Answer      *answerRecord `json:"answer,omitempty"`
 	AnswerSize  int           `json:"answer-size,omitempty"`
+
+	// started is set for a claim that is known from an agent that has started the
+	// call.
+	started bool
 }
 
 type answerRecord struct {
--- a/pkg/claimer/shard.go
+++ b/pkg/claimer/shard.go
@@ -78,6 +78,7 @@
 	settling atomic.Bool
 	// eraChanged holds a value after the store had another era than era.
 	eraChanged chan struct{}
+	calls      callState
 
 	recentMu sync.Mutex
 	// recent holds the claims by key that this daemon made or granted.
@@ -93,6 +94,7 @@
 		recent:  map[string]recentClaim{},
 
 		eraChanged: make(chan struct{}, 1),
+		calls:      callState{reports: make(chan callReport, 1)},
 	}
 }
 
@@ -125,6 +127,8 @@
 			s.maintain(ctx, s.claimer.Now())
 		case <-s.eraChanged:
 			s.enterEra(ctx, s.claimer.Now())
+		case r := <-s.calls.reports:
+			s.applyCalls(ctx, r, s.claimer.Now())
 		case first := <-s.queue:
 			s.commitBatch(ctx, s.collectBatch(ctx, first))
 		}
@@ -239,6 +243,9 @@
 func (s *shard) decideOperation(op *operation, now time.Time) *record {
 	if op.claim != nil {
 		reply, r := s.index.decideClaim(op.claim, s.claimer.MaxKeys, s.claimer.Retention, now)
+		if r != nil && s.mayBeStarted(op.claim.GetService()) {
+			reply, r = &messenger.ClaimReply{State: messenger.ClaimState_CLAIM_STATE_UNAVAILABLE}, nil
+		}
 		op.claimReply = reply
 		return r
 	}
