Order the claims of a key by the number of earlier grants

What callers would see: a call with a key is not run, the caller sends it again and it runs, the object API is restored from a copy with the first claim or none, and a third attempt runs as well: twice in all.

Cause: a key that is claimed again keeps the time of its first claim, for its expiry, and the claims that daemons write again were ordered by this time. The owner held the second claim for no newer than the first one in the copy and did not write it. A daemon that had forwarded the first claim remembered it with a time of its own, a little later than the owner's, and replaced the second claim by it.

Evidence: TestLaterClaimOfKeySurvivesRestore failed before in "owner made both", "owner made the second one" and, in one run of three, "neither is in the copy": "unexpected success, got CLAIM_STATE_GRANTED". Found by reading.

Change: a claim and its reply carry the number of earlier grants of the key, and a claim replaces one with a lower number. Ruled out: times, as they come from different VMs.

--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -127,7 +127,9 @@
 		cancel()
 		if err == nil {
 			if reply.GetState() == messenger.ClaimState_CLAIM_STATE_GRANTED {
-				c.shards[n].remember(newClaimRecord(req, c.Now()), c.Now())
+				r := newClaimRecord(req, c.Now())
+				r.EarlierGrants = reply.GetEarlierGrants()
+				c.shards[n].remember(r, c.Now())
 			}
 			return reply, nil
 		}
--- a/pkg/claimer/era.go
+++ b/pkg/claimer/era.go
@@ -211,7 +211,13 @@
 	case r.started:
 		return existing.isUnstarted()
 	}
-	// A key is claimed again only after its earlier call was not run.
-	wasNotRun := existing.Outcome == OutcomeNotRun || (existing.Outcome == "" && r.ClaimedMS > existing.ClaimedMS)
-	return wasNotRun && r.Outcome != OutcomeNotRun
+	// A key is claimed again only after its earlier call was not run. A claim that
+	// was withdrawn may have the same number as the one that the store has lost.
+	switch {
+	case r.Outcome == OutcomeNotRun || !existing.isUnstarted():
+		return false
+	case existing.Outcome == OutcomeNotRun:
+		return r.EarlierGrants >= existing.EarlierGrants
+	}
+	return r.EarlierGrants > existing.EarlierGrants
 }
--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -226,3 +226,59 @@
 		c.Assert(agents.claim(c, other, keyOfShard(claimer.ShardOf("key"), 1), "r3"), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 	})
 }
+
+// Guards against a second grant of a claim that followed one whose call was not run,
+// because the claims that daemons write again are taken in the wrong order.
+func TestLaterClaimOfKeySurvivesRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// firstCopied is set if the copy has the first claim.
+		firstCopied bool
+		// first is set if a daemon other than the owner made the first claim, and
+		// second the same for the second one.
+		first, second bool
+	}{
+		{"owner made both", true, false, false},
+		{"owner made the second one", true, true, false},
+		{"another daemon made both", true, true, true},
+		{"neither is in the copy", false, true, false},
+		{"neither is in the copy, another daemon made the second one", false, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api := &emulator.MemoryObjects{}
+				owner := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+				other := &claimer.Claimer{
+					API: &eraOfResponses{MemoryObjects: api}, VM: "entry-2", Log: zap.NewNop(),
+					Owner: func(string) messenger.EntryClient { return &ownerClient{owner: owner} },
+				}
+				go other.Run(ctx)
+				daemon := map[bool]*claimer.Claimer{false: owner, true: other}
+				earlier := api.Copy()
+				c.Assert(claimState(c, daemon[tt.first], claimRequest("key", "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				if tt.firstCopied {
+					earlier = api.Copy()
+				}
+				// The outcome is recorded by the daemon of the second call.
+				_, err := daemon[tt.second].CompleteClaim(ctx, completeRequest("key", "r1", claimer.OutcomeNotRun, ""))
+				c.Assert(err, qt.IsNil)
+				c.Assert(claimState(c, daemon[tt.second], claimRequest("key", "b", "r2")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				api.Restore(earlier)
+				time.Sleep(20 * time.Second)
+				for range 3 {
+					reply, err := owner.Claim(ctx, claimRequest("key", "b", "r3"))
+					c.Assert(err, qt.IsNil)
+					c.Assert(reply.GetState(), qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
+					// The first call is found not to have run.
+					_, err = owner.CompleteClaim(ctx, completeRequest("key", "r1", claimer.OutcomeNotRun, ""))
+					c.Assert(err, qt.IsNil)
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
--- a/pkg/claimer/index.go
+++ b/pkg/claimer/index.go
@@ -82,7 +82,7 @@
 		return existing.reply(messenger.ClaimState_CLAIM_STATE_DONE, retention), nil
 	case existing.Outcome == OutcomeNotRun:
 		r := newClaimRecord(req, now)
-		r.ClaimedMS = existing.ClaimedMS
+		r.ClaimedMS, r.EarlierGrants = existing.ClaimedMS, existing.EarlierGrants+1
 		return nil, &r
 	case existing.isClaimedBy(req.GetAttempt()):
 		// The attempt repeats its claim because the reply was lost.
@@ -159,5 +159,6 @@
 		AgentIncarnation: r.Incarnation,
 		ExpiresMs:        r.ClaimedMS + retention.Milliseconds(),
 		Outcome:          r.Outcome,
+		EarlierGrants:    r.EarlierGrants,
 	}
 }
--- a/pkg/claimer/segment.go
+++ b/pkg/claimer/segment.go
@@ -20,16 +20,19 @@
 //
 //	{"key":"team-7/ledger/order-12","body":"…","request-id":"r1","outcome":"served",…}
 type record struct {
-	Key         string        `json:"key"`
-	BodyDigest  []byte        `json:"body"`
-	RequestID   string        `json:"request-id"`
-	Attempt     uint32        `json:"attempt"`
-	Agent       string        `json:"agent"`
-	Incarnation string        `json:"incarnation"`
-	ClaimedMS   int64         `json:"claimed-unix-ms"`
-	Outcome     string        `json:"outcome,omitempty"`
-	Answer      *answerRecord `json:"answer,omitempty"`
-	AnswerSize  int           `json:"answer-size,omitempty"`
+	Key         string `json:"key"`
+	BodyDigest  []byte `json:"body"`
+	RequestID   string `json:"request-id"`
+	Attempt     uint32 `json:"attempt"`
+	Agent       string `json:"agent"`
+	Incarnation string `json:"incarnation"`
+	ClaimedMS   int64  `json:"claimed-unix-ms"`
+	// EarlierGrants is the number of earlier attempts that held the claim. It orders
+	// the claims of a key, which have the time of the first one.
+	EarlierGrants uint32        `json:"earlier-grants,omitempty"`
+	Outcome       string        `json:"outcome,omitempty"`
+	Answer        *answerRecord `json:"answer,omitempty"`
+	AnswerSize    int           `json:"answer-size,omitempty"`
 
 	// started is set for a claim that is known from an agent that has started the
 	// call.
