Keep blocks whose owner lost its lease in a restore of the store

What callers would see: a request that crashes backend servers is blocked, the object API is restored from a copy without the block, and the lease of the shard is gone as well. The owner forgets the block at its next refresh and then reads a list without it. Daemons that start later let the request crash two more servers.

Cause: the list cannot tell a block that the store has lost from one that an operator has lifted, so an owner that had not seen the block stored in this list took it for lifted.

Change: "lentil delete block" leaves a mark with the end of the lifted block in the list; a later block of the same fingerprint ends later. A suspicion carries the era of its block. An owner that reads the list adopts blocks of an earlier era that the list neither has nor marks as lifted, writes them, and tells the other daemons; it also tells them of listed blocks and lifts that they have missed. The list and its era are read together: the read is repeated if the era changes meanwhile.

Evidence: TestBlockOutlastsLeaseLostByRestore failed before, its list had no block 25 s later. The race detector found that the tests changed the owner without synchronization; their fakes use an atomic value now, and a client that learns the era from its responses.

Ruled out: to import every remembered block, which brings back those that were lifted while nobody held the lease.

--- a/internal/operator/commander/blocks.go
+++ b/internal/operator/commander/blocks.go
@@ -106,12 +106,14 @@
 		for _, b := range list.Blocks {
 			if b.Fingerprint != fingerprint {
 				kept = append(kept, b)
+				continue
 			}
+			list.Lifted = append(list.Lifted, parser.Lift{Fingerprint: fingerprint, UntilMillis: b.UntilMillis})
 		}
 		if len(kept) == len(list.Blocks) {
 			continue
 		}
-		value, err := json.Marshal(parser.BlockList{Blocks: kept})
+		value, err := json.Marshal(parser.BlockList{Blocks: kept, Lifted: list.Lifted})
 		if err != nil {
 			return err
 		}
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -66,6 +66,7 @@
 
 	mu         sync.Mutex
 	suspicions map[string]knownSuspicion
+	lifted     lifts
 	shards     [ShardCount]shard
 }
 
@@ -77,6 +78,7 @@
 	vm       string
 	crashes  uint32
 	until    time.Time
+	era      uint64
 }
 
 // ShardName returns the name of an isolation shard, which is also the name of its
@@ -159,7 +161,7 @@
 	reply, changed := i.shards[n].handle(req, now)
 	var spread *messenger.Suspicion
 	if changed {
-		spread = i.shards[n].suspicion(req.GetFingerprint(), i.suspicions[req.GetFingerprint()].sequence, now)
+		spread = i.shards[n].suspicion(req.GetFingerprint(), i.suspicions[req.GetFingerprint()].sequence, adapter.EraOf(i.API), now)
 		i.applySuspicions([]*messenger.Suspicion{spread}, now)
 	}
 	i.mu.Unlock()
@@ -167,13 +169,17 @@
 		return reply, nil
 	}
 	i.logDecision(req, reply)
-	if i.Spread != nil {
-		i.Spread([]*messenger.Suspicion{spread})
-	}
+	i.spread([]*messenger.Suspicion{spread})
 	i.storeBlocks(ctx, n)
 	return reply, nil
 }
 
+func (i *Isolator) spread(suspicions []*messenger.Suspicion) {
+	if i.Spread != nil && len(suspicions) > 0 {
+		i.Spread(suspicions)
+	}
+}
+
 // Observe applies suspicions that other entry daemons have sent.
 func (i *Isolator) Observe(suspicions []*messenger.Suspicion) {
 	i.mu.Lock()
@@ -202,6 +208,7 @@
 			vm:       s.GetVm(),
 			crashes:  s.GetCrashes(),
 			until:    until,
+			era:      s.GetEra(),
 		}
 	}
 }
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/isolator"
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
@@ -21,23 +24,25 @@
 type network struct {
 	api       *emulator.MemoryObjects
 	isolators []*isolator.Isolator
-	owner     int
+	owner     atomic.Int64
 	// partitioned makes calls to the owner fail.
 	partitioned bool
 	// delay is the transmission delay of suspicions.
 	delay time.Duration
+	// mu guards changes of isolators while they run.
+	mu sync.Mutex
 }
 
 func newNetwork(n int) *network {
 	net := &network{api: &emulator.MemoryObjects{}}
 	for k := range n {
 		net.isolators = append(net.isolators, &isolator.Isolator{
-			API:    net.api,
+			API:    &eraOfResponses{MemoryObjects: net.api},
 			VM:     fmt.Sprint("entry-", k),
 			Log:    zap.NewNop(),
 			Now:    time.Now,
 			Owner:  net.ownerFor(k),
-			Held:   func(string, time.Time) bool { return net.owner == k },
+			Held:   func(string, time.Time) bool { return net.owner.Load() == int64(k) },
 			Spread: net.spread,
 		})
 	}
@@ -46,10 +51,11 @@
 
 func (n *network) ownerFor(k int) func(string) messenger.EntryClient {
 	return func(string) messenger.EntryClient {
-		if n.owner == k {
+		owner := n.owner.Load()
+		if owner == int64(k) || owner < 0 {
 			return nil
 		}
-		return &ownerClient{network: n, isolator: n.isolators[n.owner]}
+		return &ownerClient{network: n, isolator: n.isolators[owner]}
 	}
 }
 
@@ -62,11 +68,28 @@
 }
 
 func (n *network) observe(suspicions []*messenger.Suspicion) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, node := range n.isolators {
 		node.Observe(suspicions)
 	}
 }
 
+// eraOfResponses is a client that knows the era only from the responses that it has
+// received.
+type eraOfResponses struct {
+	*emulator.MemoryObjects
+	era atomic.Uint64
+}
+
+func (e *eraOfResponses) Era() uint64 { return e.era.Load() }
+
+func (e *eraOfResponses) Get(ctx context.Context, key string) (adapter.Object, error) {
+	o, err := e.MemoryObjects.Get(ctx, key)
+	e.era.Store(e.MemoryObjects.Era())
+	return o, err
+}
+
 type ownerClient struct {
 	messenger.EntryClient
 	network  *network
@@ -133,7 +156,7 @@
 					crashed, _ := net.sendRequest(c, k%3, "mill/bad", fmt.Sprint("vm-", k), true, test.beside...)
 					lost += crashed
 					if test.changes && k == 0 {
-						net.owner = 1
+						net.owner.Store(1)
 					}
 					time.Sleep(time.Second)
 				}
@@ -245,7 +268,7 @@
 		net.sendRequest(c, 0, "mill/bad", "vm-0", true, "mill/beside")
 		permit, err := net.isolators[0].Suspect(ctx, &messenger.SuspectRequest{Fingerprint: "mill/bad", AskTrial: true})
 		c.Assert(err, qt.IsNil)
-		net.owner = 1
+		net.owner.Store(1)
 		report := &messenger.SuspectRequest{
 			Fingerprint: "mill/bad", Vm: "vm-0", Trial: permit.GetTrial(), Crashed: true, InProgress: []string{"mill/bad"},
 		}
@@ -432,12 +455,12 @@
 		for k := range 2 {
 			net.sendRequest(c, k, "mill/bad", fmt.Sprint("vm-", k), true)
 		}
-		net.owner = -1
+		net.owner.Store(-1)
 		net.api.Restore(earlier)
 		go net.isolators[0].Run(ctx)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		net.owner = 0
+		net.owner.Store(0)
 		time.Sleep(25 * time.Second)
 		synctest.Wait()
 		stored, err := net.api.Get(ctx, key)
--- a/internal/request/isolator/shard.go
+++ b/internal/request/isolator/shard.go
@@ -125,7 +125,7 @@
 
 // suspicion returns the suspicion about a fingerprint to send to other daemons. If the
 // fingerprint is no longer suspect, the sequence number is higher than previous.
-func (s *shard) suspicion(fingerprint string, previous uint64, now time.Time) *messenger.Suspicion {
+func (s *shard) suspicion(fingerprint string, previous, era uint64, now time.Time) *messenger.Suspicion {
 	known := s.suspects[fingerprint]
 	if known == nil {
 		return &messenger.Suspicion{
@@ -136,14 +136,18 @@
 	}
 	suspicion := &messenger.Suspicion{
 		Fingerprint: fingerprint,
-		Vm:          known.vms[len(known.vms)-1],
 		Crashes:     uint32(len(known.vms)),
 		UntilMs:     known.updatedAt.Add(SuspicionDuration).UnixMilli(),
 		Sequence:    known.sequence,
 	}
+	// A list that was edited by hand may lack the VMs of a block.
+	if len(known.vms) > 0 {
+		suspicion.Vm = known.vms[len(known.vms)-1]
+	}
 	if known.isBlocked(now) {
 		suspicion.Blocked = true
 		suspicion.UntilMs = known.blockedUntil.UnixMilli()
+		suspicion.Era = era
 	}
 	return suspicion
 }
--- a/internal/request/isolator/store.go
+++ b/internal/request/isolator/store.go
@@ -20,6 +20,9 @@
 // the blocks after a crash are stored.
 const callTimeout = time.Second
 
+// maxReadAttempts limits the reads of a list while the era changes.
+const maxReadAttempts = 3
+
 // blocksKey returns the key of the block list of a shard, which operators can read and
 // edit.
 func blocksKey(n int) string {
@@ -35,23 +38,34 @@
 	if loaded {
 		return
 	}
-	blocks, version, err := i.readBlocks(ctx, n)
-	era := adapter.EraOf(i.API)
+	list, version, era, err := i.readBlocks(ctx, n)
 	if err != nil {
 		i.Log.Warn("failed to read blocks", zap.Int("shard", n), zap.Error(err))
 	}
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	s := &i.shards[n]
 	if s.suspects == nil {
 		s.suspects = map[string]*suspect{}
 	}
 	now := i.Now()
-	for _, b := range blocks {
-		s.suspects[b.Fingerprint] = blockedSuspect(b, now)
+	var changed []*messenger.Suspicion
+	if err == nil {
+		i.addLifts(list.Lifted, now)
+		s.loaded = true
+		s.version, s.era = version, era
+		changed = i.mergeStored(n, list.Blocks, now)
+		i.applySuspicions(changed, now)
+		changed = append(changed, i.adoptBlocks(n, era, now)...)
+	}
+	i.mu.Unlock()
+	i.spread(changed)
+}
+
+func (i *Isolator) addLifts(lifted []parser.Lift, now time.Time) {
+	if i.lifted == nil {
+		i.lifted = lifts{}
 	}
-	s.loaded = err == nil
-	s.version, s.era = version, era
+	i.lifted.add(lifted, now)
 }
 
 func blockedSuspect(b parser.Block, now time.Time) *suspect {
@@ -75,12 +89,12 @@
 func (i *Isolator) storeBlocks(ctx context.Context, n int) {
 	i.mu.Lock()
 	version := i.shards[n].version
-	blocks := i.shards[n].blocks(i.Now())
+	blocks, lifted := i.shards[n].blocks(i.Now()), i.lifted.ofShard(n, i.Now())
 	i.mu.Unlock()
 	if version == 0 && len(blocks) == 0 {
 		return
 	}
-	value, err := json.Marshal(parser.BlockList{Blocks: blocks})
+	value, err := json.Marshal(parser.BlockList{Blocks: blocks, Lifted: lifted})
 	if err != nil {
 		return
 	}
@@ -120,13 +134,14 @@
 // syncBlocks reads the stored block list of a shard, applies changes made by others,
 // and writes the list if blocks are missing in it or have ended.
 func (i *Isolator) syncBlocks(ctx context.Context, n int, now time.Time) {
-	stored, version, err := i.readBlocks(ctx, n)
+	list, version, era, err := i.readBlocks(ctx, n)
 	if err != nil {
 		return
 	}
 	i.mu.Lock()
 	s := &i.shards[n]
-	if era := adapter.EraOf(i.API); era != s.era {
+	isRestored := era != s.era
+	if isRestored {
 		s.forgetStored(era)
 	}
 	if version > 0 && version < s.version {
@@ -134,20 +149,19 @@
 		i.mu.Unlock()
 		return
 	}
-	var lifted []*messenger.Suspicion
-	if version != s.version {
-		lifted = s.mergeStored(stored, now)
+	i.addLifts(list.Lifted, now)
+	var changed []*messenger.Suspicion
+	if version != s.version || isRestored {
+		changed = i.mergeStored(n, list.Blocks, now)
+		i.applySuspicions(changed, now)
+	}
+	if isRestored {
+		changed = append(changed, i.adoptBlocks(n, era, now)...)
 	}
 	s.version = version
-	missing := s.needsWrite(stored, now)
-	i.applySuspicions(lifted, now)
+	missing := s.needsWrite(list.Blocks, now)
 	i.mu.Unlock()
-	for _, suspicion := range lifted {
-		i.Log.Info("block lifted by an operator", zap.String("fingerprint", suspicion.GetFingerprint()))
-	}
-	if i.Spread != nil && len(lifted) > 0 {
-		i.Spread(lifted)
-	}
+	i.spread(changed)
 	if missing {
 		i.storeBlocks(ctx, n)
 	}
@@ -163,13 +177,20 @@
 }
 
 // mergeStored applies a changed block list and returns the suspicions that announce
-// the lifted blocks. A block is lifted if it was in the stored list and no longer is.
-func (s *shard) mergeStored(stored []parser.Block, now time.Time) []*messenger.Suspicion {
+// the lifted blocks. A block is lifted if the list says so, or if it was in the stored
+// list and no longer is.
+func (i *Isolator) mergeStored(n int, stored []parser.Block, now time.Time) []*messenger.Suspicion {
+	s := &i.shards[n]
 	var lifted []*messenger.Suspicion
 	for fingerprint, known := range s.suspects {
-		if known.isBlocked(now) && known.isStored && !containsBlock(stored, fingerprint) {
+		if !known.isBlocked(now) {
+			continue
+		}
+		if i.lifted.covers(fingerprint, known.blockedUntil) || (known.isStored && !containsBlock(stored, fingerprint)) {
+			i.lifted.add([]parser.Lift{{Fingerprint: fingerprint, UntilMillis: known.blockedUntil.UnixMilli()}}, now)
 			delete(s.suspects, fingerprint)
-			lifted = append(lifted, s.suspicion(fingerprint, known.sequence, now))
+			lifted = append(lifted, s.suspicion(fingerprint, known.sequence, s.era, now))
+			i.Log.Info("block lifted by an operator", zap.String("fingerprint", fingerprint))
 		}
 	}
 	for _, b := range stored {
@@ -177,7 +198,7 @@
 		switch {
 		case known != nil && known.isBlocked(now):
 			known.isStored = true
-		case found.isBlocked(now):
+		case found.isBlocked(now) && !i.lifted.covers(b.Fingerprint, found.blockedUntil):
 			s.suspects[b.Fingerprint] = found
 		}
 	}
@@ -196,22 +217,44 @@
 	return len(blocks) != len(stored)
 }
 
-func (i *Isolator) readBlocks(ctx context.Context, n int) ([]parser.Block, uint64, error) {
+// readBlocks returns the block list of a shard, its version, or 0 if there is none, and
+// the era of the store that has it.
+func (i *Isolator) readBlocks(ctx context.Context, n int) (list parser.BlockList, version, era uint64, err error) {
+	for range maxReadAttempts {
+		era = adapter.EraOf(i.API)
+		list, version, err = i.readBlocksOnce(ctx, n)
+		if err != nil || adapter.EraOf(i.API) == era {
+			return list, version, era, err
+		}
+	}
+	return parser.BlockList{}, 0, 0, &eraChangedError{era: era}
+}
+
+func (i *Isolator) readBlocksOnce(ctx context.Context, n int) (parser.BlockList, uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := i.API.Get(callCtx, blocksKey(n))
 	var notFound *adapter.NotFoundError
 	if errors.As(err, &notFound) {
-		return nil, 0, nil
+		return parser.BlockList{}, 0, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return parser.BlockList{}, 0, err
 	}
 	var list parser.BlockList
 	if err := json.Unmarshal(o.Value, &list); err != nil {
-		return nil, 0, fmt.Errorf("decode %s: %w", o.Key, err)
+		return parser.BlockList{}, 0, fmt.Errorf("decode %s: %w", o.Key, err)
 	}
-	return list.Blocks, o.Version, nil
+	return list, o.Version, nil
+}
+
+// eraChangedError reports that the era of the store changed during each read.
+type eraChangedError struct {
+	era uint64
+}
+
+func (e *eraChangedError) Error() string {
+	return fmt.Sprintf("the object API was restored again after era %d", e.era)
 }
 
 func (i *Isolator) writeBlocks(ctx context.Context, n int, value []byte, version uint64) (uint64, error) {
--- a/pkg/parser/status.go
+++ b/pkg/parser/status.go
@@ -76,6 +76,15 @@
 // BlockList is the value of the object blocks/<shard>.
 type BlockList struct {
 	Blocks []Block `json:"blocks"`
+	// Lifted are the blocks that operators have lifted before their end.
+	Lifted []Lift `json:"lifted,omitempty"`
+}
+
+// Lift is the removal of a block by an operator. A later block of the fingerprint
+// has another end.
+type Lift struct {
+	Fingerprint string `json:"fingerprint"`
+	UntilMillis int64  `json:"until-unix-ms"`
 }
 
 // Block prevents requests with the fingerprint from running until it expires.
