Let the owners of claim shards enter an era without a claim

What callers saw: after a restore of the object API, the first call with a key in each of the 16 shards was refused for 6 to 8 s (503, claims-unavailable), also long after the restore.

Cause: a shard without recent claims entered the era with its first claim.

Change: the goroutine that follows the era tells it to the shards that the daemon holds as well, so that they settle at once after the restore or after a takeover of the lease. It reads the store for it only as before; other components of the daemon learn the era too.

TestHeldShardsEnterEraWithoutClaims failed before in both cases (shard 0: UNAVAILABLE 15 s after the restore).

--- a/pkg/claimer/era.go
+++ b/pkg/claimer/era.go
@@ -31,8 +31,8 @@
 	at     time.Time
 }
 
-// eraWatcher reads the era of the store while there are recent claims, and tells
-// their shards about a new one.
+// eraWatcher reads the era of the store while there are recent claims. It tells
+// their shards, and those that this daemon holds, about a new one.
 type eraWatcher struct {
 	*Claimer
 }
@@ -47,16 +47,22 @@
 			return
 		case <-ticker.C:
 		}
-		shards := c.shardsWithRecentClaims(c.Now())
-		if len(shards) == 0 {
-			continue
-		}
+		c.check(ctx, c.Now())
+	}
+}
+
+func (c eraWatcher) check(ctx context.Context, now time.Time) {
+	shards := c.shardsWithRecentClaims(now)
+	if len(shards) > 0 {
 		// The client keeps the era of the response.
 		if _, _, err := shards[0].readHead(ctx); err != nil {
 			c.Log.Debug("era of the object API not read", zap.Error(err))
 		}
-		for _, s := range shards {
-			s.notifyEra(adapter.EraOf(c.API))
+	}
+	era := adapter.EraOf(c.API)
+	for _, s := range c.shards {
+		if s.hasRecentClaims() || c.Held(ShardName(s.number), now) {
+			s.notifyEra(era)
 		}
 	}
 }
--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -282,3 +282,53 @@
 		})
 	}
 }
+
+// Guards against a delay of the first claim of each shard long after a restore.
+func TestHeldShardsEnterEraWithoutClaims(t *testing.T) {
+	tests := []struct {
+		name string
+		// newOwner is set if the daemon starts after the restore.
+		newOwner bool
+	}{
+		{"owner before and after the restore", false},
+		{"owner that starts after the restore", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api, agents := &emulator.MemoryObjects{}, &serviceAgents{}
+				client := &eraOfResponses{MemoryObjects: api}
+				start := func() *claimer.Claimer {
+					cl := &claimer.Claimer{
+						API: client, VM: "entry-1", StartedCalls: agents.startedCalls,
+						Held: func(string, time.Time) bool { return true },
+					}
+					go cl.Run(ctx)
+					return cl
+				}
+				var owner *claimer.Claimer
+				if !tt.newOwner {
+					owner = start()
+				}
+				api.Restore(api.Copy())
+				if tt.newOwner {
+					owner = start()
+				}
+				time.Sleep(5 * time.Second)
+				// Another component of the daemon gets a response.
+				_, _ = client.Get(ctx, "leases/claims-0")
+				time.Sleep(10 * time.Second)
+				for n := range claimer.ShardCount {
+					c.Assert(claimState(c, owner, claimRequest(keyOfShard(n, 0), "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED, qt.Commentf("shard %d", n))
+				}
+				reads := api.Stats().Reads
+				time.Sleep(4 * time.Minute)
+				// The claims make the daemon read the era of the store.
+				c.Assert(api.Stats().Reads-reads <= 4*60/2+10, qt.IsTrue)
+			})
+		})
+	}
+}
