Keep starting daemons from the configuration of a restored copy

What callers would see: a route or team that was added before a restore of the object API is unknown at an entry daemon that starts after it; with a copy from before the first publish, all of them are.

Cause: the first load took whatever the object API had. Its revision of the copy is lower than that of the peers, but a daemon without a configuration has nothing to compare it with. The next heartbeat of a peer corrected it within a second, or a relay two seconds after it had carried its own configuration over.

Change: a daemon that loads a revision of an earlier era asks its peers for a later one, for 2 s, or up to 10 s while a peer announces one that it does not get. It is not ready until then. TestReplacedDaemonsTakeRestoredRevision guards against waiting for a configuration that nobody has.

--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -140,7 +140,7 @@
 		d.membership.VMList = &adapter.HTTPVMList{BaseURL: d.cfg.VMList}
 	}
 	d.configuration = &broadcaster.Broadcaster{
-		API: d.api, Load: d.loadRevision, CarryOver: d.carryOver, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
+		API: d.api, Load: d.loadRevision, CarryOver: d.carryOver, IsFromCopy: d.isFromCopy, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: d.log,
 		LowerRevisions: daemonMetrics().lowerRevisions, PullFailures: daemonMetrics().pullFailures,
 	}
@@ -293,6 +293,12 @@
 	return d.publisher.CarryOver(ctx, time.Now(), current)
 }
 
+// isFromCopy reports whether the object API was restored since the revision was
+// published.
+func (d *daemon) isFromCopy(revision *parser.Revision) bool {
+	return publisher.IsFromEarlierEra(revision.Number, adapter.EraOf(d.api))
+}
+
 // loadRevision reads the revision in force from the object API.
 func (d *daemon) loadRevision(ctx context.Context) (*parser.Revision, error) {
 	revision, _, err := d.publisher.Load(ctx)
--- a/internal/daemon/router/restored_test.go
+++ b/internal/daemon/router/restored_test.go
@@ -53,7 +53,7 @@
 func (a *configurations) start(ctx context.Context, name string) {
 	d := &daemon{api: a.objects, publisher: &publisher.Publisher{Objects: a.objects, Author: name}}
 	b := &broadcaster.Broadcaster{
-		API: a.objects, Load: d.loadRevision, CarryOver: d.carryOver, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
+		API: a.objects, Load: d.loadRevision, CarryOver: d.carryOver, IsFromCopy: d.isFromCopy, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: func(time.Time) bool { return name == a.names[0] },
 		Peers:   func(time.Time) []string { return a.names },
 		Client:  a.client,
@@ -168,3 +168,79 @@
 		})
 	}
 }
+
+// Guards against a daemon that starts on a restored store and takes the configuration
+// of the copy, although its peers have a newer one.
+func TestStartingDaemonTakesNoRestoredRevision(t *testing.T) {
+	tests := []struct {
+		name string
+		// copyAfter is the number of changes in the copy, of 2.
+		copyAfter int
+		// started is the daemon that starts after the restore; "entry-1" is the relay.
+		started string
+		late    time.Duration
+	}{
+		{"copy without the last change", 1, "entry-2", 0},
+		{"copy without a configuration", 0, "entry-2", 0},
+		{"relay", 1, "entry-1", 0},
+		{"relay, copy without a configuration", 0, "entry-1", 0},
+		{"start after the configuration was published again", 1, "entry-2", 10 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				objects := &emulator.MemoryObjects{}
+				all := startConfigurations(ctx, objects, "entry-1", "entry-2", "entry-3")
+				earlier := objects.Copy()
+				var last publisher.Result
+				for i, name := range []string{"a", "b"} {
+					var err error
+					last, err = publishTeam(ctx, objects, name, 1)
+					c.Assert(err, qt.IsNil)
+					if i+1 == tt.copyAfter {
+						earlier = objects.Copy()
+					}
+					time.Sleep(5 * time.Second)
+				}
+				objects.Restore(earlier)
+				time.Sleep(tt.late + 300*time.Millisecond)
+				all.start(ctx, tt.started)
+				b := all.daemon(tt.started)
+				for range 1500 {
+					time.Sleep(10 * time.Millisecond)
+					if current := b.Current(); current != nil {
+						c.Assert(current.Number >= last.Revision, qt.IsTrue, qt.Commentf("revision %d", current.Number))
+						c.Assert(current.Set.Teams, qt.HasLen, 2)
+					}
+				}
+				c.Assert(b.Current(), qt.IsNotNil)
+			})
+		})
+	}
+}
+
+// Guards against daemons that wait without end for a configuration that nobody has.
+func TestReplacedDaemonsTakeRestoredRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		objects := &emulator.MemoryObjects{}
+		_, err := publishTeam(ctx, objects, "a", 1)
+		c.Assert(err, qt.IsNil)
+		objects.Restore(objects.Copy())
+		all := startConfigurations(ctx, objects, "entry-1", "entry-2")
+		time.Sleep(5 * time.Second)
+		for _, name := range all.names {
+			c.Assert(all.daemon(name).Current(), qt.IsNotNil)
+			c.Assert(all.daemon(name).Current().Set.Teams, qt.HasLen, 1)
+		}
+		objects.SetDown(true)
+		all.start(ctx, "entry-2")
+		time.Sleep(5 * time.Second)
+		c.Assert(all.daemon("entry-2").Current(), qt.IsNotNil)
+	})
+}
--- a/internal/operator/publisher/era.go
+++ b/internal/operator/publisher/era.go
@@ -38,9 +38,13 @@
 // isFromEarlierEra reports whether the store was restored since the head was
 // written, so that the head may be older than what daemons have in force.
 func (h Head) isFromEarlierEra() bool {
-	return h.Revision > 0 && h.Revision/revisionsPerEra < h.Era
+	return h.Revision > 0 && IsFromEarlierEra(h.Revision, h.Era)
 }
 
+// IsFromEarlierEra reports whether a revision of a store with the given era may be older
+// than what daemons have in force.
+func IsFromEarlierEra(revision, era uint64) bool { return revision/revisionsPerEra < era }
+
 // CarriedOverWithout returns the revision with which a daemon went on after a
 // restore of the store that lost the given, later revision, or 0 if it was not
 // lost.
--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -62,6 +62,9 @@
 	// CarryOver publishes the current revision again if the store was restored
 	// from an earlier copy, which may lack it. It is optional.
 	CarryOver func(ctx context.Context, current *parser.Revision) error
+	// IsFromCopy reports whether a loaded revision is one that a restore of the store
+	// has brought back, so that peers may have a newer one. It is optional.
+	IsFromCopy func(*parser.Revision) bool
 	// Encode and Decode convert a revision to and from the format that daemons
 	// exchange.
 	Encode func(*parser.Revision) ([]byte, error)
@@ -214,20 +217,21 @@
 	b.announced = make(chan struct{}, 1)
 }
 
-// loadInitial loads the first revision from the object API or, when that fails,
-// from peers. It returns when there is a revision or ctx ends.
+// loadInitial loads the first revision from the object API or, when that fails or
+// the store was restored, from peers. It returns when there is a revision or ctx ends.
 func (b *Broadcaster) loadInitial(ctx context.Context) {
 	retry := b.newBackoff(initialRetryDelay)
 	for ctx.Err() == nil {
-		err := b.loadFromAPI(ctx)
-		if err == nil {
-			return
-		}
-		b.Log.Warn("configuration not read from the object API", zap.Error(err))
-		for _, address := range b.randomPeers(time.Now(), startupPeerCount) {
-			if err := b.pull(ctx, address, 0); err != nil {
-				b.Log.Info("configuration not pulled", zap.String("peer", address), zap.Error(err))
-			}
+		revision, err := b.load(ctx)
+		switch {
+		case err != nil:
+			b.Log.Warn("configuration not read from the object API", zap.Error(err))
+			b.pullFromPeers(ctx, 0)
+		case b.IsFromCopy == nil || !b.IsFromCopy(revision):
+			b.confirm(revision)
+		default:
+			b.Log.Warn("the object API was restored, configuration requested from peers", zap.Uint64("restored", revision.Number))
+			b.awaitNewer(ctx, revision, time.Now())
 		}
 		if b.Current() != nil {
 			return
@@ -236,24 +240,60 @@
 	}
 }
 
-func (b *Broadcaster) loadFromAPI(ctx context.Context) error {
+// awaitNewer makes a restored revision current only if no peer has a newer one within
+// carryOverDelay, or announces one that it does not have by then.
+func (b *Broadcaster) awaitNewer(ctx context.Context, restored *parser.Revision, started time.Time) {
+	for ctx.Err() == nil {
+		b.pullFromPeers(ctx, restored.Number+1)
+		if b.Current() != nil {
+			return
+		}
+		waited := time.Since(started)
+		if wanted, _, _ := b.pendingRevision(); waited >= carryOverDelay*maxCarryOverDelays || waited >= carryOverDelay && wanted <= restored.Number {
+			b.confirm(restored)
+			return
+		}
+		b.sleep(ctx, initialRetryDelay)
+	}
+}
+
+// pullFromPeers requests a revision of at least the given number from some peers.
+func (b *Broadcaster) pullFromPeers(ctx context.Context, wanted uint64) {
+	for _, address := range b.randomPeers(time.Now(), startupPeerCount) {
+		if err := b.pull(ctx, address, wanted); err != nil {
+			b.Log.Info("configuration not pulled", zap.String("peer", address), zap.Error(err))
+		}
+	}
+}
+
+// load reads the current revision. It is empty if nothing has been published yet.
+func (b *Broadcaster) load(ctx context.Context) (*parser.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := b.Load(ctx)
 	var notFound *adapter.NotFoundError
 	if errors.As(err, &notFound) && notFound.Key == HeadKey {
-		// Nothing has been published yet.
-		revision, err = &parser.Revision{Set: parser.NewSet()}, nil
+		return &parser.Revision{Set: parser.NewSet()}, nil
 	}
+	return revision, err
+}
+
+func (b *Broadcaster) loadFromAPI(ctx context.Context) error {
+	revision, err := b.load(ctx)
 	if err != nil {
 		return err
 	}
+	b.confirm(revision)
+	return nil
+}
+
+// confirm offers a revision that the object API has returned.
+func (b *Broadcaster) confirm(revision *parser.Revision) {
 	if b.Offer(revision, "object API") {
 		b.mu.Lock()
 		b.status.Confirmed = time.Now()
 		b.mu.Unlock()
 	}
-	return nil
 }
 
 func (b *Broadcaster) newBackoff(initial time.Duration) *backoff.ExponentialBackOff {
