Carry the configuration over again after a delayed update of the head

What operators would see: an update of the head is sent before a restore and takes effect after it, because the head of the new era has got the expected version again. From then on each publish waits 20 s and ends with exit code 5, "no entry daemon has confirmed its configuration in era 1", until the relays are restarted or the store is restored again.

Cause: a relay carried its configuration over once for each era. The daemons refused the lower revision, as they should, but nobody replaced it in the store.

Change: a relay that reads a revision of an earlier era below its own publishes its configuration again, which has all acknowledged changes. A revision that is not lower than its own, as in a deployment without a configuration, does not cause this.

--- a/internal/daemon/router/restored_test.go
+++ b/internal/daemon/router/restored_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/broadcaster"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -244,3 +245,68 @@
 		c.Assert(all.daemon("entry-2").Current(), qt.IsNotNil)
 	})
 }
+
+// delayedUpdate is a store whose next update of the head takes effect after a delay, in
+// which the head gets the expected version again.
+type delayedUpdate struct {
+	*emulator.MemoryObjects
+	delay func()
+}
+
+func (d *delayedUpdate) Update(ctx context.Context, key string, value []byte, version uint64) (adapter.Object, error) {
+	if delay := d.delay; key == publisher.HeadKey && delay != nil {
+		d.delay = nil
+		delay()
+		head, err := d.Get(ctx, key)
+		if err != nil {
+			return adapter.Object{}, err
+		}
+		version = head.Version
+	}
+	return d.MemoryObjects.Update(ctx, key, value, version)
+}
+
+// Guards against an update of the head from before a restore that replaces a later
+// publish, and after which no publish takes effect.
+func TestDelayedUpdateOfHeadRevertsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		objects := &emulator.MemoryObjects{}
+		all := startConfigurations(ctx, objects, "entry-1", "entry-2", "entry-3")
+		_, err := publishTeam(ctx, objects, "a", 1)
+		c.Assert(err, qt.IsNil)
+		earlier := objects.Copy()
+		_, err = publishTeam(ctx, objects, "b", 1)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+
+		store := &delayedUpdate{MemoryObjects: objects, delay: func() {
+			objects.Restore(earlier)
+			time.Sleep(10 * time.Second)
+			_, err := publishTeam(ctx, objects, "c", 1)
+			c.Assert(err, qt.IsNil)
+			time.Sleep(5 * time.Second)
+		}}
+		delayed := &publisher.Publisher{Objects: store, Author: "anan"}
+		team := &parser.Team{Kind: parser.KindTeam, Name: "late", Weight: 1}
+		edit := publisher.Request{Edits: []publisher.Edit{{Ref: team.Ref(), After: team}}, BaseRevision: 2}
+		_, err = delayed.Publish(ctx, time.Now(), edit)
+		var conflict *publisher.ConflictError
+		if errors.As(err, &conflict) {
+			base, _, loadErr := delayed.Load(ctx)
+			c.Assert(loadErr, qt.IsNil)
+			edit.BaseRevision = base.Number
+			_, err = delayed.Publish(ctx, time.Now(), edit)
+		}
+		c.Assert(err, qt.IsNil)
+		result, err := publishTeam(ctx, objects, "d", 1)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		for _, name := range all.names {
+			c.Assert(all.daemon(name).RevisionNumber(), qt.Equals, result.Revision, qt.Commentf("%s", name))
+			c.Assert(all.daemon(name).Current().Set.Teams, qt.HasLen, 5, qt.Commentf("%s", name))
+		}
+	})
+}
--- a/pkg/broadcaster/broadcaster.go
+++ b/pkg/broadcaster/broadcaster.go
@@ -289,10 +289,16 @@
 
 // confirm offers a revision that the object API has returned.
 func (b *Broadcaster) confirm(revision *parser.Revision) {
-	if b.Offer(revision, "object API") {
-		b.mu.Lock()
+	isCurrent := b.Offer(revision, "object API")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case isCurrent:
 		b.status.Confirmed = time.Now()
-		b.mu.Unlock()
+	case b.IsFromCopy != nil && b.IsFromCopy(revision):
+		// An update of the head that was sent before the restore took effect after
+		// it. The configuration is carried over again.
+		b.era = 0
 	}
 }
 
