Write a list of entry daemons again that a restore has removed

What operators would see: a failure domain is set up, the object API is restored from a copy without its list of entry daemons, and the list stays missing until the daemons of the domain change. A daemon that starts without a working seed finds none of them.

Cause: the first relay writes its list if it differs from the one that it knows. A list that is missing when the lists are read left the known one in place.

Evidence: TestEntryListReturnsAfterRestore, "no list in the copy", failed: object "entries/a1" does not exist, two minutes after the restore.

Change: a missing list counts as unknown and is created.

--- a/internal/coordination/monitor/registration.go
+++ b/internal/coordination/monitor/registration.go
@@ -118,6 +118,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// A restored store may lack the list.
+	m.registered = registration{}
 	for _, o := range objects {
 		m.applyEntryList(o, time.Now())
 	}
