Wait for agents that find a new entry daemon late

What callers would see: all entry daemons are replaced and the object API is restored from a copy without a claim. The agent that ran the call had lost all of them and tries again within 15 s. The new owner asks the agents that it knows before that, grants the key, and the call runs twice.

Evidence: TestRestoredObjectAPIWithNewEntryDaemons freezes the agent that ran the call until after the start of the new daemons.

Change: in its first 20 s, a daemon counts a service as unanswered if it knows fewer agents of it than its fleets have replicas. New keys of the service are refused until then, known ones are answered.

--- a/internal/daemon/router/calls.go
+++ b/internal/daemon/router/calls.go
@@ -11,8 +11,13 @@
 	"github.com/lentilbridge/lentilbridge/pkg/claimer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
+// agentReconnectTime is the time in which the agents find a daemon that has started
+// after all others were down.
+const agentReconnectTime = 20 * time.Second
+
 // callCollector asks the agents of services for the calls with a claim that they
 // have started.
 type callCollector struct {
@@ -28,15 +33,39 @@
 // startedCalls returns the calls of the claim shards at all agents of services that
 // this daemon knows.
 func (d *daemon) startedCalls(ctx context.Context, shards []uint32) claimer.StartedCalls {
+	now := time.Now()
 	c := &callCollector{Dial: d.agents.Dial, Log: d.log}
-	for _, r := range d.membership.Replicas(time.Now()) {
+	for _, r := range d.membership.Replicas(now) {
 		if r.Replica.GetService() != "" {
 			c.Agents = append(c.Agents, r.Replica)
 		}
 	}
+	if revision := d.configuration.Current(); revision != nil && now.Sub(d.started) < agentReconnectTime {
+		c.found.Unanswered = incompleteServices(revision.Set, c.Agents)
+	}
 	return c.collect(ctx, shards)
 }
 
+// incompleteServices returns the services with fewer known agents than configured
+// replicas.
+func incompleteServices(set *parser.Set, agents []*messenger.Replica) []string {
+	missing := map[string]int{}
+	for _, f := range set.Fleets {
+		missing[f.Service] += f.Replicas
+	}
+	for _, agent := range agents {
+		missing[agent.GetService()]--
+	}
+	delete(missing, "")
+	var incomplete []string
+	for service, n := range missing {
+		if n > 0 {
+			incomplete = append(incomplete, service)
+		}
+	}
+	return incomplete
+}
+
 func (c *callCollector) collect(ctx context.Context, shards []uint32) claimer.StartedCalls {
 	for _, agent := range c.Agents {
 		c.running.Add(1)
--- a/internal/daemon/router/calls_test.go
+++ b/internal/daemon/router/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/request/forwarder"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+	"github.com/lentilbridge/lentilbridge/pkg/parser"
 )
 
 // callsAgent answers ClaimedCalls with one call. It fails without a key.
@@ -75,3 +77,32 @@
 		c.Check(time.Since(call.StartedAt) >= 2*time.Second, qt.IsTrue)
 	}
 }
+
+// Guards against a daemon that starts while all others are down, and grants claims
+// before the agent that ran the call has found it.
+func TestCallsOfUnknownAgentsAreMissing(t *testing.T) {
+	set := parser.NewSet()
+	set.Add(&parser.Fleet{Name: "ledger-a", Service: "ledger", Replicas: 2})
+	set.Add(&parser.Fleet{Name: "ledger-b", Service: "ledger", Replicas: 1})
+	set.Add(&parser.Fleet{Name: "records", Service: "records", Replicas: 1})
+	set.Add(&parser.Fleet{Name: "drafting", Model: "draft", Replicas: 4})
+	tests := []struct {
+		name            string
+		ledger, records int
+		want            []string
+	}{
+		{"none", 0, 0, []string{"ledger", "records"}},
+		{"one is missing", 2, 1, []string{"ledger"}},
+		{"all", 3, 1, nil},
+		{"more than configured", 4, 2, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			agents := append(slices.Repeat([]*messenger.Replica{{Service: "ledger"}}, tt.ledger),
+				slices.Repeat([]*messenger.Replica{{Service: "records"}}, tt.records)...)
+			got := incompleteServices(set, agents)
+			slices.Sort(got)
+			qt.Assert(t, got, qt.DeepEquals, tt.want)
+		})
+	}
+}
--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -55,6 +55,8 @@
 type daemon struct {
 	cfg *settings
 	log *logger.Logger
+	// started is when the daemon was started.
+	started time.Time
 
 	api           adapter.ObjectAPI
 	connections   *connector.Pool
@@ -89,7 +91,8 @@
 	d.log = log.With(zap.String("entry", d.cfg.VM))
 	d.failed = make(chan error, 1)
 	d.initPlatform()
-	d.initMembership(time.Now())
+	d.started = time.Now()
+	d.initMembership(d.started)
 	d.initLeasedWork()
 	d.initRequests()
 
--- a/test/restored_test.go
+++ b/test/restored_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -179,3 +181,53 @@
 	watch.stop()
 	c.Check(watch.decreases, qt.HasLen, 0)
 }
+
+// Guards against a call that runs twice when all entry daemons end with the store that
+// loses its claim, and the agent that ran it is found late by the new ones.
+func TestRestoredObjectAPIWithNewEntryDaemons(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &system{Entries: 2, Engines: 1, Services: 2}
+	s.start(t)
+	s.commandObjectAPI("/copy")
+	first := s.postRecord(0, "order-1", "order 1")
+	c.Assert(first.status, qt.Equals, http.StatusCreated, qt.Commentf("%s", first.body))
+	for k := range s.Entries {
+		s.process(entryName(k)).Kill()
+	}
+	s.commandObjectAPI("/restore")
+	agent := s.process(serviceAgentName(s.serviceWithRecord("order 1")))
+	s.freeze(agent)
+	for k := range s.Entries {
+		s.startEntry(k)
+	}
+	started := time.Now()
+	thaw := time.AfterFunc(agentFoundAfter, func() { agent.Signal(syscall.SIGCONT) })
+	defer thaw.Stop()
+	for k := range s.Entries {
+		var a response
+		s.waitUntil(entryName(k)+" answers the call", func() bool {
+			a = s.postRecord(k, "order-1", "order 1")
+			return a.status != http.StatusServiceUnavailable && a.status != 0
+		})
+		c.Check(a.status, qt.Equals, http.StatusCreated, qt.Commentf("%s: %s", entryName(k), a.body))
+		c.Check(a.body, qt.Equals, first.body)
+	}
+	t.Logf("answered %s after the start of the entry daemons", time.Since(started).Round(time.Millisecond))
+	c.Check(s.storedRecords("order 1"), qt.Equals, 1)
+}
+
+// agentFoundAfter is how late new entry daemons find an agent in the test. An agent
+// that has lost all entry daemons for long tries again within 15 s.
+const agentFoundAfter = 15 * time.Second
+
+// serviceWithRecord returns the number of the service replica that has a record.
+func (s *system) serviceWithRecord(body string) int {
+	for k := range s.Services {
+		if strings.Contains(string(s.get("http://"+s.serviceIP(k)+":8000/records")), body) {
+			return k
+		}
+	}
+	s.t.Fatalf("no replica has the record %q", body)
+	return 0
+}
