--- a/internal/daemon/router/daemon.go
+++ b/internal/daemon/router/daemon.go
@@ -56,6 +56,8 @@
 type daemon struct {
 	cfg *settings
 	log *logger.Logger
+	// started is when the daemon was started.
+	started time.Time
 
 	api           adapter.ObjectAPI
 	connections   *connector.Pool
@@ -90,7 +92,8 @@
 	d.log = log.With(zap.String("entry", d.cfg.VM))
 	d.failed = make(chan error, 1)
 	d.initPlatform()
-	d.initMembership(time.Now())
+	d.started = time.Now()
+	d.initMembership(d.started)
 	d.initLeasedWork()
 	d.initRequests()
 
@@ -141,7 +144,7 @@
 		d.membership.VMList = &adapter.HTTPVMList{BaseURL: d.cfg.VMList}
 	}
 	d.configuration = &broadcaster.Broadcaster{
-		API: d.api, Load: d.loadRevision, CarryOver: d.carryOver, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
+		API: d.api, Load: d.loadRevision, CarryOver: d.carryOver, IsFromCopy: d.isFromCopy, Encode: parser.EncodeRevision, Decode: parser.DecodeRevision,
 		IsRelay: d.membership.IsRelay, Peers: d.membership.Peers, Client: d.connections.Entry, Log: d.log,
 		LowerRevisions: daemonMetrics().lowerRevisions, PullFailures: daemonMetrics().pullFailures,
 	}
@@ -160,7 +163,9 @@
 // initLeasedWork creates the components whose work is divided by leases: only
 // the holder of a shard's lease does the work of the shard.
 func (d *daemon) initLeasedWork() {
-	d.claims = &claimer.Claimer{API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease, Log: d.log}
+	d.claims = &claimer.Claimer{
+		API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease, StartedCalls: d.startedCalls, Log: d.log,
+	}
 	d.isolation = &isolator.Isolator{
 		API: d.api, VM: d.cfg.VM, Owner: d.ownerClient, Held: d.holdsLease,
 		Spread: d.membership.BroadcastSuspicions, Now: time.Now, Log: d.log,
@@ -293,6 +298,12 @@
 	return d.publisher.CarryOver(ctx, time.Now(), current)
 }
 
+// isFromCopy reports whether the object API was restored since the revision was
+// published.
+func (d *daemon) isFromCopy(revision *parser.Revision) bool {
+	return publisher.IsFromEarlierEra(revision.Number, adapter.EraOf(d.api))
+}
+
 // loadRevision reads the revision in force from the object API.
 func (d *daemon) loadRevision(ctx context.Context) (*parser.Revision, error) {
 	revision, _, err := d.publisher.Load(ctx)
--- a/pkg/claimer/era.go
+++ b/pkg/claimer/era.go
@@ -31,8 +31,8 @@
 	at     time.Time
 }
 
-// eraWatcher reads the era of the store while there are recent claims, and tells
-// their shards about a new one.
+// eraWatcher reads the era of the store while there are recent claims. It tells
+// their shards, and those that this daemon holds, about a new one.
 type eraWatcher struct {
 	*Claimer
 }
@@ -47,16 +47,22 @@
 			return
 		case <-ticker.C:
 		}
-		shards := c.shardsWithRecentClaims(c.Now())
-		if len(shards) == 0 {
-			continue
-		}
+		c.check(ctx, c.Now())
+	}
+}
+
+func (c eraWatcher) check(ctx context.Context, now time.Time) {
+	shards := c.shardsWithRecentClaims(now)
+	if len(shards) > 0 {
 		// The client keeps the era of the response.
 		if _, _, err := shards[0].readHead(ctx); err != nil {
 			c.Log.Debug("era of the object API not read", zap.Error(err))
 		}
-		for _, s := range shards {
-			s.notifyEra(adapter.EraOf(c.API))
+	}
+	era := adapter.EraOf(c.API)
+	for _, s := range c.shards {
+		if s.hasRecentClaims() || c.Held(ShardName(s.number), now) {
+			s.notifyEra(era)
 		}
 	}
 }
@@ -128,7 +134,7 @@
 	era := adapter.EraOf(s.claimer.API)
 	if era == s.era.Load() && !now.Before(s.grantsFrom) {
 		s.settling.Store(false)
-		return true
+		return era == 0 || s.calls.known
 	}
 	err := s.restoreClaims(ctx)
 	// The index is read again after the delay, with what other daemons write.
@@ -139,8 +145,9 @@
 		return false
 	}
 	if era != s.era.Load() && era == adapter.EraOf(s.claimer.API) {
-		s.era.Store(era)
 		s.grantsFrom = s.claimer.Now().Add(newEraDelay)
+		s.expectCalls()
+		s.era.Store(era)
 		s.settling.Store(true)
 	}
 	return false
@@ -207,8 +214,16 @@
 		return true
 	case existing.RequestID == r.RequestID && existing.Attempt == r.Attempt:
 		return existing.Outcome != r.Outcome && existing.Outcome != OutcomeServed && r.Outcome != ""
+	case r.started:
+		return existing.isUnstarted()
+	}
+	// A key is claimed again only after its earlier call was not run. A claim that
+	// was withdrawn may have the same number as the one that the store has lost.
+	switch {
+	case r.Outcome == OutcomeNotRun || !existing.isUnstarted():
+		return false
+	case existing.Outcome == OutcomeNotRun:
+		return r.EarlierGrants >= existing.EarlierGrants
 	}
-	// A key is claimed again only after its earlier call was not run.
-	wasNotRun := existing.Outcome == OutcomeNotRun || (existing.Outcome == "" && r.ClaimedMS > existing.ClaimedMS)
-	return wasNotRun && r.Outcome != OutcomeNotRun
+	return r.EarlierGrants > existing.EarlierGrants
 }
--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -205,17 +205,130 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		api := &emulator.MemoryObjects{}
+		agents := &serviceAgents{}
 		ownerCtx, stopOwner := context.WithCancel(ctx)
-		owner := startClaimer(ownerCtx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+		owner := agents.startClaimer(ownerCtx, api, "entry-1")
 		earlier := api.Copy()
-		c.Assert(claimState(c, owner, claimRequest("key", "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+		c.Assert(agents.claim(c, owner, "key", "r1"), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 		stopOwner()
 		api.Restore(earlier)
-		other := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-2", true)
+		other := agents.startClaimer(ctx, api, "entry-2")
 		for range 300 {
 			time.Sleep(100 * time.Millisecond)
-			state := claimState(c, other, claimRequest("key", "b", "r2"))
+			state := agents.claim(c, other, "key", "r2")
 			c.Assert(state, qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
 		}
+		// The caller is told what became of the call, by its agent.
+		reply, err := other.Claim(ctx, claimRequest("key", "b", "r2"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetState(), qt.Equals, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS)
+		c.Assert(reply.GetAttempt().GetRequestId(), qt.Equals, "r1")
+		c.Assert(agents.claim(c, other, keyOfShard(claimer.ShardOf("key"), 1), "r3"), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 	})
 }
+
+// Guards against a second grant of a claim that followed one whose call was not run,
+// because the claims that daemons write again are taken in the wrong order.
+func TestLaterClaimOfKeySurvivesRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// firstCopied is set if the copy has the first claim.
+		firstCopied bool
+		// first is set if a daemon other than the owner made the first claim, and
+		// second the same for the second one.
+		first, second bool
+	}{
+		{"owner made both", true, false, false},
+		{"owner made the second one", true, true, false},
+		{"another daemon made both", true, true, true},
+		{"neither is in the copy", false, true, false},
+		{"neither is in the copy, another daemon made the second one", false, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api := &emulator.MemoryObjects{}
+				owner := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+				other := &claimer.Claimer{
+					API: &eraOfResponses{MemoryObjects: api}, VM: "entry-2", Log: zap.NewNop(),
+					Owner: func(string) messenger.EntryClient { return &ownerClient{owner: owner} },
+				}
+				go other.Run(ctx)
+				daemon := map[bool]*claimer.Claimer{false: owner, true: other}
+				earlier := api.Copy()
+				c.Assert(claimState(c, daemon[tt.first], claimRequest("key", "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				if tt.firstCopied {
+					earlier = api.Copy()
+				}
+				// The outcome is recorded by the daemon of the second call.
+				_, err := daemon[tt.second].CompleteClaim(ctx, completeRequest("key", "r1", claimer.OutcomeNotRun, ""))
+				c.Assert(err, qt.IsNil)
+				c.Assert(claimState(c, daemon[tt.second], claimRequest("key", "b", "r2")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+				api.Restore(earlier)
+				time.Sleep(20 * time.Second)
+				for range 3 {
+					reply, err := owner.Claim(ctx, claimRequest("key", "b", "r3"))
+					c.Assert(err, qt.IsNil)
+					c.Assert(reply.GetState(), qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
+					// The first call is found not to have run.
+					_, err = owner.CompleteClaim(ctx, completeRequest("key", "r1", claimer.OutcomeNotRun, ""))
+					c.Assert(err, qt.IsNil)
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a delay of the first claim of each shard long after a restore.
+func TestHeldShardsEnterEraWithoutClaims(t *testing.T) {
+	tests := []struct {
+		name string
+		// newOwner is set if the daemon starts after the restore.
+		newOwner bool
+	}{
+		{"owner before and after the restore", false},
+		{"owner that starts after the restore", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				api, agents := &emulator.MemoryObjects{}, &serviceAgents{}
+				client := &eraOfResponses{MemoryObjects: api}
+				start := func() *claimer.Claimer {
+					cl := &claimer.Claimer{
+						API: client, VM: "entry-1", StartedCalls: agents.startedCalls,
+						Held: func(string, time.Time) bool { return true },
+					}
+					go cl.Run(ctx)
+					return cl
+				}
+				var owner *claimer.Claimer
+				if !tt.newOwner {
+					owner = start()
+				}
+				api.Restore(api.Copy())
+				if tt.newOwner {
+					owner = start()
+				}
+				time.Sleep(5 * time.Second)
+				// Another component of the daemon gets a response.
+				_, _ = client.Get(ctx, "leases/claims-0")
+				time.Sleep(10 * time.Second)
+				for n := range claimer.ShardCount {
+					c.Assert(claimState(c, owner, claimRequest(keyOfShard(n, 0), "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED, qt.Commentf("shard %d", n))
+				}
+				reads := api.Stats().Reads
+				time.Sleep(4 * time.Minute)
+				// The claims make the daemon read the era of the store.
+				c.Assert(api.Stats().Reads-reads <= 4*60/2+10, qt.IsTrue)
+			})
+		})
+	}
+}
