--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,12 +33,6 @@
 	// minNamingPause is the minimum time for which daemons are paused at a naming. It is
 	// longer than the margins at the end of a version's window.
 	minNamingPause = 2 * time.Second
-	// slowdownFactor lengthens the time in which replicas are slow, so that it can
-	// outlast a stop. With maxSlowdown a stream takes nearly as long as the longest
-	// deadline.
-	slowdownFactor = 4
-	minSlowdown    = 10
-	maxSlowdown    = 16
 	// writeRetryInterval is the time between two attempts of an operator's write.
 	writeRetryInterval = 100 * time.Millisecond
 	// maxBackupAge and maxRestoreOutage bound the age of the state to which the store is
@@ -48,9 +41,6 @@
 	maxBackupAge     = 8 * time.Second
 	maxRestoreOutage = 2 * time.Second
 	maxRestores      = 2
-	// addressReuseDelay is how long the address of a replica that ended is not given
-	// to another service.
-	addressReuseDelay = 2 * time.Second
 	// corruptAnswerRatio is the ratio of corrupt answers during a fault of the
 	// origin.
 	corruptAnswerRatio = 0.1
@@ -75,73 +65,6 @@
 	running  sync.WaitGroup
 }
 
-// fault is a kind of fault.
-type fault struct {
-	name string
-	// weight is the relative frequency of the fault.
-	weight int
-	// planned is set if the fault is no reason for a connection to end without a
-	// response.
-	planned bool
-	// prepare draws the random numbers of a fault and returns the function that
-	// injects it and returns when the fault is over. It is called by the goroutine
-	// of the schedule, so that the order of the draws depends on the seed only.
-	prepare func(s *schedule, d time.Duration) func()
-}
-
-// faults lists all kinds of faults.
-var faults = []fault{
-	{"kill an entry daemon", 2, false, func(s *schedule, _ time.Duration) func() { return s.killDaemon(s.randomEntry()) }},
-	{"stop an entry daemon", 3, true, func(s *schedule, _ time.Duration) func() { return s.stopDaemon(s.randomEntry()) }},
-	{"stop the entry daemons in turn", 3, true, func(s *schedule, d time.Duration) func() { return s.stopInTurn(d) }},
-	{"pause an entry daemon", 2, false, func(s *schedule, d time.Duration) func() { return s.pauseDaemon(s.randomEntry(), d) }},
-	{"kill an agent", 2, false, func(s *schedule, _ time.Duration) func() { return s.killDaemon(s.randomAgent()) }},
-	{"pause an agent", 2, false, func(s *schedule, d time.Duration) func() { return s.pauseDaemon(s.randomAgent(), agentPauseFactor*d) }},
-	{"kill all daemons", 1, false, func(s *schedule, _ time.Duration) func() { return s.killAllDaemons() }},
-	{"signal an entry daemon to reload", 1, true, func(s *schedule, _ time.Duration) func() { return s.reloadSettings(s.randomEntry()) }},
-	{"crash a replica", 3, false, func(s *schedule, d time.Duration) func() { return s.crashReplica(s.randomSlot(), d) }},
-	{"replace a replica", 3, true, func(s *schedule, d time.Duration) func() { return s.replaceReplica(s.randomSlot(), d) }},
-	{"lose the answers of a replica", 2, false, func(s *schedule, d time.Duration) func() {
-		return s.injectReplicaFault(s.randomSlot(), d, (*simulator.Replica).DropResponses)
-	}},
-	{"truncate the answers of a replica", 2, false, func(s *schedule, d time.Duration) func() {
-		return s.injectReplicaFault(s.randomSlot(), d, (*simulator.Replica).TruncateResponses)
-	}},
-	{"slow down replicas", 4, true, func(s *schedule, d time.Duration) func() { return s.slowDownReplicas(slowdownFactor * d) }},
-	{"a part of prompts crashes replicas", 4, false, func(s *schedule, _ time.Duration) func() {
-		return func() { s.Cluster.partCrashes.Store(s.PartCrashes) }
-	}},
-	{"store refuses", 2, false, func(s *schedule, d time.Duration) func() { return s.injectStoreFault(simulator.StoreRefuses, d) }},
-	{"store hangs", 2, false, func(s *schedule, d time.Duration) func() { return s.injectStoreFault(simulator.StoreHangs, d) }},
-	{"store is slow", 1, false, func(s *schedule, d time.Duration) func() { return s.injectStoreFault(simulator.StoreSlow, d) }},
-	{"store loses answers", 2, false, func(s *schedule, d time.Duration) func() { return s.injectStoreFault(simulator.StoreDropsResponses, d) }},
-	{"store drops its history", 1, false, func(s *schedule, _ time.Duration) func() { return s.Cluster.store.Compact }},
-	{"cut an entry daemon from the store", 2, false, func(s *schedule, d time.Duration) func() {
-		return s.disturbLink(s.randomEntry(), d, storeProxy, s.randomLinkMode())
-	}},
-	{"cut an agent from the store", 1, false, func(s *schedule, d time.Duration) func() {
-		return s.disturbLink(s.randomAgent(), d, storeProxy, s.randomLinkMode())
-	}},
-	{"disturb the link of callers", 3, false, func(s *schedule, d time.Duration) func() {
-		return s.disturbLink(s.randomEntry(), d, inboundProxy, s.randomLinkMode())
-	}},
-	{"disturb the link of a replica", 3, false, func(s *schedule, d time.Duration) func() {
-		return s.disturbReplicaLink(s.randomSlot(), d, s.randomLinkMode())
-	}},
-	{"reuse an address while the store is down", 2, false, func(s *schedule, d time.Duration) func() { return s.reuseAddress(s.randomServiceSlot(), d) }},
-	{"change the configuration", 4, true, func(s *schedule, _ time.Duration) func() { return s.changeConfiguration(s.Rand.IntN(2) == 0) }},
-	{"change the model version", 3, true, func(s *schedule, _ time.Duration) func() { return s.changeVersion() }},
-	{"corrupt answers of the origin", 1, false, func(s *schedule, d time.Duration) func() { return s.corruptOrigin(d) }},
-	{"corrupt staged weights", 1, false, func(s *schedule, _ time.Duration) func() { return s.corruptStagedWeights() }},
-}
-
-// extendedFaults lists kinds of faults that are drawn only with Extended, so that the seeds
-// of runs without it keep their faults.
-var extendedFaults = []fault{
-	{"name a version while daemons are paused", 5, false, func(s *schedule, d time.Duration) func() { return s.nameVersionInPause(d) }},
-	{"store comes back from an old copy", 5, false, func(s *schedule, _ time.Duration) func() { return s.restoreStore() }},
-}
-
 func (s *schedule) randomEntry() *vm { return s.Cluster.entries[s.Rand.IntN(len(s.Cluster.entries))] }
 
 func (s *schedule) randomAgent() *vm { return s.Cluster.agents[s.Rand.IntN(len(s.Cluster.agents))] }
@@ -181,42 +104,6 @@
 	return time.Duration(r.Int64N(int64(d)))
 }
 
-// chooseFaults returns about half of the kinds of faults, because some kinds hide
-// the effects of others, and because time bounds are checked only on undisturbed
-// components. In a third of the seeds, it returns the planned kinds.
-func (s *schedule) chooseFaults() []fault {
-	var out []fault
-	kinds := faults
-	if s.Extended {
-		kinds = slices.Concat(faults, extendedFaults)
-	}
-	plannedOnly := s.Rand.IntN(3) == 0
-	for _, f := range kinds {
-		if chosen := s.Rand.IntN(2) == 0; plannedOnly && f.planned || !plannedOnly && chosen {
-			out = append(out, f)
-		}
-	}
-	if len(out) == 0 {
-		return kinds
-	}
-	return out
-}
-
-// chooseFault returns a random fault according to the weights.
-func (s *schedule) chooseFault(enabled []fault) fault {
-	total := 0
-	for _, f := range enabled {
-		total += f.weight
-	}
-	n := s.Rand.IntN(total)
-	for _, f := range enabled {
-		if n -= f.weight; n < 0 {
-			return f
-		}
-	}
-	return enabled[0]
-}
-
 // injection is a fault in progress.
 type injection struct {
 	schedule *schedule
@@ -287,23 +174,6 @@
 	}
 }
 
-// slowDownReplicas returns a fault that slows down some of the replicas.
-func (s *schedule) slowDownReplicas(d time.Duration) func() {
-	order, n, factor := s.Rand.Perm(len(s.Cluster.slots)), 1+s.Rand.IntN(len(s.Cluster.slots)), minSlowdown+s.Rand.IntN(maxSlowdown-minSlowdown+1)
-	return func() {
-		var slowed []*simulator.Replica
-		for _, i := range order[:n] {
-			r := s.Cluster.slots[i].currentReplica()
-			r.SlowDown(factor)
-			slowed = append(slowed, r)
-		}
-		time.Sleep(d)
-		for _, r := range slowed {
-			r.SlowDown(1)
-		}
-	}
-}
-
 // pauseDaemon returns a fault that suspends a daemon with SIGSTOP.
 func (s *schedule) pauseDaemon(v *vm, d time.Duration) func() {
 	return func() {
@@ -323,131 +193,6 @@
 	}
 }
 
-// reserve reserves a slot for one fault that replaces its replica. It fails if
-// another fault has the slot.
-func (s *replicaSlot) reserve() (*simulator.Replica, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.reserved {
-		return nil, false
-	}
-	s.reserved = true
-	return s.replica, true
-}
-
-func (s *replicaSlot) currentReplica() *simulator.Replica {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.replica
-}
-
-func (s *replicaSlot) release() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reserved = false
-}
-
-// crashReplica returns a fault that ends a replica at once and starts another one
-// at its address, sometimes for the other service.
-func (s *schedule) crashReplica(slot *replicaSlot, d time.Duration) func() {
-	otherService := s.Rand.IntN(2) == 0
-	return func() {
-		r, ok := slot.reserve()
-		if !ok {
-			return
-		}
-		defer slot.release()
-		r.Crash()
-		time.Sleep(d)
-		s.reassignSlot(slot, otherService)
-		s.startReplica(slot)
-	}
-}
-
-func (s *schedule) startReplica(slot *replicaSlot) {
-	if err := s.Cluster.startReplica(slot); err != nil {
-		s.Cluster.Checker.addViolation("SOAK", "replica of %s not started: %v", slot.VM, err)
-	}
-}
-
-// replaceReplica returns a fault that drains a replica, or removes it from the
-// store without announcing its end, and starts another one at its address,
-// sometimes for the other service.
-func (s *schedule) replaceReplica(slot *replicaSlot, d time.Duration) func() {
-	announce, otherService := s.Rand.IntN(3) > 0, s.Rand.IntN(2) == 0
-	return func() {
-		r, ok := slot.reserve()
-		if !ok {
-			return
-		}
-		defer slot.release()
-		r.Shutdown(announce, d)
-		s.reassignSlot(slot, otherService)
-		s.startReplica(slot)
-	}
-}
-
-// reassignSlot assigns a slot to the other service if otherService is set, and
-// waits until its address may be reused.
-func (s *schedule) reassignSlot(slot *replicaSlot, otherService bool) {
-	if slot.Engine == nil && otherService && s.Cluster.tryReassign(slot) {
-		time.Sleep(addressReuseDelay)
-	}
-}
-
-// tryReassign assigns a slot to the other service unless its own service would
-// keep fewer than two slots.
-func (c *cluster) tryReassign(slot *replicaSlot) bool {
-	other := map[string]string{routeOrder.Service: routeLookup.Service, routeLookup.Service: routeOrder.Service}[slot.Service]
-	replicas := 0
-	for _, candidate := range c.slots {
-		candidate.mu.Lock()
-		if candidate.Service == slot.Service {
-			replicas++
-		}
-		candidate.mu.Unlock()
-	}
-	if replicas < 3 {
-		return false
-	}
-	slot.mu.Lock()
-	defer slot.mu.Unlock()
-	slot.Service = other
-	return true
-}
-
-// reuseAddress returns a fault that gives the address of a crashed replica to the
-// other service while the store is down, so that daemons do not learn of the
-// change.
-func (s *schedule) reuseAddress(slot *replicaSlot, d time.Duration) func() {
-	return func() {
-		r, ok := slot.reserve()
-		if !ok {
-			return
-		}
-		defer slot.release()
-		defer s.Cluster.Checker.beginDisturbance(subjectStore, false)()
-		s.Cluster.store.SetMode(simulator.StoreRefuses)
-		r.Crash()
-		s.reassignSlot(slot, true)
-		s.startReplica(slot)
-		time.Sleep(d)
-		s.Cluster.store.SetMode(simulator.StoreUp)
-	}
-}
-
-// injectReplicaFault returns a fault that sets a failure mode of a replica for a
-// while.
-func (s *schedule) injectReplicaFault(slot *replicaSlot, d time.Duration, setFault func(r *simulator.Replica, on bool)) func() {
-	return func() {
-		defer s.Cluster.Checker.beginDisturbance(replicaSubject(slot.VM), false)()
-		r := slot.currentReplica()
-		setFault(r, true)
-		time.Sleep(d)
-		setFault(r, false)
-	}
-}
-
 // injectStoreFault returns a fault that changes the mode of the store for a while.
 func (s *schedule) injectStoreFault(m simulator.StoreMode, d time.Duration) func() {
 	return func() {
