Soak: replicas that say that they leave or want no requests

The stand-ins of replicas say in all their responses that they leave, from the moment at which they decide until they end, also before their registration does and while the store is away.

The checker reports, from what replicas and callers see, - DRAIN: a request sent later than the drain time after its entry VM had passed on that the replica leaves, in touch or not; a kill, stop or pause of the VM's daemon since then excuses it; - BUDGET: more than two requests from a VM in the time in which the replica wants none from it, from 0.5 s on; a kill, stop or pause, or a disturbance of the link, excuses them.

The mutated binaries take the call out of platform/signals.go.

--- a/tools/soak/caller.go
+++ b/tools/soak/caller.go
@@ -250,6 +250,7 @@
 		return false, err
 	}
 	defer resp.Body.Close()
+	c.Cluster.Checker.recordHead(r, simulator.RespondingReplica(resp), time.Now())
 	if strings.HasPrefix(r.Route.Name, extraRoutePrefix) {
 		c.Cluster.Checker.checkProbe(r, resp.StatusCode)
 	} else {
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -88,6 +88,8 @@
 	// refused is set when the caller received a status that says that the request
 	// did not run.
 	refused bool
+	// leaving lists the responses in which replicas say that they leave.
+	leaving []leavingResponse
 }
 
 // checker compares the requests that replicas run with the requests that callers
@@ -103,6 +105,8 @@
 	restores          []time.Time
 	leftAt            map[string]time.Time
 	endedAt           map[string]time.Time
+	leavingHops       map[hop]passedResponse
+	holdOffs          map[hop][]*holdOff
 	partCrashes       []time.Time
 	lateArrivals      int
 	versionChanges    []versionChange
@@ -135,7 +139,7 @@
 func newChecker(now time.Time) *checker {
 	return &checker{
 		Start: now, requests: map[string]*request{}, leftAt: map[string]time.Time{}, endedAt: map[string]time.Time{},
-		routes: map[string]*routeLifetime{}, counts: map[string]int{},
+		leavingHops: map[hop]passedResponse{}, holdOffs: map[hop][]*holdOff{}, routes: map[string]*routeLifetime{}, counts: map[string]int{},
 	}
 }
 
@@ -214,7 +218,7 @@
 }
 
 // Arrived implements simulator.Observer. It checks that no request reaches a
-// replica that left, whether the request runs or not.
+// replica that left or wants none, whether the request runs or not.
 func (c *checker) Arrived(replica, id string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -226,6 +230,8 @@
 	if r.Crashes {
 		c.checkPartCrash(r, now)
 	}
+	c.checkLeaving(r, replica)
+	c.checkHoldOff(r, replica, now)
 	leftAt, hasLeft := c.leftAt[replica]
 	if !hasLeft {
 		return
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -97,6 +97,8 @@
 	Entries int
 	Engines int
 	Callers int
+	// Signals makes replicas say of themselves that they leave or want no requests.
+	Signals bool
 	Checker *checker
 
 	// networkOctet is the second octet of the loopback addresses.
@@ -258,7 +260,7 @@
 	slot.replica = &simulator.Replica{
 		ID: replicaID(slot.VM, slot.startCount), Service: slot.Service, VM: slot.VM, FailureDomain: slot.Domain, DrainTime: drainTime,
 		Listen: slot.Listen, Address: slot.Proxy.Listener.Addr().String(), Engine: slot.Engine, Observer: c.Checker, Store: c.store,
-		CrashesOn: c.crashesOn, OnCrash: func(now time.Time) {
+		Signals: c.Signals, CrashesOn: c.crashesOn, OnCrash: func(now time.Time) {
 			c.Checker.recordPartCrash(now)
 			go (&restart{cluster: c, slot: slot}).run()
 		},
--- a/tools/soak/disturbances.go
+++ b/tools/soak/disturbances.go
@@ -91,4 +91,7 @@
 
 func entrySubject(i int) string { return fmt.Sprintf("entry %d", i) }
 
+// processSubject returns the subject for the process of a daemon.
+func processSubject(daemon string) string { return "process of " + daemon }
+
 func agentSubject(i int) string { return fmt.Sprintf("agent %d", i) }
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -32,7 +32,7 @@
 	{"kill all daemons", 1, false, func(s *schedule, _ time.Duration) func() { return s.killAllDaemons() }},
 	{"signal an entry daemon to reload", 1, true, func(s *schedule, _ time.Duration) func() { return s.reloadSettings(s.randomEntry()) }},
 	{"crash a replica", 3, false, func(s *schedule, d time.Duration) func() { return s.crashReplica(s.randomSlot(), d) }},
-	{"replace a replica", 3, true, func(s *schedule, d time.Duration) func() { return s.replaceReplica(s.randomSlot(), d) }},
+	{"replace a replica", 3, true, func(s *schedule, d time.Duration) func() { return s.replaceReplica(s.randomSlot(), 0, d) }},
 	{"lose the answers of a replica", 2, false, func(s *schedule, d time.Duration) func() {
 		return s.injectReplicaFault(s.randomSlot(), d, (*simulator.Replica).DropResponses)
 	}},
@@ -74,14 +74,27 @@
 	{"store comes back from an old copy", 5, false, func(s *schedule, _ time.Duration) func() { return s.restoreStore() }},
 }
 
+// signalFaults lists kinds of faults with replicas that say of themselves that they leave or
+// want no requests. They are drawn only with Signals.
+var signalFaults = []fault{
+	{"a replica says that it leaves before its registration does", 5, true, func(s *schedule, d time.Duration) func() {
+		return s.replaceReplica(s.randomSlot(), drainTime+randomDuration(s.Rand, maxNoticeDelay-drainTime), d)
+	}},
+	{"replicas leave while the store is away", 4, false, func(s *schedule, d time.Duration) func() { return s.leaveWithoutStore(d) }},
+	{"overload replicas", 5, true, func(s *schedule, d time.Duration) func() { return s.overloadReplicas(overloadFactor * d) }},
+}
+
 // chooseFaults returns about half of the kinds of faults, because some kinds hide
 // the effects of others, and because time bounds are checked only on undisturbed
 // components. In a third of the seeds, it returns the planned kinds.
 func (s *schedule) chooseFaults() []fault {
 	var out []fault
-	kinds := faults
+	kinds := slices.Clone(faults)
 	if s.Extended {
-		kinds = slices.Concat(faults, extendedFaults)
+		kinds = append(kinds, extendedFaults...)
+	}
+	if s.Signals {
+		kinds = append(kinds, signalFaults...)
 	}
 	plannedOnly := s.Rand.IntN(3) == 0
 	for _, f := range kinds {
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -54,6 +54,8 @@
 	PartCrashes bool
 	// Extended adds the kinds of faults that earlier seeds do not have.
 	Extended bool
+	// Signals makes replicas say of themselves that they leave or want no requests.
+	Signals bool
 }
 
 // report is the result of a run.
@@ -74,7 +76,7 @@
 	}
 	c := &cluster{
 		Binary: s.Binary, Dir: s.Dir, Seed: s.Seed, Entries: s.Entries, Engines: s.Engines, Callers: s.Callers,
-		Checker: newChecker(time.Now()),
+		Signals: s.Signals, Checker: newChecker(time.Now()),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer c.stop()
@@ -86,7 +88,7 @@
 	c.startCallers(ctx)
 	out := &report{}
 	sched := &schedule{
-		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended,
+		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended, Signals: s.Signals,
 		OnFault: func(name string) {
 			out.faults = append(out.faults, fmt.Sprintf("%6.1fs %s", time.Since(c.Checker.Start).Seconds(), name))
 		},
@@ -148,6 +150,8 @@
 	partCrashes bool
 	// extended adds the kinds of faults that earlier seeds do not have.
 	extended bool
+	// signals makes replicas say of themselves that they leave or want no requests.
+	signals bool
 	// untilViolation stops at the first seed with violations and inverts the exit
 	// status: a violation is a success.
 	untilViolation bool
@@ -172,6 +176,7 @@
 	fs.IntVar(&o.callers, "callers", 12, "`number` of callers without pauses; there are twice as many with pauses")
 	fs.BoolVar(&o.partCrashes, "part-crashes", true, "allow the fault in which a part of prompts crashes replicas")
 	fs.BoolVar(&o.extended, "extended", true, "add the kinds of faults that seeds kept from before do not have")
+	fs.BoolVar(&o.signals, "signals", true, "replicas say in their responses that they leave or want no requests, with faults of these kinds")
 	fs.StringVar(&o.dir, "dir", filepath.Join(os.TempDir(), "lentil-soak"), "`directory` for binaries and logs; logs of clean runs are removed")
 	fs.StringVar(&o.mutation, "without", "", "build the daemons with a `mechanism` removed: "+strings.Join(mutationNames(), ", "))
 	fs.BoolVar(&o.untilViolation, "until-violation", false, "stop with success at the first seed with violations; fail if no seed has any")
@@ -213,7 +218,7 @@
 	for i := range o.seeds {
 		seed := o.seed + uint64(i)
 		dir := filepath.Join(o.dir, fmt.Sprintf("seed-%d", seed))
-		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes, Extended: o.extended}
+		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes, Extended: o.extended, Signals: o.signals}
 		r, err := s.run(ctx)
 		if err != nil {
 			return failed, err
--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -49,6 +49,14 @@
 		"version-check", "internal/weights/selector/selector.go",
 		"if now.Sub(l.After) >= n.Window-margin {", "if now.Sub(l.After) >= 1000*n.Window {",
 	},
+	{
+		"leaving-check", "platform/signals.go",
+		"s.OnLeaving(r, now)", "_ = s.OnLeaving",
+	},
+	{
+		"hold-off-check", "platform/signals.go",
+		"s.OnHoldOff(r, wait, now)", "_ = s.OnHoldOff",
+	},
 	{
 		"store-era", "platform/store.go",
 		"value := h.Get(eraHeader)", "value := \"\"",
--- a/tools/soak/replica_faults.go
+++ b/tools/soak/replica_faults.go
@@ -7,6 +7,14 @@
 )
 
 const (
+	// maxNoticeDelay is the longest time for which a replica says that it leaves before
+	// its registration does.
+	maxNoticeDelay = 8 * time.Second
+	// overloadFactor lengthens the time in which replicas are overloaded, so that it can
+	// outlast maxHoldOff, the longest time for which they then want no requests.
+	overloadFactor = 4
+	minHoldOff     = time.Second
+	maxHoldOff     = 6 * time.Second
 	// slowdownFactor lengthens the time in which replicas are slow, so that it can
 	// outlast a stop. With maxSlowdown a stream takes nearly as long as the longest
 	// deadline.
@@ -84,8 +92,9 @@
 
 // replaceReplica returns a fault that drains a replica, or removes it from the
 // store without announcing its end, and starts another one at its address,
-// sometimes for the other service.
-func (s *schedule) replaceReplica(slot *replicaSlot, d time.Duration) func() {
+// sometimes for the other service. The replica decides to leave the time noticeDelay
+// before its registration shows that.
+func (s *schedule) replaceReplica(slot *replicaSlot, noticeDelay, d time.Duration) func() {
 	announce, otherService := s.Rand.IntN(3) > 0, s.Rand.IntN(2) == 0
 	return func() {
 		r, ok := slot.reserve()
@@ -93,12 +102,50 @@
 			return
 		}
 		defer slot.release()
+		r.Leave()
+		time.Sleep(noticeDelay)
 		r.Shutdown(announce, d)
 		s.reassignSlot(slot, otherService)
 		s.startReplica(slot)
 	}
 }
 
+// leaveWithoutStore returns a fault in which up to half of the replicas leave while the store
+// is away.
+func (s *schedule) leaveWithoutStore(d time.Duration) func() {
+	order, n := s.Rand.Perm(len(s.Cluster.slots)), 1+s.Rand.IntN(len(s.Cluster.slots)/2)
+	mode := []simulator.StoreMode{simulator.StoreRefuses, simulator.StoreHangs}[s.Rand.IntN(2)]
+	var replacements []func()
+	for _, i := range order[:n] {
+		replacements = append(replacements, s.replaceReplica(s.Cluster.slots[i], 0, d))
+	}
+	return func() {
+		for _, replace := range replacements {
+			s.running.Add(1)
+			go (&injection{schedule: s, inject: replace}).run()
+		}
+		s.injectStoreFault(mode, drainTime+d)()
+	}
+}
+
+// overloadReplicas returns a fault in which some of the replicas refuse all requests and ask
+// for none for a time.
+func (s *schedule) overloadReplicas(d time.Duration) func() {
+	order, n, wait := s.Rand.Perm(len(s.Cluster.slots)), 1+s.Rand.IntN(len(s.Cluster.slots)), minHoldOff+randomDuration(s.Rand, maxHoldOff-minHoldOff)
+	return func() {
+		var overloaded []*simulator.Replica
+		for _, i := range order[:n] {
+			r := s.Cluster.slots[i].currentReplica()
+			r.HoldOff(wait)
+			overloaded = append(overloaded, r)
+		}
+		time.Sleep(d)
+		for _, r := range overloaded {
+			r.HoldOff(0)
+		}
+	}
+}
+
 // reassignSlot assigns a slot to the other service if otherService is set, and
 // waits until its address may be reused.
 func (s *schedule) reassignSlot(slot *replicaSlot, otherService bool) {
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -57,8 +57,9 @@
 	OnFault func(name string)
 	// PartCrashes allows the fault in which a part of prompts crashes replicas.
 	PartCrashes bool
-	// Extended adds extendedFaults.
+	// Extended adds extendedFaults, and Signals signalFaults.
 	Extended bool
+	Signals  bool
 
 	// restores counts the restores of the store.
 	restores int
@@ -122,10 +123,21 @@
 	return agentSubject(v.Index)
 }
 
+// interrupt records that the process of a VM ends or is paused from now on, and returns the
+// function that ends this.
+func (s *schedule) interrupt(v *vm, planned bool) (end func()) {
+	endVM := s.Cluster.Checker.beginDisturbance(v.subject(), planned)
+	endProcess := s.Cluster.Checker.beginDisturbance(processSubject(v.subject()), planned)
+	return func() {
+		endProcess()
+		endVM()
+	}
+}
+
 // killDaemon returns a fault that kills a daemon with SIGKILL.
 func (s *schedule) killDaemon(v *vm) func() {
 	return func() {
-		defer s.Cluster.Checker.beginDisturbance(v.subject(), false)()
+		defer s.interrupt(v, false)()
 		v.Process.signal(syscall.SIGKILL)
 		time.Sleep(restartDelay)
 	}
@@ -146,7 +158,7 @@
 func (s *schedule) stopDaemon(v *vm) func() {
 	return func() {
 		ck := s.Cluster.Checker
-		defer ck.beginDisturbance(v.subject(), true)()
+		defer s.interrupt(v, true)()
 		requested := time.Now()
 		if v.Role == roleEntry && v.Process.isRunning() {
 			ck.recordStop(v.Index, requested)
@@ -177,7 +189,7 @@
 // pauseDaemon returns a fault that suspends a daemon with SIGSTOP.
 func (s *schedule) pauseDaemon(v *vm, d time.Duration) func() {
 	return func() {
-		defer s.Cluster.Checker.beginDisturbance(v.subject(), false)()
+		defer s.interrupt(v, false)()
 		if v.Process.signal(syscall.SIGSTOP) {
 			time.Sleep(d)
 			v.Process.signal(syscall.SIGCONT)
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -23,21 +23,23 @@
 	partCrashes bool
 	// extended adds the faults of extendedFaults.
 	extended bool
+	// signals adds the faults of signalFaults.
+	signals bool
 }
 
 // TestShortSoak guards against a guarantee that does not hold under the faults of
 // a few seeds, and against a soak that no longer runs.
 func TestShortSoak(t *testing.T) {
 	playSeeds(t, []soakSeed{
-		{7, "none", false, false},
-		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false},
+		{7, "none", false, false, false},
+		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false, false},
 	})
 }
 
 // TestSoakCutsRequestsTakenInStop guards against stopping entry daemons that take requests
 // that outlast them.
 func TestSoakCutsRequestsTakenInStop(t *testing.T) {
-	playSeeds(t, []soakSeed{{130, "a stopping entry daemon took requests that could outlast it", false, false}})
+	playSeeds(t, []soakSeed{{130, "a stopping entry daemon took requests that could outlast it", false, false, false}})
 }
 
 func playSeeds(t *testing.T, seeds []soakSeed) {
@@ -48,7 +50,7 @@
 	binary, err := build(dir, "")
 	qt.Assert(t, err, qt.IsNil)
 	for _, tc := range seeds {
-		s := &soak{Binary: binary, Dir: dir, Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12, PartCrashes: tc.partCrashes, Extended: tc.extended}
+		s := &soak{Binary: binary, Dir: dir, Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12, PartCrashes: tc.partCrashes, Extended: tc.extended, Signals: tc.signals}
 		r, err := s.run(context.Background())
 		qt.Assert(t, err, qt.IsNil)
 		var out bytes.Buffer
