Keep away from a replica that holds off after its registration returns

Cause: its log shows the hold at 53.27, "did not return" at 54.49 (the store was away, registrations had expired) and "registered" at 54.78. The placer kept the time with the state of listed replicas and forgot it with the registration. The test failed before: TestHeldReplicaIsUsed, "its registration vanished and returned": placed, want not placed.

The placer keeps the times by ID and start of the replica, for listed and other replicas, until they end. A response that arrives while the replica is not listed counts too, and one from an earlier start does not.

--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -2,19 +2,34 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 )
 
+// hold is a time until which a replica has asked for no requests. It ends when the replica
+// starts again, and outlasts a registration that vanishes and returns.
+type hold struct {
+	startedAtMs int64
+	until       time.Time
+}
+
 // HoldOff places nothing on a replica until a time, as the replica has asked. Of several
 // times the latest counts. Requests that wait and can no longer be placed in time are
 // refused at once. It reports whether the time is later than the one before.
-func (p *Placer) HoldOff(id string, until, now time.Time) (extended bool) {
+func (p *Placer) HoldOff(r Replica, until, now time.Time) (extended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.byID[id]
-	if s == nil || !until.After(s.heldUntil) {
+	s := p.byID[r.ID]
+	if s != nil && s.StartedAtMs != r.StartedAtMs || !until.After(p.heldUntil(r)) {
 		return false
 	}
+	if p.holds == nil {
+		p.holds = map[string]hold{}
+	}
+	p.holds[r.ID] = hold{startedAtMs: r.StartedAtMs, until: until}
+	if s == nil {
+		return true
+	}
 	s.heldUntil = until
 	for _, w := range p.waiting.ofService(s.Service) {
 		if p.countUsable(w.query, now, w.since.Add(w.query.MaxWait)) == 0 {
@@ -25,6 +40,20 @@
 	return true
 }
 
+// heldUntil returns the time until which a replica has asked for no requests. The caller
+// holds p.mu.
+func (p *Placer) heldUntil(r Replica) time.Time {
+	if h := p.holds[r.ID]; h.startedAtMs == r.StartedAtMs {
+		return h.until
+	}
+	return time.Time{}
+}
+
+// forgetHolds removes the holds that have ended. The caller holds p.mu.
+func (p *Placer) forgetHolds(now time.Time) {
+	maps.DeleteFunc(p.holds, func(_ string, h hold) bool { return !now.Before(h.until) })
+}
+
 // firstReturn returns the time until the first replica that could run the request takes
 // requests again, or 0 if it does not depend on that.
 func (p *Placer) firstReturn(q Query, now time.Time) time.Duration {
--- a/internal/request/placer/holdoff_test.go
+++ b/internal/request/placer/holdoff_test.go
@@ -21,7 +21,7 @@
 	p.Update(list, now)
 	for i, hold := range holds {
 		if hold > 0 {
-			p.HoldOff("r"+strconv.Itoa(i), now.Add(hold), now)
+			p.HoldOff(list[i], now.Add(hold), now)
 		}
 	}
 	return p
@@ -39,9 +39,26 @@
 	}{
 		{"during the time", func(*Placer) {}, 1900 * time.Millisecond, false},
 		{"after the time", func(*Placer) {}, 2 * time.Second, true},
-		{"a shorter time later", func(p *Placer) { p.HoldOff("r0", start.Add(time.Second), start.Add(500*time.Millisecond)) }, 1500 * time.Millisecond, false},
-		{"a longer time later", func(p *Placer) { p.HoldOff("r0", start.Add(3*time.Second), start.Add(time.Second)) }, 2500 * time.Millisecond, false},
+		{"a shorter time later", func(p *Placer) { p.HoldOff(Replica{ID: "r0"}, start.Add(time.Second), start.Add(500*time.Millisecond)) }, 1500 * time.Millisecond, false},
+		{"a longer time later", func(p *Placer) { p.HoldOff(Replica{ID: "r0"}, start.Add(3*time.Second), start.Add(time.Second)) }, 2500 * time.Millisecond, false},
 		{"listed again", func(p *Placer) { p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4}}, start) }, time.Second, false},
+		{"its registration vanished and returned", func(p *Placer) {
+			p.Update(nil, start.Add(time.Second))
+			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4}}, start.Add(time.Second))
+		}, time.Second, false},
+		{"its registration vanished and it started again", func(p *Placer) {
+			p.Update(nil, start.Add(time.Second))
+			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start.Add(time.Second))
+		}, time.Second, true},
+		{"asked while it was not listed", func(p *Placer) {
+			p.Update(nil, start.Add(2*time.Second))
+			p.HoldOff(Replica{ID: "r0"}, start.Add(4*time.Second), start.Add(2*time.Second))
+			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4}}, start.Add(2*time.Second))
+		}, 3 * time.Second, false},
+		{"asked before it started again", func(p *Placer) {
+			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
+			p.HoldOff(Replica{ID: "r0"}, start.Add(4*time.Second), start)
+		}, time.Second, true},
 		{"started again", func(p *Placer) {
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
 		}, time.Second, true},
@@ -80,7 +97,7 @@
 				start := time.Now()
 				p := heldPlacer(tc.holds, start)
 				if tc.later {
-					time.AfterFunc(50*time.Millisecond, func() { p.HoldOff("r0", start.Add(5*time.Second), time.Now()) })
+					time.AfterFunc(50*time.Millisecond, func() { p.HoldOff(Replica{ID: "r0"}, start.Add(5*time.Second), time.Now()) })
 				}
 				// Reports of other daemons make the placer look for free places.
 				reports := time.NewTicker(100 * time.Millisecond)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -248,7 +248,9 @@
 	mu       sync.Mutex
 	services map[string][]*replicaState
 	// byID holds the replicas of all services.
-	byID  map[string]*replicaState
+	byID map[string]*replicaState
+	// holds are the holds by ID, also of replicas that are not listed.
+	holds map[string]hold
 	peers map[string]peerLoad
 	// oldestReport is not after the time of any report in peers.
 	oldestReport time.Time
@@ -264,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expirePeers(now)
+	p.forgetHolds(now)
 	known := map[string]*replicaState{}
 	for _, list := range p.services {
 		for _, s := range list {
@@ -284,10 +287,7 @@
 		} else if s.Draining && !r.Draining || !maps.Equal(s.Versions, r.Versions) {
 			s.usableSince = now
 		}
-		if s.StartedAtMs != r.StartedAtMs {
-			s.heldUntil = time.Time{}
-		}
-		s.Replica = r
+		s.Replica, s.heldUntil = r, p.heldUntil(r)
 		s.others = Load{}
 		p.services[r.Service] = append(p.services[r.Service], s)
 		p.byID[r.ID] = s
