--- /dev/null
+++ b/tools/soak/pause_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
+)
+
+// TestPauseBreaksStreams guards against entry daemons that end streams after a pause although
+// the replicas have gone on, because a timer fires before the events of the pause are read.
+func TestPauseBreaksStreams(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	dir := t.TempDir()
+	binary, err := build(dir, "")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 2, Engines: 4, Callers: 12, Checker: newChecker(time.Now())}
+	defer c.stop()
+	defer cancel()
+	qt.Assert(t, c.start(ctx), qt.IsNil)
+	waiter.Wait(ctx, startupWait)
+	c.startCallers(ctx)
+	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
+	for i := range 4 {
+		waiter.Wait(ctx, 2*time.Second)
+		s.pauseDaemon(c.entries[i%2], 1300*time.Millisecond)()
+	}
+	waiter.Wait(ctx, 2*time.Second)
+	c.Checker.mu.Lock()
+	defer c.Checker.mu.Unlock()
+	for _, r := range c.Checker.requests {
+		qt.Check(t, len(r.replicas) <= 1, qt.IsTrue, qt.Commentf("%s ran on %v", r.ID, r.replicas))
+	}
+	qt.Assert(t, c.Checker.counts["cut"], qt.Equals, 0, qt.Commentf("%v", c.Checker.counts))
+	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
+}
