--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -33,6 +33,7 @@
 	playSeeds(t, []soakSeed{
 		{7, "none", false, false, false},
 		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false, false},
+		{27000, "none", true, true, true},
 	})
 }
 
