Soak: start on another network if the first is in use

Seen twice beside other soaks: "listen tcp 127.93.17.1:8007: bind: address already in use", and 127.204.17.1 in a trial of TestNamingInPauseExtendsWindow. The network was the process id modulo 200 only, so that soaks whose ids agree in it could not run at the same time. Now the next free one is taken.

--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
@@ -49,6 +51,12 @@
 	netStandIns
 )
 
+// Networks of soaks, as second octets of addresses.
+const (
+	firstNetwork = 16
+	networks     = 200
+)
+
 // Roles of daemons.
 const (
 	roleEntry = "entry"
@@ -145,11 +153,9 @@
 
 // start starts the simulators and the daemons.
 func (c *cluster) start(ctx context.Context) error {
-	// Soaks that run at the same time use different networks.
-	c.networkOctet = 16 + os.Getpid()%200
 	c.store, c.origin = simulator.NewStore(), &simulator.Origin{Model: model}
 	go c.store.Run(ctx)
-	if err := c.serve(c.address(netStandIns, 0, storePort), c.store); err != nil {
+	if err := c.serveStore(os.Getpid()); err != nil {
 		return err
 	}
 	if err := c.serve(c.address(netStandIns, 1, storePort), c.origin); err != nil {
@@ -163,6 +169,19 @@
 	return c.startDaemons(ctx)
 }
 
+// serveStore serves the store on the first network, from a number on, that no other soak uses
+// at the same time.
+func (c *cluster) serveStore(first int) error {
+	var err error
+	for i := range networks {
+		c.networkOctet = firstNetwork + (first+i)%networks
+		if err = c.serve(c.address(netStandIns, 0, storePort), c.store); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
+
 func (c *cluster) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
