--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -46,8 +46,8 @@
 		"\t\tif s := b.parts.blocked[part]; s != nil && s.inForce(now) {\n\t\t\treturn false",
 	},
 	{
-		"version-check", "internal/weights/selector/selector.go",
-		"if now.Sub(l.After) >= n.Window-margin {", "if now.Sub(l.After) >= 1000*n.Window {",
+		"version-check", "platform/entry.go",
+		"e.versionTracker.Window = s.VersionTime", "e.versionTracker.Window = 1000 * s.VersionTime",
 	},
 	{
 		"leaving-check", "platform/signals.go",
