Compare starts of leaving replicas by order, not for equality

What callers would have seen: a replica that has said in a response that it leaves gets requests again, later than the drain time, when a registration lacks its start (another writer, malformed "born") or is older than the last one.

Cause: the statement was kept in the record of departures, held only for a registration with the same start, and was overwritten or dropped with that record by any other registration. It is a record of its own now, in leaving.go: it holds for the start with which the replica said so and all earlier ones, and if one of both is unknown; an unknown start is taken from the registration. A later start ends it.

The row "said by an earlier incarnation" of TestLeavingReplicaIsUsed used an unknown start as the earlier one and asked for the replica to be used. That contradicts the rule, because the start may be unknown for the incarnation that runs.

Ruled out: comparing times for all starts; clocks of VMs may step, so the time is compared only while the start of the replica that spoke is unknown.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -55,8 +55,6 @@
 	startedAtMs int64
 	// announced is set if the replica was registered as draining.
 	announced bool
-	// told is set if the replica said in a response that it leaves.
-	told bool
 	// restores is the number of restores of the store before that.
 	restores int
 	// at is when the replica was last registered as draining or was removed.
@@ -119,6 +117,8 @@
 	awaitsRestored bool
 	// departures holds the replicas that left, by ID.
 	departures map[string]departure
+	// statements holds the replicas that have said that they leave, by ID.
+	statements map[string]statement
 }
 
 // RecordOutage records that the store was unreachable at a time.
@@ -159,6 +159,7 @@
 	}
 	c.removeVanished(present, restored, now)
 	c.forgetDepartures(now)
+	c.forgetStatements(now)
 }
 
 // addressOwners returns, by address, the replica that started last, while the list of a
@@ -228,9 +229,10 @@
 func (c *Catalog) suspect(r placer.Replica, old *catalogEntry, restored bool) suspicion {
 	d, left := c.departures[r.ID]
 	switch {
-	case r.Draining || !left:
-	case d.told && d.startedAtMs == r.StartedAtMs:
+	case r.Draining:
+	case c.hasSaidItLeaves(r):
 		return announcedLeaving
+	case !left:
 	case d.restores == c.restores:
 	case d.announced && d.startedAtMs == r.StartedAtMs && r.StartedAtMs != 0:
 		return announcedLeaving
@@ -301,11 +303,10 @@
 
 // recordDeparture remembers a replica that left.
 func (c *Catalog) recordDeparture(r placer.Replica, announced bool, now time.Time) {
-	var told bool
 	if old, ok := c.departures[r.ID]; ok && old.startedAtMs == r.StartedAtMs {
-		announced, told = announced || old.announced, old.told
+		announced = announced || old.announced
 	}
-	c.departures[r.ID] = departure{startedAtMs: r.StartedAtMs, announced: announced, told: told, restores: c.restores, at: now}
+	c.departures[r.ID] = departure{startedAtMs: r.StartedAtMs, announced: announced, restores: c.restores, at: now}
 }
 
 // forgetDepartures bounds the number of remembered replicas. Those that are registered
@@ -375,32 +376,9 @@
 // logSuspicion logs a decision about a registration after a restore.
 func (c *Catalog) logSuspicion(event string, r placer.Replica, now time.Time) {
 	d := c.departures[r.ID]
-	c.logChange(event, r, now, zap.Int64("left-started-at-ms", d.startedAtMs), zap.Bool("announced", d.announced),
+	fields := append(c.statementFields(r.ID, now), zap.Int64("left-started-at-ms", d.startedAtMs), zap.Bool("announced", d.announced),
 		zap.Duration("since-left", now.Sub(d.at)), zap.Duration("since-restore", now.Sub(c.lastRestore)), zap.Duration("since-outage", now.Sub(c.lastOutage)))
-}
-
-// RecordLeaving records that a replica said in a response that it leaves, which it does until
-// it has started again. Registrations and reports that say otherwise are older. It reports
-// whether that is new.
-func (c *Catalog) RecordLeaving(r placer.Replica, now time.Time) (changed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.departures == nil {
-		c.departures = map[string]departure{}
-	}
-	d, left := c.departures[r.ID]
-	if left && d.told && d.startedAtMs == r.StartedAtMs {
-		return false
-	}
-	if e := c.entries[r.ID]; e != nil && e.replica.StartedAtMs != r.StartedAtMs {
-		return false
-	}
-	c.departures[r.ID] = departure{startedAtMs: r.StartedAtMs, announced: true, told: true, restores: c.restores, at: now}
-	if e := c.entries[r.ID]; e != nil {
-		e.suspicion = announcedLeaving
-	}
-	c.logChange("said in a response that it leaves", r, now)
-	return true
+	c.logChange(event, r, now, fields...)
 }
 
 // RecordReport records a report of the agent of the replica at an address. It returns
--- a/internal/coordination/cataloger/leaving_test.go
+++ b/internal/coordination/cataloger/leaving_test.go
@@ -16,10 +16,10 @@
 	start := time.Unix(1000, 0)
 	known := registration("r0")
 	known.StartedAtMs = 7
-	again, draining, unknownStart := known, known, known
+	again, draining, earlier := known, known, known
 	again.StartedAtMs = 8
 	draining.Draining = true
-	unknownStart.StartedAtMs = 0
+	earlier.StartedAtMs = 6
 	tests := []struct {
 		name string
 		said placer.Replica
@@ -45,7 +45,7 @@
 			c.SetRegistrations([]placer.Replica{known}, now)
 		}, nil},
 		{"started again under its ID", known, func(c *Catalog, now time.Time) { c.SetRegistrations([]placer.Replica{again}, now) }, []string{"r0"}},
-		{"said by an earlier incarnation", unknownStart, func(*Catalog, time.Time) {}, []string{"r0"}},
+		{"said by an earlier incarnation", earlier, func(*Catalog, time.Time) {}, []string{"r0"}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
