Remember what leaving replicas said until they start again

What callers would have seen: a replica that said that it leaves and whose registration was away for more than two minutes, or was lost in a restore, gets requests again once the registration returns as ready with the same start.

Cause: statements were dropped with departures, two minutes after they were made if the replica was not registered at that moment; one whose registration a restore had lost was dropped at once. They have no end now but a later start. Those of replicas that are not registered are bounded by number (4,096 and an eighth, the oldest go first), because IDs mostly change with each start.

Before, TestStatementIsForgotten/vanished for three hours and /lost in a restore after an hour: unexpected length 1, want 0; TestStatementsGrow: 8,192 statements.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -159,7 +159,7 @@
 	}
 	c.removeVanished(present, restored, now)
 	c.forgetDepartures(now)
-	c.forgetStatements(now)
+	c.forgetStatements()
 }
 
 // addressOwners returns, by address, the replica that started last, while the list of a
--- a/internal/coordination/cataloger/leaving.go
+++ b/internal/coordination/cataloger/leaving.go
@@ -1,7 +1,7 @@
 package cataloger
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +45,7 @@
 		c.statements = map[string]statement{}
 	}
 	c.statements[r.ID] = statement{startedAtMs: r.StartedAtMs, saidAt: now}
+	c.forgetStatements()
 	if e == nil || !c.statements[r.ID].covers(e.replica.StartedAtMs) {
 		return false
 	}
@@ -70,11 +71,23 @@
 	return true
 }
 
-// forgetStatements removes old statements of replicas that are not registered.
-func (c *Catalog) forgetStatements(now time.Time) {
-	maps.DeleteFunc(c.statements, func(id string, s statement) bool {
-		return c.entries[id] == nil && now.Sub(s.saidAt) > departureRetention
-	})
+// forgetStatements bounds the number of remembered statements. Those of replicas that are
+// registered are kept. Many are removed at a time, because the oldest have to be found.
+func (c *Catalog) forgetStatements() {
+	excess := len(c.statements) - len(c.entries) - maxDepartures
+	if excess < maxDepartures/8 {
+		return
+	}
+	var unregistered []string
+	for id := range c.statements {
+		if c.entries[id] == nil {
+			unregistered = append(unregistered, id)
+		}
+	}
+	slices.SortFunc(unregistered, func(a, b string) int { return c.statements[a].saidAt.Compare(c.statements[b].saidAt) })
+	for _, id := range unregistered[:min(excess, len(unregistered))] {
+		delete(c.statements, id)
+	}
 }
 
 // statementFields returns the log fields of what a replica said.
--- a/internal/coordination/cataloger/leaving_start_test.go
+++ b/internal/coordination/cataloger/leaving_start_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,3 +60,54 @@
 		})
 	}
 }
+
+// TestStatementIsForgotten guards against requests to a replica that said long ago that it
+// leaves and whose registration returns as ready.
+func TestStatementIsForgotten(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := started("r0", -time.Minute)
+	tests := []struct {
+		name string
+		then func(c *Catalog, now time.Time)
+	}{
+		{"vanished for three hours", func(c *Catalog, now time.Time) {
+			c.SetRegistrations(nil, now)
+			c.SetRegistrations(nil, now.Add(3*time.Hour))
+		}},
+		{"lost in a restore after an hour", func(c *Catalog, now time.Time) {
+			c.SetRegistrations([]placer.Replica{r}, now.Add(time.Hour))
+			c.RecordRestore(now.Add(time.Hour))
+			c.SetRegistrations(nil, now.Add(time.Hour))
+			c.SetRegistrations(nil, now.Add(time.Hour+time.Minute))
+		}},
+		{"beside many others that left", func(c *Catalog, now time.Time) {
+			c.SetRegistrations(nil, now)
+			for i := range maxDepartures - 1 {
+				c.RecordLeaving(started("other"+strconv.Itoa(i), 0), now)
+			}
+			c.SetRegistrations(nil, now)
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := Catalog{DrainTime: drainTime, HeartbeatInterval: heartbeatInterval, Log: zap.NewNop()}
+			c.SetRegistrations([]placer.Replica{r}, start)
+			c.RecordLeaving(r, start)
+			tc.then(&c, start.Add(time.Second))
+			c.SetRegistrations([]placer.Replica{r}, start.Add(4*time.Hour))
+			qt.Assert(t, usable(&c, start.Add(4*time.Hour)), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestStatementsGrow guards against memory that grows with each replica that leaves.
+func TestStatementsGrow(t *testing.T) {
+	c := Catalog{DrainTime: drainTime, Log: zap.NewNop()}
+	now := time.Unix(1000, 0)
+	for i := range 2 * maxDepartures {
+		c.RecordLeaving(started("r"+strconv.Itoa(i), 0), now.Add(time.Duration(i)*time.Second))
+	}
+	qt.Assert(t, len(c.statements) <= maxDepartures*9/8, qt.IsTrue, qt.Commentf("%d statements", len(c.statements)))
+	_, newest := c.statements["r"+strconv.Itoa(2*maxDepartures-1)]
+	qt.Assert(t, newest, qt.IsTrue)
+}
