Keep hold-offs of replicas that are dropped from the list

What callers would have seen: a replica that wants no requests for two seconds gets them again when its registration vanishes and returns, moves, or loses its start in that time; one that was not listed as it answered got them at once.

Cause: the time was part of the state of a listed replica, and any other start ended it. It is kept by ID with the start now, whether the replica is listed or not; only a later start ends it, and a request to an earlier incarnation that ends late does not hold off the next.

Before (TestHoldOffIsLostWithList): 7 of 11 rows failed, such as vanished and listed again, not listed when it asked, moved, start becomes unknown: got true, want false; asked by an earlier incarnation: got false, want true.

The replicas of TestHeldReplicaIsUsed have a start now: its row "started again" went from an unknown start to a known one, which may be the same incarnation (a row of the new test).

--- a/internal/request/dispatcher/returning_test.go
+++ b/internal/request/dispatcher/returning_test.go
@@ -87,7 +87,7 @@
 			now := time.Now()
 			d := newDispatcher(&scriptedSender{}, budgeter.New(), now)
 			for _, id := range []string{"r1", "r2", "r3", "r4", "r5"} {
-				d.Placer.HoldOff(id, now.Add(tc.held), now)
+				d.Placer.HoldOff(placer.Replica{ID: id}, now.Add(tc.held), now)
 			}
 			r := newRequest(matcher.Idempotent, false, 2, now)
 			r.Route.TargetLatency = 100 * time.Millisecond
--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -2,19 +2,41 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 )
 
-// HoldOff places nothing on a replica until a time, as the replica has asked. Of several
-// times the latest counts. Requests that wait and can no longer be placed in time are
-// refused at once. It reports whether the time is later than the one before.
-func (p *Placer) HoldOff(id string, until, now time.Time) (extended bool) {
+// holdOff is until when a replica wants no requests, and the latest start with which it said
+// so, or 0 if that is unknown.
+type holdOff struct {
+	startedAtMs int64
+	until       time.Time
+}
+
+// HoldOff places nothing on a replica until a time, as the replica has asked, also if its
+// registration vanishes meanwhile. Of several times the latest counts; a later start ends it.
+// Requests that wait and can no longer be placed in time are refused at once. It reports
+// whether the time is later than the one before.
+func (p *Placer) HoldOff(r Replica, until, now time.Time) (extended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.byID[id]
-	if s == nil || !until.After(s.heldUntil) {
+	s := p.byID[r.ID]
+	if r.StartedAtMs == 0 && s != nil {
+		r.StartedAtMs = s.StartedAtMs
+	}
+	known := p.holds[r.ID]
+	restarted := known.startedAtMs != 0 && r.StartedAtMs > known.startedAtMs
+	earlier := r.StartedAtMs != 0 && (r.StartedAtMs < known.startedAtMs || s != nil && r.StartedAtMs < s.StartedAtMs)
+	if earlier || !restarted && !until.After(known.until) {
 		return false
 	}
+	if p.holds == nil {
+		p.holds = map[string]holdOff{}
+	}
+	p.holds[r.ID] = holdOff{startedAtMs: max(r.StartedAtMs, known.startedAtMs), until: until}
+	if s == nil {
+		return true
+	}
 	s.heldUntil = until
 	for _, w := range p.waiting.ofService(s.Service) {
 		if p.countUsable(w.query, now, w.since.Add(w.query.MaxWait)) == 0 {
@@ -25,6 +47,25 @@
 	return true
 }
 
+// heldUntil returns until when a listed replica holds requests off. The start that the
+// list names is kept if it was unknown.
+func (p *Placer) heldUntil(r Replica) time.Time {
+	h := p.holds[r.ID]
+	switch {
+	case h.until.IsZero():
+	case h.startedAtMs == 0:
+		p.holds[r.ID] = holdOff{startedAtMs: r.StartedAtMs, until: h.until}
+	case r.StartedAtMs > h.startedAtMs:
+		return time.Time{}
+	}
+	return h.until
+}
+
+// expireHolds removes the times that have passed.
+func (p *Placer) expireHolds(now time.Time) {
+	maps.DeleteFunc(p.holds, func(_ string, h holdOff) bool { return !now.Before(h.until) })
+}
+
 // firstReturn returns the time until the first replica that could run the request takes
 // requests again, or 0 if it does not depend on that.
 func (p *Placer) firstReturn(q Query, now time.Time) time.Duration {
--- /dev/null
+++ b/internal/request/placer/holdoff_state_test.go
@@ -0,0 +1,54 @@
+package placer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestHoldOffIsLostWithList guards against requests to a replica that has asked for none
+// when its registration vanishes, moves or loses its start in that time.
+func TestHoldOffIsLostWithList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	known := Replica{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 7}
+	other := Replica{ID: "r1", Address: "r1:1", Service: "other", Slots: 4}
+	moved, unknown, earlier, later := known, known, known, known
+	moved.Address = "r0:2"
+	unknown.StartedAtMs, earlier.StartedAtMs, later.StartedAtMs = 0, 6, 8
+	type lists [][]Replica
+	tests := []struct {
+		name   string
+		before lists
+		said   Replica
+		then   lists
+		want   bool
+	}{
+		{"listed", lists{{known}}, known, lists{{known}}, false},
+		{"vanished and listed again", lists{{known}}, known, lists{{other}, {known}}, false},
+		{"not listed when it asked", lists{{known}, {other}}, known, lists{{known}}, false},
+		{"moved", lists{{known}}, known, lists{{moved}}, false},
+		{"start becomes unknown", lists{{known}}, known, lists{{unknown}}, false},
+		{"start becomes known", lists{{unknown}}, unknown, lists{{known}}, false},
+		{"start becomes known, then a later one", lists{{unknown}}, unknown, lists{{known}, {later}}, true},
+		{"an older registration", lists{{known}}, known, lists{{earlier}, {known}}, false},
+		{"started again", lists{{known}}, known, lists{{later}}, true},
+		{"asked by an earlier incarnation", lists{{later}}, known, nil, true},
+		{"started again, then asked by the earlier one", lists{{known}}, known, lists{{later}}, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := &Placer{}
+			for _, list := range tc.before {
+				p.Update(list, start)
+			}
+			p.HoldOff(tc.said, start.Add(2*time.Second), start)
+			for _, list := range tc.then {
+				p.Update(list, start)
+			}
+			_, err := p.Place(context.Background(), Query{Service: "s"}, start.Add(time.Second))
+			qt.Assert(t, err == nil, qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/request/placer/holdoff_test.go
+++ b/internal/request/placer/holdoff_test.go
@@ -16,12 +16,12 @@
 	p := &Placer{}
 	var list []Replica
 	for i := range holds {
-		list = append(list, Replica{ID: "r" + strconv.Itoa(i), Address: "r" + strconv.Itoa(i) + ":1", Service: "s", Slots: 4})
+		list = append(list, Replica{ID: "r" + strconv.Itoa(i), Address: "r" + strconv.Itoa(i) + ":1", Service: "s", Slots: 4, StartedAtMs: 7})
 	}
 	p.Update(list, now)
 	for i, hold := range holds {
 		if hold > 0 {
-			p.HoldOff("r"+strconv.Itoa(i), now.Add(hold), now)
+			p.HoldOff(list[i], now.Add(hold), now)
 		}
 	}
 	return p
@@ -39,8 +39,8 @@
 	}{
 		{"during the time", func(*Placer) {}, 1900 * time.Millisecond, false},
 		{"after the time", func(*Placer) {}, 2 * time.Second, true},
-		{"a shorter time later", func(p *Placer) { p.HoldOff("r0", start.Add(time.Second), start.Add(500*time.Millisecond)) }, 1500 * time.Millisecond, false},
-		{"a longer time later", func(p *Placer) { p.HoldOff("r0", start.Add(3*time.Second), start.Add(time.Second)) }, 2500 * time.Millisecond, false},
+		{"a shorter time later", func(p *Placer) { p.HoldOff(Replica{ID: "r0"}, start.Add(time.Second), start.Add(500*time.Millisecond)) }, 1500 * time.Millisecond, false},
+		{"a longer time later", func(p *Placer) { p.HoldOff(Replica{ID: "r0"}, start.Add(3*time.Second), start.Add(time.Second)) }, 2500 * time.Millisecond, false},
 		{"listed again", func(p *Placer) { p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4}}, start) }, time.Second, false},
 		{"started again", func(p *Placer) {
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
@@ -80,7 +80,7 @@
 				start := time.Now()
 				p := heldPlacer(tc.holds, start)
 				if tc.later {
-					time.AfterFunc(50*time.Millisecond, func() { p.HoldOff("r0", start.Add(5*time.Second), time.Now()) })
+					time.AfterFunc(50*time.Millisecond, func() { p.HoldOff(Replica{ID: "r0"}, start.Add(5*time.Second), time.Now()) })
 				}
 				// Reports of other daemons make the placer look for free places.
 				reports := time.NewTicker(100 * time.Millisecond)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -253,7 +253,9 @@
 	// oldestReport is not after the time of any report in peers.
 	oldestReport time.Time
 	waiting      waitQueue
-	sequence     uint64
+	// holds holds, by ID, the replicas that want no requests, listed or not.
+	holds    map[string]holdOff
+	sequence uint64
 	// correction is the ratio of observed to predicted times to the first token,
 	// by service.
 	correction map[string]float64
@@ -264,6 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expirePeers(now)
+	p.expireHolds(now)
 	known := map[string]*replicaState{}
 	for _, list := range p.services {
 		for _, s := range list {
@@ -284,10 +287,8 @@
 		} else if s.Draining && !r.Draining || !maps.Equal(s.Versions, r.Versions) {
 			s.usableSince = now
 		}
-		if s.StartedAtMs != r.StartedAtMs {
-			s.heldUntil = time.Time{}
-		}
 		s.Replica = r
+		s.heldUntil = p.heldUntil(r)
 		s.others = Load{}
 		p.services[r.Service] = append(p.services[r.Service], s)
 		p.byID[r.ID] = s
