Place waiting requests when a hold-off ends

What callers would have seen: a request that may wait 0.2 s for a replica that returns in 0.05 s is refused, if no other daemon reports loads in that time and no request ends.

Cause: free slots are assigned after events, and the end of a hold-off was none.

Before (TestHoldOffEndsUnnoticed): service s: no place became free in time (1 replicas, 0 waiting). TestHeldOffRequestWaits did not show it, because its reports of another daemon come each 0.1 s.

--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -38,6 +38,7 @@
 		return true
 	}
 	s.heldUntil = until
+	time.AfterFunc(until.Sub(now), p.admitAfterHoldOff)
 	for _, w := range p.waiting.ofService(s.Service) {
 		if p.countUsable(w.query, now, w.since.Add(w.query.MaxWait)) == 0 {
 			heap.Remove(&p.waiting, w.index)
@@ -47,6 +48,13 @@
 	return true
 }
 
+// admitAfterHoldOff assigns the free slots of a replica that takes requests again.
+func (p *Placer) admitAfterHoldOff() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admitWaiting(time.Now())
+}
+
 // heldUntil returns until when a listed replica holds requests off. The start that the
 // list names is kept if it was unknown.
 func (p *Placer) heldUntil(r Replica) time.Time {
--- a/internal/request/placer/holdoff_state_test.go
+++ b/internal/request/placer/holdoff_state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -52,3 +53,15 @@
 		})
 	}
 }
+
+// TestHoldOffEndsUnnoticed guards against a request that waits for a replica that takes
+// requests again and that nothing else happens to.
+func TestHoldOffEndsUnnoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		p := heldPlacer([]time.Duration{50 * time.Millisecond}, start)
+		_, err := p.Place(context.Background(), Query{Service: "s", MaxWait: 200 * time.Millisecond}, start)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, time.Since(start), qt.Equals, 50*time.Millisecond)
+	})
+}
