Refuse waiting requests when the last usable replica leaves

What callers would have seen: all replicas of a service but one hold requests off for five seconds, and the last one leaves; requests that wait for a place are refused only once their time is over, up to 1.5 s later, although nothing could become free for them.

Cause: queued requests were looked at when a replica asked for a pause, not when the list of replicas changed. Requests without any usable replica go on waiting as before if none of them holds off: one that loads a version may return in time.

Before (TestWaitGoesOnWithoutHope/the last one leaves): waited 1s, want 100ms.

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -40,6 +40,28 @@
 	return version, version > 0 && version >= q.MinVersion
 }
 
+// InvalidateVersion records that the replica at an address does not serve the version
+// of a model that it is listed with. Later lists may still contain the version,
+// because registrations lag; it is ignored for invalidationTime.
+func (p *Placer) InvalidateVersion(address, model string, version int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.services {
+		for _, s := range list {
+			if s.Address == address {
+				s.invalid = invalidVersion{model: model, version: version, until: now.Add(invalidationTime)}
+			}
+		}
+	}
+}
+
+// invalidVersion is a version that a replica is listed with but does not serve.
+type invalidVersion struct {
+	model   string
+	version int
+	until   time.Time
+}
+
 // choose reserves a slot on the eligible replica with the lowest score. Scores
 // have a random part, so that daemons with the same view of the load do not all
 // choose the same replica. A busy replica is skipped if the predicted time to the
--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -39,13 +39,20 @@
 	}
 	s.heldUntil = until
 	time.AfterFunc(until.Sub(now), p.admitAfterHoldOff)
-	for _, w := range p.waiting.ofService(s.Service) {
-		if p.countUsable(w.query, now, w.since.Add(w.query.MaxWait)) == 0 {
+	p.refuseHopeless(s.Service, now)
+	return true
+}
+
+// refuseHopeless refuses the queued requests of a service that can no longer be placed in
+// time because all replicas that could run them hold requests off.
+func (p *Placer) refuseHopeless(service string, now time.Time) {
+	for _, w := range p.waiting.ofService(service) {
+		by := w.since.Add(w.query.MaxWait)
+		if p.countUsable(w.query, now, by) == 0 && now.Add(p.firstReturn(w.query, now)).After(by) {
 			heap.Remove(&p.waiting, w.index)
 			close(w.hopeless)
 		}
 	}
-	return true
 }
 
 // admitAfterHoldOff assigns the free slots of a replica that takes requests again.
--- a/internal/request/placer/holdoff_state_test.go
+++ b/internal/request/placer/holdoff_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +66,37 @@
 		qt.Assert(t, time.Since(start), qt.Equals, 50*time.Millisecond)
 	})
 }
+
+// TestWaitGoesOnWithoutHope guards against a request that waits in vain once the last
+// replica that does not hold requests off has left.
+func TestWaitGoesOnWithoutHope(t *testing.T) {
+	tests := []struct {
+		name   string
+		last   bool
+		waited time.Duration
+		after  time.Duration
+	}{
+		{"another leaves", false, time.Second, 0},
+		{"the last one leaves", true, 100 * time.Millisecond, 4900 * time.Millisecond},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				list := []Replica{{ID: "r0", Service: "s", Slots: 4}, {ID: "r1", Service: "s"}, {ID: "r2", Service: "s"}}
+				p := &Placer{}
+				p.Update(list, start)
+				p.HoldOff(list[0], start.Add(5*time.Second), start)
+				time.AfterFunc(100*time.Millisecond, func() {
+					list[1].Draining, list[2].Draining = true, tc.last
+					p.Update(list, time.Now())
+				})
+				_, err := p.Place(context.Background(), Query{Service: "s", MaxWait: time.Second}, start)
+				var refused *RefusedError
+				qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+				qt.Assert(t, time.Since(start), qt.Equals, tc.waited)
+				qt.Assert(t, refused.RetryAfter, qt.Equals, tc.after)
+			})
+		})
+	}
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -297,28 +297,12 @@
 		p.addPeerLoad(peer.replicas, 1)
 	}
 	p.admitWaiting(now)
-}
-
-// InvalidateVersion records that the replica at an address does not serve the version
-// of a model that it is listed with. Later lists may still contain the version,
-// because registrations lag; it is ignored for invalidationTime.
-func (p *Placer) InvalidateVersion(address, model string, version int, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, list := range p.services {
-		for _, s := range list {
-			if s.Address == address {
-				s.invalid = invalidVersion{model: model, version: version, until: now.Add(invalidationTime)}
-			}
-		}
+	if len(p.holds) == 0 {
+		return
+	}
+	for service := range p.services {
+		p.refuseHopeless(service, now)
 	}
-}
-
-// invalidVersion is a version that a replica is listed with but does not serve.
-type invalidVersion struct {
-	model   string
-	version int
-	until   time.Time
 }
 
 // SetPeerLoad records the load by replica of the daemon on another VM.
