Tell the other entry daemons which replicas leave

What callers would have seen: each entry daemon sends at least one more request to a replica that has told another one that it leaves, and goes on until its own response says so; while the store is away or registrations lag, nothing else tells it.

A daemon that hears it adds the replica's ID, start and the age of the statement to messages that go to its failure domain anyway (each 0.5 s, three times), and the relays to their digests. A start later than the one announced makes an announcement void; one without a start is not made. Daemons that join or return are told what is known. Bytes are limited by a rate for each daemon (4 KB/s near, 3 KB/s in digests); what does not fit goes to three daemons each, which announce it instead, so that one daemon with many to announce does not become the bottleneck.

Ruled out: sending at once, as for crashes (13 KB for each message to 30 daemons); whole sets fetched over HTTP; all daemons passing on all that they hear.

--- a/internal/coordination/cataloger/leaving.go
+++ b/internal/coordination/cataloger/leaving.go
@@ -27,34 +27,77 @@
 	return startedAtMs <= s.startedAtMs
 }
 
+// Leaving is that a replica has said that it leaves, as daemons tell each other.
+type Leaving struct {
+	Replica string
+	// StartedAtMs is the start with which it said so, in Unix milliseconds, or 0 if that is
+	// unknown.
+	StartedAtMs int64
+	SaidAt      time.Time
+}
+
 // RecordLeaving records that a replica said in a response that it leaves. Registrations and
-// reports that say otherwise are older, unless they name a later start. It reports whether
-// that is new.
-func (c *Catalog) RecordLeaving(r placer.Replica, now time.Time) (changed bool) {
+// reports that say otherwise are older, unless they name a later start. It returns what to
+// tell the other daemons, and reports whether that is new.
+func (c *Catalog) RecordLeaving(r placer.Replica, now time.Time) (l Leaving, isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := c.entries[r.ID]
-	if r.StartedAtMs == 0 && e != nil {
+	if e := c.entries[r.ID]; r.StartedAtMs == 0 && e != nil {
 		r.StartedAtMs = e.replica.StartedAtMs
 	}
-	known, ok := c.statements[r.ID]
-	if ok && known.startedAtMs != 0 && known.covers(r.StartedAtMs) {
+	l = Leaving{Replica: r.ID, StartedAtMs: r.StartedAtMs, SaidAt: now}
+	return l, c.recordStatement(l, "said in a response that it leaves", now)
+}
+
+// RecordReportedLeaving records what another daemon has heard. It counts for nothing if the
+// replica has started again since. It reports whether that was unknown.
+func (c *Catalog) RecordReportedLeaving(l Leaving, now time.Time) (isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return l.StartedAtMs > 0 && c.recordStatement(l, "said to another daemon that it leaves", now)
+}
+
+// recordStatement records that a replica leaves unless it is registered with a later start.
+func (c *Catalog) recordStatement(l Leaving, event string, now time.Time) (isNew bool) {
+	e := c.entries[l.Replica]
+	s := statement{startedAtMs: l.StartedAtMs, saidAt: l.SaidAt}
+	if e != nil && !s.covers(e.replica.StartedAtMs) {
+		return false
+	}
+	known, ok := c.statements[l.Replica]
+	if ok && known.startedAtMs != 0 && known.covers(l.StartedAtMs) {
 		return false
 	}
 	if c.statements == nil {
 		c.statements = map[string]statement{}
 	}
-	c.statements[r.ID] = statement{startedAtMs: r.StartedAtMs, saidAt: now}
+	c.statements[l.Replica] = s
 	c.forgetStatements()
-	if e == nil || !c.statements[r.ID].covers(e.replica.StartedAtMs) {
-		return false
+	isNew = !ok || known.startedAtMs != l.StartedAtMs
+	r := placer.Replica{ID: l.Replica, StartedAtMs: l.StartedAtMs}
+	if e != nil {
+		e.suspicion = announcedLeaving
+		r = e.replica
 	}
-	changed = e.suspicion != announcedLeaving
-	e.suspicion = announcedLeaving
-	if changed {
-		c.logChange("said in a response that it leaves", e.replica, now)
+	if isNew {
+		c.logChange(event, r, now, c.statementFields(l.Replica, now)...)
+	}
+	return isNew
+}
+
+// Leaving returns the registered replicas that have said that they leave although their
+// registrations do not say so.
+func (c *Catalog) Leaving() []Leaving {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Leaving
+	for id, s := range c.statements {
+		e := c.entries[id]
+		if e != nil && !e.replica.Draining && s.startedAtMs > 0 && s.covers(e.replica.StartedAtMs) {
+			out = append(out, Leaving{Replica: id, StartedAtMs: s.startedAtMs, SaidAt: s.saidAt})
+		}
 	}
-	return changed
+	return out
 }
 
 // hasSaidItLeaves reports whether the replica of a registration has said that it leaves.
--- a/internal/coordination/gossiper/fleet_test.go
+++ b/internal/coordination/gossiper/fleet_test.go
@@ -47,6 +47,8 @@
 	loads    map[string]map[string]placer.Load
 	crashes  map[blocker.Fingerprint]string
 	received int
+	// sentBytes counts the bytes that the daemon has sent.
+	sentBytes int
 }
 
 const (
@@ -124,6 +126,7 @@
 	target := f.byAddress[to.String()]
 	f.messages[c.from.self.Role]++
 	f.bytes += len(b)
+	c.from.sentBytes += len(b)
 	if target != nil && target.self.FailureDomain != c.from.self.FailureDomain {
 		f.farBytes += len(b)
 	}
--- a/internal/coordination/gossiper/fuzz_test.go
+++ b/internal/coordination/gossiper/fuzz_test.go
@@ -14,6 +14,7 @@
 	f.Add([]byte(`{"from":{"vm":"a","role":"entry","address":"10.0.0.1:1","failure-domain":"d"},"revisions":{"k":3},"introduce":true}`))
 	f.Add([]byte(`{"from":{"vm":"a","role":"entry","address":"10.0.0.1:1"},"digest":{"domain":"b","complete":true,"receivers":["self"],"entries":[{}],"replicas":[{}],"crashes":[{}]}}`))
 	f.Add([]byte(`{"from":{"address":"x"},"members":[{}],"replica":{},"load":{"":{}}}`))
+	f.Add([]byte(`{"from":{"vm":"a","role":"entry","address":"10.0.0.1:1","failure-domain":"d"},"leaving":{"r":[1,2,3],"":[-1],"s":[]}}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		conn := &recordingConn{}
 		g := &Gossiper{Conn: conn, Log: zap.NewNop(), Self: func() Member { return Member{VM: "self", Role: Entry, Address: "127.0.0.1:1", FailureDomain: "d"} }}
--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -25,6 +25,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/coordination/cataloger"
 	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 	"github.com/lentilbridge/lentilbridge/internal/shared/recoverer"
@@ -157,6 +158,11 @@
 	// OnRefusal is called for each request that another daemon of the failure domain
 	// has refused, if set.
 	OnRefusal func(f blocker.Fingerprint, now time.Time)
+	// OnLeaving is called, if set, for each replica that has said to another daemon that it
+	// leaves, and reports whether that was unknown. Leaving returns those that are known, if
+	// set.
+	OnLeaving func(l cataloger.Leaving, now time.Time) bool
+	Leaving   func() []cataloger.Leaving
 	Log       *logger.Logger
 
 	Members Members
@@ -164,6 +170,8 @@
 	mu sync.Mutex
 	// outbox holds the notices for the failure domain.
 	outbox outbox
+	// leaving holds the replicas that leave, for the failure domain.
+	leaving leavingOutbox
 	// refusals are the refusals to be sent, oldest first.
 	refusals []notice[blocker.Fingerprint]
 	relay    relay
@@ -269,6 +277,9 @@
 	if everyone {
 		m.Refusals = g.takeRefusals(now)
 		m.reports = g.takeReports(now)
+		var delegated map[string]reportedLeaving
+		m.Leaving, delegated = g.takeLeaving(near, now)
+		near = g.sendDelegated(m, near, delegated)
 	}
 	if self.Role == Entry && now.Sub(g.lastMemberList) >= memberListInterval {
 		g.lastMemberList = now
--- a/internal/coordination/gossiper/notices.go
+++ b/internal/coordination/gossiper/notices.go
@@ -83,6 +83,9 @@
 	// Successes are parts that others may suspect and with which requests succeeded.
 	Successes []reportedPart `json:"part-successes,omitempty"`
 	Blocks    []reportedPart `json:"part-blocks,omitempty"`
+	// Leaving are replicas that have said that they leave. They wait for a message that is
+	// sent anyway.
+	Leaving reportedLeaving `json:"leaving,omitempty"`
 }
 
 func (r *reports) isEmpty() bool {
@@ -251,11 +254,13 @@
 	return g.Blocks(now)
 }
 
-// sendBlocks sends the blocks in force to a daemon that has joined.
-func (g *Gossiper) sendBlocks(to Member, now time.Time) {
+// sendKnown sends the blocks in force and the replicas that leave to a daemon that has
+// joined or returned.
+func (g *Gossiper) sendKnown(to Member, now time.Time) {
 	m := g.compose(g.Self(), now)
 	m.addBlocks(g.blocks(now), now)
-	if !m.isEmpty() {
+	m.Leaving = g.knownLeaving(now)
+	if !m.isEmpty() || len(m.Leaving) > 0 {
 		g.sendMessage(m, []Member{to})
 	}
 }
--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -64,7 +64,7 @@
 			zap.String("address", m.From.Address), zap.Bool("ready", m.From.Ready))
 	}
 	if joined && m.From.Role == Entry && m.From.FailureDomain == g.Self().FailureDomain {
-		g.sendBlocks(m.From, now)
+		g.sendKnown(m.From, now)
 	}
 	g.Members.AddReported(m.Members, now)
 	g.receiveAnnouncements(m, now)
@@ -85,6 +85,7 @@
 		}
 	}
 	g.receiveReports(m.reports, true, now)
+	g.receiveLeaving(m.Leaving, m.From.FailureDomain == g.Self().FailureDomain, false, now)
 	if m.RequestMembers {
 		g.sendMembers(m.From, now)
 	}
--- a/internal/coordination/gossiper/relay.go
+++ b/internal/coordination/gossiper/relay.go
@@ -49,6 +49,7 @@
 	// replicas are the states of the replicas of this failure domain by address.
 	replicas map[string]relayedReplica
 	outbox   outbox
+	leaving  leavingOutbox
 	// entries are the members of the last digest by VM.
 	entries      map[string]Member
 	lastComplete time.Time
@@ -176,6 +177,7 @@
 			m.Digest.Load = g.DomainLoad(now)
 		}
 	}
+	m.Digest.Leaving = g.takeDigestLeaving(digestReceivers*len(domains), now)
 	for _, members := range domains {
 		receivers := g.digestReceivers(members, self.FailureDomain, now)
 		d := *m.Digest
@@ -247,6 +249,7 @@
 		}
 	}
 	g.receiveReports(d.reports, false, now)
+	g.receiveLeaving(d.Leaving, false, slices.Contains(d.Receivers, self.VM), now)
 	if g.forwards(self, d.Receivers, now) {
 		g.forward(self, m, now)
 	}
@@ -271,7 +274,7 @@
 
 func (g *Gossiper) forward(self Member, m message, now time.Time) {
 	d := *m.Digest
-	d.Receivers = nil
+	d.Receivers, d.Leaving = nil, nil
 	m.Digest = &d
 	var near []Member
 	for _, member := range g.Members.Live(Entry, now) {
