Keep statements of replicas with unknown starts beside others

What callers would have seen: a replica whose start the registration lacks says that it leaves; a late announcement about an earlier start of it arrives; the next registration names its start, and it gets requests again. The same with an earlier start that was known first.

Cause: one start was kept per replica, so that a statement with an unknown start and one with a known start replaced each other or were dropped. Both are kept now: the latest known start, and the time of the last statement with an unknown one, which holds for all starts until then. Statements of earlier incarnations are kept as well, for registrations of these.

--- a/internal/coordination/cataloger/leaving.go
+++ b/internal/coordination/cataloger/leaving.go
@@ -11,20 +11,18 @@
 
 // statement is that a replica leaves, which it repeats until it has started again.
 type statement struct {
-	// startedAtMs is the latest start of the replica with which it said so, or 0 if that
-	// is unknown.
+	// startedAtMs is the latest start with which the replica said so, or 0 if there is none.
 	startedAtMs int64
-	// saidAt is when it last said so.
+	// unknownAt is when it last said so while its start was unknown.
+	unknownAt time.Time
+	// saidAt is when it first said so with the latest start.
 	saidAt time.Time
 }
 
 // covers reports whether the statement holds for a replica with a start. If one of both
 // starts is unknown, the incarnation may be the same.
 func (s statement) covers(startedAtMs int64) bool {
-	if s.startedAtMs == 0 {
-		return startedAtMs <= s.saidAt.UnixMilli()
-	}
-	return startedAtMs <= s.startedAtMs
+	return startedAtMs <= s.startedAtMs || startedAtMs <= s.unknownAt.UnixMilli()
 }
 
 // Leaving is that a replica has said that it leaves, as daemons tell each other.
@@ -57,25 +55,28 @@
 	return l.StartedAtMs > 0 && c.recordStatement(l, "said to another daemon that it leaves", now)
 }
 
-// recordStatement records that a replica leaves unless it is registered with a later start.
+// recordStatement records that a replica leaves. It counts for nothing if the replica is
+// registered with a later start.
 func (c *Catalog) recordStatement(l Leaving, event string, now time.Time) (isNew bool) {
-	e := c.entries[l.Replica]
-	s := statement{startedAtMs: l.StartedAtMs, saidAt: l.SaidAt}
-	if e != nil && !s.covers(e.replica.StartedAtMs) {
-		return false
+	s, known := c.statements[l.Replica]
+	isNew = !known || !s.covers(l.StartedAtMs)
+	if isNew {
+		s.saidAt = l.SaidAt
 	}
-	known, ok := c.statements[l.Replica]
-	if ok && known.startedAtMs != 0 && known.covers(l.StartedAtMs) {
-		return false
+	s.startedAtMs = max(s.startedAtMs, l.StartedAtMs)
+	if l.StartedAtMs == 0 {
+		s.unknownAt = l.SaidAt
 	}
 	if c.statements == nil {
 		c.statements = map[string]statement{}
 	}
 	c.statements[l.Replica] = s
 	c.forgetStatements()
-	isNew = !ok || known.startedAtMs != l.StartedAtMs
 	r := placer.Replica{ID: l.Replica, StartedAtMs: l.StartedAtMs}
-	if e != nil {
+	if e := c.entries[l.Replica]; e != nil {
+		if !s.covers(e.replica.StartedAtMs) {
+			return false
+		}
 		e.suspicion = announcedLeaving
 		r = e.replica
 	}
@@ -93,25 +94,17 @@
 	var out []Leaving
 	for id, s := range c.statements {
 		e := c.entries[id]
-		if e != nil && !e.replica.Draining && s.startedAtMs > 0 && s.covers(e.replica.StartedAtMs) {
-			out = append(out, Leaving{Replica: id, StartedAtMs: s.startedAtMs, SaidAt: s.saidAt})
+		if e != nil && !e.replica.Draining && e.replica.StartedAtMs > 0 && s.covers(e.replica.StartedAtMs) {
+			out = append(out, Leaving{Replica: id, StartedAtMs: e.replica.StartedAtMs, SaidAt: s.saidAt})
 		}
 	}
 	return out
 }
 
 // hasSaidItLeaves reports whether the replica of a registration has said that it leaves.
-// The start that a registration names is kept if it was unknown.
 func (c *Catalog) hasSaidItLeaves(r placer.Replica) bool {
-	s, ok := c.statements[r.ID]
-	if !ok || !s.covers(r.StartedAtMs) {
-		return false
-	}
-	if s.startedAtMs == 0 {
-		s.startedAtMs = r.StartedAtMs
-		c.statements[r.ID] = s
-	}
-	return true
+	s, known := c.statements[r.ID]
+	return known && s.covers(r.StartedAtMs)
 }
 
 // forgetStatements bounds the number of remembered statements. Those of replicas that are
