Keep hold-offs of replicas with unknown starts beside others

What callers would have seen: a replica whose start the registration lacks asks for no requests; a refusal of an earlier start ends late, or an older registration appears; with the next registration that names the start, the replica gets requests again.

Cause: as with statements of leaving replicas, one start and one time were kept per replica, so that the next known start, taken for the one that had asked, looked like a restart. The time that was asked for with an unknown start is kept beside the other, for all starts until then.

The starts of TestHoldOffIsLostWithList lie around the time of the answer now: in the row with an unknown start, the later one has to have begun after the replica asked.

--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -6,11 +6,42 @@
 	"time"
 )
 
-// holdOff is until when a replica wants no requests, and the latest start with which it said
-// so, or 0 if that is unknown.
+// holdOff is until when a replica wants no requests.
 type holdOff struct {
+	// until counts for startedAtMs, the latest start with which the replica said so, and
+	// earlier ones.
 	startedAtMs int64
 	until       time.Time
+	// unknownUntil counts for all starts until unknownAt, when the replica last said so while
+	// its start was unknown.
+	unknownAt, unknownUntil time.Time
+}
+
+// of returns until when a replica with a start wants no requests. If that is unknown, the
+// incarnation may be any.
+func (h holdOff) of(startedAtMs int64) time.Time {
+	var until time.Time
+	if startedAtMs <= h.startedAtMs {
+		until = h.until
+	}
+	if startedAtMs <= h.unknownAt.UnixMilli() && h.unknownUntil.After(until) {
+		until = h.unknownUntil
+	}
+	return until
+}
+
+// add adds what a replica with a start has said.
+func (h holdOff) add(startedAtMs int64, until, now time.Time) holdOff {
+	switch {
+	case startedAtMs == 0:
+		h.unknownAt = now
+		if until.After(h.unknownUntil) {
+			h.unknownUntil = until
+		}
+	case startedAtMs > h.startedAtMs, startedAtMs == h.startedAtMs && until.After(h.until):
+		h.startedAtMs, h.until = startedAtMs, until
+	}
+	return h
 }
 
 // HoldOff places nothing on a replica until a time, as the replica has asked, also if its
@@ -24,20 +55,22 @@
 	if r.StartedAtMs == 0 && s != nil {
 		r.StartedAtMs = s.StartedAtMs
 	}
-	known := p.holds[r.ID]
-	restarted := known.startedAtMs != 0 && r.StartedAtMs > known.startedAtMs
-	earlier := r.StartedAtMs != 0 && (r.StartedAtMs < known.startedAtMs || s != nil && r.StartedAtMs < s.StartedAtMs)
-	if earlier || !restarted && !until.After(known.until) {
+	if s != nil && r.StartedAtMs < s.StartedAtMs {
 		return false
 	}
+	old := p.holds[r.ID]
+	h := old.add(r.StartedAtMs, until, now)
 	if p.holds == nil {
 		p.holds = map[string]holdOff{}
 	}
-	p.holds[r.ID] = holdOff{startedAtMs: max(r.StartedAtMs, known.startedAtMs), until: until}
+	p.holds[r.ID] = h
+	if !h.of(r.StartedAtMs).After(old.of(r.StartedAtMs)) {
+		return false
+	}
 	if s == nil {
 		return true
 	}
-	s.heldUntil = until
+	s.heldUntil = h.of(s.StartedAtMs)
 	time.AfterFunc(until.Sub(now), p.admitAfterHoldOff)
 	p.refuseHopeless(s.Service, now)
 	return true
@@ -62,23 +95,9 @@
 	p.admitWaiting(time.Now())
 }
 
-// heldUntil returns until when a listed replica holds requests off. The start that the
-// list names is kept if it was unknown.
-func (p *Placer) heldUntil(r Replica) time.Time {
-	h := p.holds[r.ID]
-	switch {
-	case h.until.IsZero():
-	case h.startedAtMs == 0:
-		p.holds[r.ID] = holdOff{startedAtMs: r.StartedAtMs, until: h.until}
-	case r.StartedAtMs > h.startedAtMs:
-		return time.Time{}
-	}
-	return h.until
-}
-
 // expireHolds removes the times that have passed.
 func (p *Placer) expireHolds(now time.Time) {
-	maps.DeleteFunc(p.holds, func(_ string, h holdOff) bool { return !now.Before(h.until) })
+	maps.DeleteFunc(p.holds, func(_ string, h holdOff) bool { return !now.Before(h.until) && !now.Before(h.unknownUntil) })
 }
 
 // FirstReturn returns the time until the first replica that could run the request takes
--- a/internal/request/placer/holdoff_state_test.go
+++ b/internal/request/placer/holdoff_state_test.go
@@ -14,11 +14,11 @@
 // when its registration vanishes, moves or loses its start in that time.
 func TestHoldOffIsLostWithList(t *testing.T) {
 	start := time.Unix(1000, 0)
-	known := Replica{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 7}
+	known := Replica{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: start.UnixMilli() - 1000}
 	other := Replica{ID: "r1", Address: "r1:1", Service: "other", Slots: 4}
 	moved, unknown, earlier, later := known, known, known, known
 	moved.Address = "r0:2"
-	unknown.StartedAtMs, earlier.StartedAtMs, later.StartedAtMs = 0, 6, 8
+	unknown.StartedAtMs, earlier.StartedAtMs, later.StartedAtMs = 0, start.UnixMilli()-2000, start.UnixMilli()+500
 	type lists [][]Replica
 	tests := []struct {
 		name   string
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -288,7 +288,7 @@
 			s.usableSince = now
 		}
 		s.Replica = r
-		s.heldUntil = p.heldUntil(r)
+		s.heldUntil = p.holds[r.ID].of(r.StartedAtMs)
 		s.others = Load{}
 		p.services[r.Service] = append(p.services[r.Service], s)
 		p.byID[r.ID] = s
