--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -194,7 +194,7 @@
 		e.suspicion = addressTaken
 	}
 	c.entries[r.ID] = e
-	changed := old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address
+	changed := old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address || old.replica.StartedAtMs != r.StartedAtMs
 	switch {
 	case e.suspicion == announcedLeaving:
 		if changed || old.suspicion != e.suspicion {
@@ -209,6 +209,8 @@
 			c.logChange("registered at the address of a later replica, not used", r, now, zap.String("owner", owner.ID),
 				zap.Int64("owner-started-at-ms", owner.StartedAtMs), zap.Duration("since-restore", now.Sub(c.lastRestore)))
 		}
+	case old != nil && old.suspicion == announcedLeaving && e.suspicion == notSuspected && !r.Draining:
+		c.logSuspicion("started again after it said that it leaves", r, now)
 	case old != nil && old.suspicion != notSuspected:
 		c.logSuspicion("registered by a running replica", r, now)
 	case changed:
--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -76,6 +76,19 @@
 	return true
 }
 
+// HeldOff returns the number of listed replicas that want no requests.
+func (p *Placer) HeldOff(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.byID {
+		if now.Before(s.heldUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // refuseHopeless refuses the queued requests of a service that can no longer be placed in
 // time because all replicas that could run them hold requests off.
 func (p *Placer) refuseHopeless(service string, now time.Time) {
