Hold off calls at agents whose backend server asks for it

What callers would have seen, on the product's own path: an engine or a service that answers 503 with Retry-After gets further calls at once, each refused again, and the calls that wait for a place there go to it as well.

The agent is the only one that calls its backend server, so it keeps the promise: new, reserved and waiting calls are refused as overloaded with the time that is left, which entry daemons pass on or use to try another server. The caller of a service still gets the service's own answer. A new instance of the engine ends it.

Ruled out: NOT_READY as the reason, which counts as a failure of the server and ejects it. Not done: entry daemons do not avoid such a server by themselves; health checks go on; dates count as absent.

--- a/internal/daemon/agent/metrics.go
+++ b/internal/daemon/agent/metrics.go
@@ -22,6 +22,7 @@
 		BackendCrashes:  kitexpvar.NewCounter("backend-crashes"),
 		Tokens:          kitexpvar.NewCounter("tokens-relayed"),
 		CancelsUnproven: kitexpvar.NewCounter("cancels-unproven"),
+		HeldOff:         kitexpvar.NewCounter("backend-held-off"),
 	}
 })
 
--- a/internal/daemon/executor/attempt.go
+++ b/internal/daemon/executor/attempt.go
@@ -140,7 +140,7 @@
 	// backend server is not ready.
 	existing := e.table.records[rec.key]
 	if existing == nil || existing.phase == phaseReserved {
-		if r := a.checkReady(rec); r != nil {
+		if r := a.checkReady(rec, now); r != nil {
 			e.table.releaseReservation(existing, now)
 			return r
 		}
@@ -171,7 +171,7 @@
 // checkReady checks the drain and the backend server, and binds a model call to the
 // active version. The caller holds the lock: a switch of versions starts with Hold,
 // so it happens either before the attempt is admitted or after it has ended.
-func (a *attempt) checkReady(rec *record) *refusal {
+func (a *attempt) checkReady(rec *record, now time.Time) *refusal {
 	e := a.executor
 	if e.table.outlastsDrain(rec.limit) {
 		return &drainingRefusal
@@ -179,6 +179,9 @@
 	if !e.state.Up {
 		return backendDownRefusal()
 	}
+	if r := e.heldRefusal(now); r != nil {
+		return r
+	}
 	call := a.start.GetModel()
 	if call == nil {
 		return nil
--- a/internal/daemon/executor/executor.go
+++ b/internal/daemon/executor/executor.go
@@ -80,12 +80,14 @@
 	Tokens         metrics.Counter
 	// CancelsUnproven counts cancels after which the attempt may still start.
 	CancelsUnproven metrics.Counter
+	// HeldOff counts the times that the backend server asked for no calls.
+	HeldOff metrics.Counter
 }
 
 // DiscardMetrics returns metrics that discard all values.
 func DiscardMetrics() Metrics {
 	c := discard.NewCounter()
-	return Metrics{c, c, c, c, c, c, c, c}
+	return Metrics{c, c, c, c, c, c, c, c, c}
 }
 
 // Executor implements the methods Attempt, Reserve, Cancel and AttemptStatus
@@ -121,6 +123,9 @@
 	table    *table
 	rate     rateMeter
 	state    BackendState
+	// heldUntil is until when the backend server wants no calls, and malformedAt is when a
+	// malformed header of it was last logged.
+	heldUntil, malformedAt time.Time
 	// loadSequence is the sequence number of the last load.
 	loadSequence uint64
 }
@@ -169,6 +174,9 @@
 func (e *Executor) SetBackend(state BackendState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if state.Instance != e.state.Instance {
+		e.heldUntil = time.Time{}
+	}
 	e.state = state
 }
 
--- a/internal/daemon/executor/fakes_test.go
+++ b/internal/daemon/executor/fakes_test.go
@@ -97,8 +97,10 @@
 // like an engine that ignores cancels.
 type fakeEngine struct {
 	adapter.Engine
-	mu       sync.Mutex
-	dead     bool
+	mu   sync.Mutex
+	dead bool
+	// refusal is returned by Generate, if set.
+	refusal  error
 	streams  map[string]*fakeTokens
 	started  []string
 	canceled []string
@@ -119,6 +121,9 @@
 	if e.dead {
 		return nil, &adapter.EngineError{Operation: "generate", Cause: errors.New("connection refused")}
 	}
+	if e.refusal != nil {
+		return nil, e.refusal
+	}
 	if e.streams == nil {
 		e.streams = map[string]*fakeTokens{}
 	}
--- a/internal/daemon/executor/model.go
+++ b/internal/daemon/executor/model.go
@@ -159,6 +159,9 @@
 		return &brokenError{detail: err.Error(), tokens: tokens}
 	}
 	if !engineErr.Started {
+		if r := a.executor.holdOff(engineErr.Status, engineErr.RetryAfter, time.Now()); r != nil {
+			return &notStartedError{refusal: *r}
+		}
 		return &notStartedError{refusal: engineRefusal(engineErr)}
 	}
 	broken := &brokenError{detail: engineErr.Error(), tokens: tokens}
--- a/internal/daemon/executor/rpc.go
+++ b/internal/daemon/executor/rpc.go
@@ -59,6 +59,9 @@
 	if !e.state.Up {
 		return backendDownRefusal()
 	}
+	if r := e.heldRefusal(now); r != nil {
+		return r
+	}
 	return e.table.reserve(keyOf(req.GetId()), reservation, req.GetService(), now)
 }
 
--- a/internal/daemon/executor/service.go
+++ b/internal/daemon/executor/service.go
@@ -42,6 +42,7 @@
 	if err != nil {
 		return nil, a.serviceFailure(ctx, err)
 	}
+	_ = e.holdOff(answer.Status, answer.Header["Retry-After"], time.Now())
 	e.mu.Lock()
 	e.rate.add(1, time.Now())
 	e.mu.Unlock()
--- a/pkg/adapter/engine.go
+++ b/pkg/adapter/engine.go
@@ -127,6 +127,8 @@
 	Operation string
 	// Status is the HTTP status, or 0 without a response.
 	Status int
+	// RetryAfter are the values of the header of the response.
+	RetryAfter []string
 	// Started reports whether the engine may have started the work.
 	Started bool
 	// Crashed reports whether the connection broke during the call.
--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -387,7 +387,7 @@
 func statusError(operation string, resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	cause := errors.New(strings.TrimSpace(string(text)))
-	return &EngineError{Operation: operation, Status: resp.StatusCode, Started: resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable, Cause: cause}
+	return &EngineError{Operation: operation, Status: resp.StatusCode, RetryAfter: resp.Header.Values("Retry-After"), Started: resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable, Cause: cause}
 }
 
 // callError returns the error for a call without a response.
