Announce only the latest start of a replica that leaves

What callers would have seen: a replica says that it leaves, starts again and leaves again while the first announcement still waits for its repeats; a message holds one start of a replica, and might carry the earlier one in place of the later.

Before (TestLaterStartIsNotAnnounced): unexpected length 3, want 1.

--- a/internal/coordination/gossiper/leaving.go
+++ b/internal/coordination/gossiper/leaving.go
@@ -78,7 +78,9 @@
 	limiter *rate.Limiter
 }
 
+// add adds a replica in place of what waits to be sent about it.
 func (o *leavingOutbox) add(l leavingNotice) {
+	o.notices = slices.DeleteFunc(o.notices, func(n notice[leavingNotice]) bool { return n.value.Replica == l.Replica })
 	if len(o.notices) >= maxPendingLeaving {
 		o.notices = o.notices[1:]
 	}
--- a/internal/coordination/gossiper/leaving_test.go
+++ b/internal/coordination/gossiper/leaving_test.go
@@ -185,3 +185,18 @@
 		qt.Check(t, used, qt.Equals, !tc.known, qt.Commentf(tc.name))
 	}
 }
+
+// TestLaterStartIsNotAnnounced guards against a replica whose earlier start hides from the
+// other daemons that it leaves again, and against announcing the earlier one.
+func TestLaterStartIsNotAnnounced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for range 20 {
+		var o leavingOutbox
+		for start := range int64(3) {
+			o.add(leavingNotice{Leaving: cataloger.Leaving{Replica: "r", StartedAtMs: start + 1, SaidAt: now}})
+		}
+		taken := o.take(1, nearLeavingRate, nearLeavingBurst, now)
+		qt.Assert(t, reportLeaving(taken, now), qt.DeepEquals, reportedLeaving{"r": {3, 0, 0}})
+		qt.Assert(t, taken, qt.HasLen, 1)
+	}
+}
