Announce replicas for others only until that is heard twice

What callers would have seen: nothing wrong, but the announcements of a hundred replicas took long: eight daemons of a cell that hear the same delegate each of them to three others, so that nearly every daemon announces nearly all, and other replicas wait for their bytes.

A daemon that announces a replica for another one stops once two others have announced it.

--- a/internal/coordination/gossiper/leaving.go
+++ b/internal/coordination/gossiper/leaving.go
@@ -17,6 +17,9 @@
 	// delegates is the number of daemons that announce a replica in place of one that has too
 	// many to announce, each once.
 	delegates = 3
+	// delegatesHeard is the number of announcements of others after which a daemon does not
+	// announce a replica for another one.
+	delegatesHeard = 2
 	// leavingBytes is about the size of such a replica in a message.
 	leavingBytes = 37
 	// The following are the bytes a second, and at once, that a daemon spends on replicas
@@ -42,6 +45,8 @@
 type leavingNotice struct {
 	cataloger.Leaving
 	relayed, delegated bool
+	// heard is how often other daemons have announced it since.
+	heard int
 }
 
 // reportedLeaving holds replicas that leave by ID: their start, the age of the statement in
@@ -94,10 +99,17 @@
 // isDone reports whether a replica has been announced for another daemon.
 func isDone(n notice[leavingNotice]) bool { return n.remaining < leavingRepeats && n.value.delegated }
 
-// removeUnsent removes a replica that another daemon announces, unless this one has begun to.
-func (o *leavingOutbox) removeUnsent(l cataloger.Leaving) {
+// recordHeard records that another daemon announces a replica. This one need not, unless it
+// has begun to; for others it announces until that has been heard twice, because datagrams may
+// be lost.
+func (o *leavingOutbox) recordHeard(l cataloger.Leaving) {
+	for i := range o.notices {
+		if n := &o.notices[i]; n.value.Replica == l.Replica && n.value.StartedAtMs <= l.StartedAtMs {
+			n.value.heard++
+		}
+	}
 	o.notices = slices.DeleteFunc(o.notices, func(n notice[leavingNotice]) bool {
-		return isOwn(n) && n.value.Replica == l.Replica && n.value.StartedAtMs <= l.StartedAtMs
+		return isOwn(n) && n.value.heard > 0 || n.value.delegated && n.value.heard >= delegatesHeard
 	})
 }
 
@@ -137,7 +149,7 @@
 	}
 	own = own[:min(len(own), tokens/(leavingBytes*delegates))]
 	for i, l := range own {
-		o.removeUnsent(l.Leaving)
+		o.notices = slices.DeleteFunc(o.notices, func(n notice[leavingNotice]) bool { return n.value.Replica == l.Replica })
 		own[i].delegated = true
 	}
 	o.limiter.AllowN(now, len(own)*leavingBytes*delegates)
@@ -246,7 +258,7 @@
 		case near && isNew:
 			g.announceReceived(l)
 		case near && !l.delegated:
-			g.leaving.removeUnsent(l.Leaving)
+			g.leaving.recordHeard(l.Leaving)
 		case receiver && isNew:
 			g.leaving.add(leavingNotice{Leaving: l.Leaving, relayed: true})
 		}
