--- a/internal/request/placer/holdoff_test.go
+++ b/internal/request/placer/holdoff_test.go
@@ -16,7 +16,7 @@
 	p := &Placer{}
 	var list []Replica
 	for i := range holds {
-		list = append(list, Replica{ID: "r" + strconv.Itoa(i), Address: "r" + strconv.Itoa(i) + ":1", Service: "s", Slots: 4})
+		list = append(list, Replica{ID: "r" + strconv.Itoa(i), Address: "r" + strconv.Itoa(i) + ":1", Service: "s", Slots: 4, StartedAtMs: 7})
 	}
 	p.Update(list, now)
 	for i, hold := range holds {
@@ -57,8 +57,12 @@
 		}, 3 * time.Second, false},
 		{"asked before it started again", func(p *Placer) {
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
-			p.HoldOff(Replica{ID: "r0"}, start.Add(4*time.Second), start)
+			p.HoldOff(Replica{ID: "r0", StartedAtMs: 5}, start.Add(4*time.Second), start)
 		}, time.Second, true},
+		{"asked with an unknown start before its start was known", func(p *Placer) {
+			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
+			p.HoldOff(Replica{ID: "r0"}, start.Add(4*time.Second), start)
+		}, time.Second, false},
 		{"started again", func(p *Placer) {
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
 		}, time.Second, true},
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -248,14 +248,14 @@
 	mu       sync.Mutex
 	services map[string][]*replicaState
 	// byID holds the replicas of all services.
-	byID map[string]*replicaState
-	// holds are the holds by ID, also of replicas that are not listed.
-	holds map[string]hold
+	byID  map[string]*replicaState
 	peers map[string]peerLoad
 	// oldestReport is not after the time of any report in peers.
 	oldestReport time.Time
 	waiting      waitQueue
-	sequence     uint64
+	// holds holds, by ID, the replicas that want no requests, listed or not.
+	holds    map[string]holdOff
+	sequence uint64
 	// correction is the ratio of observed to predicted times to the first token,
 	// by service.
 	correction map[string]float64
@@ -266,7 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expirePeers(now)
-	p.forgetHolds(now)
+	p.expireHolds(now)
 	known := map[string]*replicaState{}
 	for _, list := range p.services {
 		for _, s := range list {
@@ -287,7 +287,8 @@
 		} else if s.Draining && !r.Draining || !maps.Equal(s.Versions, r.Versions) {
 			s.usableSince = now
 		}
-		s.Replica, s.heldUntil = r, p.heldUntil(r)
+		s.Replica = r
+		s.heldUntil = p.holds[r.ID].of(r.StartedAtMs)
 		s.others = Load{}
 		p.services[r.Service] = append(p.services[r.Service], s)
 		p.byID[r.ID] = s
@@ -296,28 +297,12 @@
 		p.addPeerLoad(peer.replicas, 1)
 	}
 	p.admitWaiting(now)
-}
-
-// InvalidateVersion records that the replica at an address does not serve the version
-// of a model that it is listed with. Later lists may still contain the version,
-// because registrations lag; it is ignored for invalidationTime.
-func (p *Placer) InvalidateVersion(address, model string, version int, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, list := range p.services {
-		for _, s := range list {
-			if s.Address == address {
-				s.invalid = invalidVersion{model: model, version: version, until: now.Add(invalidationTime)}
-			}
-		}
+	if len(p.holds) == 0 {
+		return
+	}
+	for service := range p.services {
+		p.refuseHopeless(service, now)
 	}
-}
-
-// invalidVersion is a version that a replica is listed with but does not serve.
-type invalidVersion struct {
-	model   string
-	version int
-	until   time.Time
 }
 
 // SetPeerLoad records the load by replica of the daemon on another VM.
