--- a/internal/coordination/cataloger/leaving.go
+++ b/internal/coordination/cataloger/leaving.go
@@ -47,7 +47,7 @@
 	return l, c.recordStatement(l, "said in a response that it leaves", now)
 }
 
-// RecordReportedLeaving records what another daemon has heard. It counts for nothing if the
+// RecordReportedLeaving records what a replica has said to another daemon. It counts for nothing if the
 // replica has started again since. It reports whether that was unknown.
 func (c *Catalog) RecordReportedLeaving(l Leaving, now time.Time) (isNew bool) {
 	c.mu.Lock()
--- a/internal/coordination/gossiper/leaving.go
+++ b/internal/coordination/gossiper/leaving.go
@@ -17,9 +17,9 @@
 	// delegates is the number of daemons that announce a replica in place of one that has too
 	// many to announce, each once.
 	delegates = 3
-	// delegatesHeard is the number of announcements of others after which a daemon does not
+	// delegatesReceived is the number of announcements of others after which a daemon does not
 	// announce a replica for another one.
-	delegatesHeard = 2
+	delegatesReceived = 2
 	// leavingBytes is about the size of such a replica in a message.
 	leavingBytes = 37
 	// The following are the bytes a second, and at once, that a daemon spends on replicas
@@ -31,7 +31,7 @@
 	digestLeavingBurst = 1536
 	// maxPendingLeaving is the maximum number of replicas that wait to be sent.
 	maxPendingLeaving = 1024
-	// maxJoinLeaving is the maximum number of replicas that a daemon that joins is told of.
+	// maxJoinLeaving is the maximum number of replicas in a message to a daemon that joins.
 	maxJoinLeaving = 128
 	// maxReplicaID is the maximum length of an ID that is accepted from another daemon.
 	maxReplicaID = 256
@@ -45,8 +45,8 @@
 type leavingNotice struct {
 	cataloger.Leaving
 	relayed, delegated bool
-	// heard is how often other daemons have announced it since.
-	heard int
+	// received is how often other daemons have announced it since.
+	received int
 }
 
 // reportedLeaving holds replicas that leave by ID: their start, the age of the statement in
@@ -100,16 +100,16 @@
 func isDone(n notice[leavingNotice]) bool { return n.remaining < leavingRepeats && n.value.delegated }
 
 // recordHeard records that another daemon announces a replica. This one need not, unless it
-// has begun to; for others it announces until that has been heard twice, because datagrams may
+// has begun to; for others it announces until it has received that twice, because datagrams may
 // be lost.
 func (o *leavingOutbox) recordHeard(l cataloger.Leaving) {
 	for i := range o.notices {
 		if n := &o.notices[i]; n.value.Replica == l.Replica && n.value.StartedAtMs <= l.StartedAtMs {
-			n.value.heard++
+			n.value.received++
 		}
 	}
 	o.notices = slices.DeleteFunc(o.notices, func(n notice[leavingNotice]) bool {
-		return isOwn(n) && n.value.heard > 0 || n.value.delegated && n.value.heard >= delegatesHeard
+		return isOwn(n) && n.value.received > 0 || n.value.delegated && n.value.received >= delegatesReceived
 	})
 }
 
--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -47,7 +47,7 @@
 	},
 	{
 		"version-check", "platform/entry.go",
-		"e.versionTracker.Window = s.VersionTime", "e.versionTracker.Window = 1000 * s.VersionTime",
+		"e.versionTracker.CheckPause = s.VersionTime,", "e.versionTracker.CheckPause = 1000*s.VersionTime,",
 	},
 	{
 		"leaving-check", "platform/signals.go",
