--- a/internal/coordination/gossiper/fleet_test.go
+++ b/internal/coordination/gossiper/fleet_test.go
@@ -172,6 +172,7 @@
 // for dead, and that do not learn of replica states, loads and crashes in other failure
 // domains, also when the relays of a domain have just died.
 func TestViewsOfLargeFleet(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(3, 30, 31, 0.025)
 	f.run(5 * time.Second)
@@ -220,6 +221,7 @@
 // datagrams are lost, also in other failure domains, which two daemons more lie between:
 // a request that crashes replicas would go on there.
 func TestCrashesSurviveLoss(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	const crashes = 150
 	f := newFleet(2, 30, 0, 0.025)
@@ -304,6 +306,7 @@
 // TestTrafficOfLargeFleet guards against messages of a daemon that grow with the fleet,
 // and so take its processor from requests.
 func TestTrafficOfLargeFleet(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	const seconds = 4
 	type rates struct{ sent, received, far float64 }
--- a/internal/coordination/gossiper/leaving_test.go
+++ b/internal/coordination/gossiper/leaving_test.go
@@ -61,6 +61,7 @@
 // daemon that it leaves, also in other failure domains, when datagrams are lost, when they
 // start later, and when they or their VMs were away meanwhile.
 func TestLeavingStaysUnknown(t *testing.T) {
+	t.Parallel()
 	const perDomain, announcer = 12, 4
 	// Among them are the relays of a domain and the first receivers of digests.
 	for _, i := range []int{1, 2, 5, 10} {
@@ -104,6 +105,7 @@
 // that take the links of the daemons from requests, and against daemons that do not learn of
 // them in spite of that.
 func TestLeavingFloodsFleet(t *testing.T) {
+	t.Parallel()
 	const domains, perDomain, replicas, seconds = 2, 30, 100, 4
 	const limit = 9000
 	// observe returns the bytes a second of each daemon, and when all knew the replicas that
--- a/internal/coordination/gossiper/parts_test.go
+++ b/internal/coordination/gossiper/parts_test.go
@@ -62,6 +62,7 @@
 // because each crash was seen by another daemon and datagrams are lost, and against daemons
 // that start later and do not learn of the block.
 func TestCrashesOfDifferentDaemons(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(3, 20, 0, 0.1)
 	f.run(4 * time.Second)
@@ -104,6 +105,7 @@
 // TestCrashUnderManyRequests guards against crashes that are not learned in time, or cost
 // too much traffic, because a dozen requests broke at each of a hundred daemons.
 func TestCrashUnderManyRequests(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(4, 25, 0, 0.025)
 	f.run(4 * time.Second)
@@ -128,6 +130,7 @@
 // TestSuccessElsewhere guards against blocks of a sound part on daemons that saw it in
 // several crashes only, while another daemon sees requests with it succeed.
 func TestSuccessElsewhere(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(3, 20, 0, 0.025)
 	f.run(4 * time.Second)
