--- a/internal/coordination/gossiper/leaving.go
+++ b/internal/coordination/gossiper/leaving.go
@@ -99,10 +99,10 @@
 // isDone reports whether a replica has been announced for another daemon.
 func isDone(n notice[leavingNotice]) bool { return n.remaining < leavingRepeats && n.value.delegated }
 
-// recordHeard records that another daemon announces a replica. This one need not, unless it
+// recordReceived records that another daemon announces a replica. This one need not, unless it
 // has begun to; for others it announces until it has received that twice, because datagrams may
 // be lost.
-func (o *leavingOutbox) recordHeard(l cataloger.Leaving) {
+func (o *leavingOutbox) recordReceived(l cataloger.Leaving) {
 	for i := range o.notices {
 		if n := &o.notices[i]; n.value.Replica == l.Replica && n.value.StartedAtMs <= l.StartedAtMs {
 			n.value.received++
@@ -258,7 +258,7 @@
 		case near && isNew:
 			g.announceReceived(l)
 		case near && !l.delegated:
-			g.leaving.recordHeard(l.Leaving)
+			g.leaving.recordReceived(l.Leaving)
 		case receiver && isNew:
 			g.leaving.add(leavingNotice{Leaving: l.Leaving, relayed: true})
 		}
