--- a/internal/weights/selector/selector.go
+++ b/internal/weights/selector/selector.go
@@ -83,8 +83,9 @@
 
 // Update records the newest announced versions and returns those that were unknown. after
 // is the earliest time at which they may have been announced: now if they were delivered to
-// this daemon while it waited, or zero if the time is unknown. The versions of the first call are treated as announced a window
-// ago until another daemon reports more: a daemon that has just started does not know.
+// this daemon while it waited, or zero if the time is unknown. The versions of the first
+// call are treated as announced a window ago until another daemon reports more: a daemon
+// that has just started does not know.
 func (n *VersionTracker) Update(versions map[string]int, after, now time.Time) []Announcement {
 	return n.update(versions, after, false, now)
 }
--- a/pkg/claimer/calls.go
+++ b/pkg/claimer/calls.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -61,16 +62,7 @@
 
 func (c callReader) run(ctx context.Context, done func()) {
 	defer done()
-	ticker := time.NewTicker(callReadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.read(ctx, c.Now())
-		}
-	}
+	waiter.Every(ctx, callReadInterval, func(time.Time) { c.read(ctx, c.Now()) })
 }
 
 func (c callReader) read(ctx context.Context, now time.Time) {
--- a/pkg/claimer/era.go
+++ b/pkg/claimer/era.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
@@ -39,16 +40,7 @@
 
 func (c eraWatcher) run(ctx context.Context, done func()) {
 	defer done()
-	ticker := time.NewTicker(eraCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		c.check(ctx, c.Now())
-	}
+	waiter.Every(ctx, eraCheckInterval, func(time.Time) { c.check(ctx, c.Now()) })
 }
 
 func (c eraWatcher) check(ctx context.Context, now time.Time) {
