Log what ended a response within its stream

The hypotheses of the incident of silent replicas (a replica's silence, a change that drops the route, the limits of an earlier configuration) leave the same lines: the route's timeout, the configuration in force at the end and whether the replica was silent or its connection broke are not in the log.

--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -95,7 +95,8 @@
 	}
 	x.recordCrash(placed.Replica, suspects, now)
 	x.Log.Info("decision", zap.String("kind", "stream-broken"), zap.String("subject", x.request.ID),
-		zap.String("chosen", placed.Replica.ID), zap.String("resume", x.lastEventID), zap.Error(err))
+		zap.String("chosen", placed.Replica.ID), zap.String("resume", x.lastEventID), zap.Bool("silent", isTimeout(err)),
+		zap.Int("runs", x.possibleRuns), zap.Int("max-attempts", x.request.Route.MaxAttempts), zap.Error(err))
 	if x.request.Route.Resumable && !x.Blocker.PartSuspected(suspects, now) && x.allowRepeat(now) {
 		return false
 	}
