A silent replica keeps its request while another one is tried

What callers saw: a stream whose replica sent nothing for 1.1 to 1.9 s ended within the stream, and a plain idempotent request got 502 after 0.7 s, although the replica would have gone on and callers would have waited 5 s.

Cause: the attempt was cancelled when the replica had been silent for half of the callers' patience (4.5 targets before the first byte), and only then a retry, a budget and a place were asked for. Each of them may be missing, and the response was lost then. Silence, which proves nothing, was handled like a failure that has happened.

Now silence starts a search for a place at another replica while the attempt goes on. With a place, a retry of the budget and a further attempt allowed, the request is sent there too, and the first of the two that sends something serves the caller; the other one is cancelled, and its events are dropped. Where nothing else is found the request stays where it is, until its deadline or until its caller leaves. The search goes on during the silence, so a place that becomes free later is used.

Why it works: nothing is given up before its replacement responds, so no missing place, budget or refusal can end a response. Events cannot be mixed: a wait ends with exactly one of the two as the source, and the other one's outcome is only counted.

Ruled out: a longer timeout alone (the pause of a sound replica has no known bound, and a stream at a dead replica would wait longer); resuming only with a reserved place but cancelling first (the other replica may refuse or be silent too).

The pause after which a stream is ended is 0.5 s above the callers' patience now: at the patience itself, the daemon's close and the caller's raced.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -41,7 +41,7 @@
 	minRemainingTime = 20 * time.Millisecond
 	// silenceTimeoutFactor is the ratio of the silence timeout to the target latency.
 	// If a replica has not sent the first byte within the silence timeout, a
-	// repeatable request is sent to another replica.
+	// repeatable request is sent to another replica as well.
 	silenceTimeoutFactor = 4.5
 	// minSilenceTimeout is the lower bound of the silence timeout.
 	minSilenceTimeout = 700 * time.Millisecond
@@ -50,6 +50,8 @@
 	minCallerPatience = 2 * time.Second
 	patienceTargets   = 4
 	patienceGaps      = 8
+	// leaveMargin is the time for a caller to leave after the end of its patience.
+	leaveMargin = 500 * time.Millisecond
 	// retryExtraSlots is the number of requests beyond its slots that a replica may
 	// get for a repeat, because the work of the earlier attempt is lost if no replica
 	// is found.
@@ -101,6 +103,8 @@
 	serverError *Response
 	// streamBegun is set once the caller has the beginning of a stream.
 	streamBegun bool
+	// successor takes the place of the present attempt, which has ended.
+	successor *successor
 	// lastEventID is the id of the last event that the caller has; empty for none.
 	lastEventID     string
 	timeToFirstByte time.Duration
@@ -117,10 +121,21 @@
 		x.refuse(reason)
 		return
 	}
-	for !x.attempt(ctx) {
+	defer x.dropSuccessor()
+	for !x.advance(ctx) {
 	}
 }
 
+// advance goes on with an attempt that responds already, or makes another one, and reports
+// whether the request has ended.
+func (x *execution) advance(ctx context.Context) (ended bool) {
+	if next := x.successor; next != nil {
+		x.successor = nil
+		return x.handle(ctx, next.send, next.outcome)
+	}
+	return x.attempt(ctx)
+}
+
 // attempt makes one attempt and reports whether the request has ended.
 func (x *execution) attempt(ctx context.Context) (ended bool) {
 	now := time.Now()
@@ -149,26 +164,31 @@
 			zap.Int("version", placed.Version), zap.Duration("waited", placed.Waited))
 		return false
 	}
-	x.sends++
-	x.triedReplicas = append(x.triedReplicas, placed.Replica.ID)
-	remaining := x.request.Deadline.Sub(now)
-	a := Attempt{
-		Request: x.request, Number: x.sends, Replica: placed.Replica, Version: placed.Version, VersionLeft: versionLeft,
-		Remaining: remaining, LastEventID: x.lastEventID, FirstByteTimeout: x.firstByteTimeout(versionLeft, remaining), StallTimeout: x.stallTimeout(),
+	a := x.newSend(ctx, placed, versionLeft, now)
+	a.wait()
+	out := a.run()
+	responded := x.responds(out)
+	x.successor = a.settle(responded)
+	if responded && x.successor != nil {
+		x.recordUnused(a, out)
+		return false
 	}
-	out := x.Sender.Send(ctx, a)
-	x.logAttempt(a, placed, out)
+	return x.handle(ctx, a, out)
+}
+
+// handle goes on with the outcome of an attempt.
+func (x *execution) handle(ctx context.Context, s *send, out Outcome) (ended bool) {
 	switch out := out.(type) {
 	case Refused:
-		return x.handleRefused(ctx, placed, out)
+		return x.handleRefused(ctx, s, out)
 	case Lost:
-		return x.handleLost(ctx, placed, out)
+		return x.handleLost(ctx, s, out)
 	case Answered:
-		return x.handleAnswered(placed, out)
+		return x.handleAnswered(s, out)
 	case Streaming:
-		return x.handleStreaming(ctx, placed, out)
+		return x.handleStreaming(ctx, s, out)
 	}
-	placed.Done(placer.Neutral, time.Now())
+	s.placed.Done(placer.Neutral, time.Now())
 	return x.fail(false, fmt.Sprintf("unknown outcome type %T", out))
 }
 
@@ -239,23 +259,10 @@
 	return left, left > 0 && version >= x.Versions.OldestAllowed(x.request.Model, now)
 }
 
-// firstByteTimeout returns the maximum wait for the first byte; 0 means no bound.
-// It is the silence timeout, or the time until the model version of the replica
-// expires if that is shorter: a request that waits at a replica that is loading
-// weights could begin after the version has expired.
-func (x *execution) firstByteTimeout(versionLeft, remaining time.Duration) time.Duration {
-	limit := x.silenceTimeout(remaining)
-	if versionLeft > 0 && (limit == 0 || versionLeft < limit) {
-		return versionLeft
-	}
-	return limit
-}
-
-// silenceTimeout returns the maximum wait for the first byte of a request that can
-// be repeated on another replica; 0 means no bound. There is none for the last
-// attempt, nor if it would leave less than a third of the remaining time for the
-// next attempt.
-func (x *execution) silenceTimeout(remaining time.Duration) time.Duration {
+// firstByteSilence returns the time after which a replica that has not sent the first byte
+// counts as silent, if the request can be repeated on another replica; 0 means never. It does
+// not for the last attempt, nor if less than a third of the remaining time would be left.
+func (x *execution) firstByteSilence(remaining time.Duration) time.Duration {
 	r := x.request
 	if !r.Route.Repeatable() || x.possibleRuns+1 >= r.Route.MaxAttempts {
 		return 0
@@ -267,19 +274,30 @@
 	return limit
 }
 
-// stallTimeout returns the maximum pause between two events of a stream: the time after
-// which callers leave, and half of it if another replica can resume the stream. Slow
-// streams go on as long as each event comes within it.
+// eventSilence returns the time after the latest event from which on a replica counts as
+// silent, if another one can resume the stream; 0 means never.
+func (x *execution) eventSilence() time.Duration {
+	r := x.request.Route
+	if r.Kind != matcher.Streaming || !r.Resumable || x.possibleRuns+1 >= r.MaxAttempts {
+		return 0
+	}
+	return callerPatience(r) / 2
+}
+
+// stallTimeout returns the maximum pause between two events of a stream. Slow streams go on
+// as long as each event comes within it. It is above the time after which callers leave, so
+// that only those that stay have their streams ended.
 func (x *execution) stallTimeout() time.Duration {
 	r := x.request.Route
 	if r.Kind != matcher.Streaming {
 		return 0
 	}
-	patience := max(minCallerPatience, patienceTargets*r.TargetLatency, patienceGaps*r.GapTarget)
-	if r.Resumable && x.possibleRuns+1 < r.MaxAttempts {
-		return patience / 2
-	}
-	return patience
+	return callerPatience(r) + leaveMargin
+}
+
+// callerPatience returns the pause between two events after which callers leave a stream.
+func callerPatience(r *matcher.Route) time.Duration {
+	return max(minCallerPatience, patienceTargets*r.TargetLatency, patienceGaps*r.GapTarget)
 }
 
 // handlePlacementError ends a request that was not placed. Like the other handle
@@ -291,24 +309,16 @@
 	return x.finish(err.Error())
 }
 
-// handleRefused records why the replica refused the attempt, and ends the request if
-// it may not be sent again.
-func (x *execution) handleRefused(ctx context.Context, placed placer.Placement, out Refused) bool {
+// handleRefused ends the request if it may not be sent again after a refusal.
+func (x *execution) handleRefused(ctx context.Context, s *send, out Refused) bool {
 	now := time.Now()
-	x.proof = out.Proof
+	x.recordRefused(s, out, now)
 	switch {
 	case ctx.Err() != nil:
-		placed.Done(placer.Neutral, now)
 		return x.abandon(ctx)
-	case out.Proof.Unreachable(), out.OtherReplica:
-		placed.Done(placer.Unreachable, now)
-	case out.OtherVersion:
-		x.Placer.InvalidateVersion(placed.Replica.Address, x.request.Model, placed.Version, now)
-		placed.Done(placer.Neutral, now)
-	default:
-		placed.Done(placer.Full, now)
-	}
-	if x.sends >= maxSends {
+	case x.successor != nil:
+		return false
+	case x.sends >= maxSends:
 		return x.finish(out.Proof.Reason())
 	}
 	// A failed connection reached no replica and does not use the retry budget.
@@ -318,47 +328,68 @@
 	return false
 }
 
+// recordRefused records why the replica refused the attempt.
+func (x *execution) recordRefused(s *send, out Refused, now time.Time) {
+	x.proof = out.Proof
+	x.possibleRuns--
+	switch {
+	case s.parent.Err() != nil:
+		s.placed.Done(placer.Neutral, now)
+	case out.Proof.Unreachable(), out.OtherReplica:
+		s.placed.Done(placer.Unreachable, now)
+	case out.OtherVersion:
+		x.Placer.InvalidateVersion(s.placed.Replica.Address, x.request.Model, s.placed.Version, now)
+		s.placed.Done(placer.Neutral, now)
+	default:
+		s.placed.Done(placer.Full, now)
+	}
+}
+
 // handleLost ends the request unless it can be repeated after an attempt that may
 // have run.
-func (x *execution) handleLost(ctx context.Context, placed placer.Placement, out Lost) bool {
+func (x *execution) handleLost(ctx context.Context, s *send, out Lost) bool {
 	now := time.Now()
+	x.recordLost(s, out, now)
+	switch {
+	case ctx.Err() != nil:
+		return x.abandon(ctx)
+	case x.successor != nil:
+		return false
+	case out.Broken && x.Blocker.PartSuspected(x.request.SharedParts, now), !x.allowRepeat(now):
+		return x.finish(out.Cause.Error())
+	}
+	return false
+}
+
+// recordLost records that the attempt may have run.
+func (x *execution) recordLost(s *send, out Lost, now time.Time) {
 	x.mayHaveRun = true
-	x.possibleRuns++
-	if ctx.Err() != nil {
+	if err := s.parent.Err(); err != nil {
 		result := placer.Neutral
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(err, context.DeadlineExceeded) {
 			result = placer.Failed
 		}
-		placed.Done(result, now)
-		return x.abandon(ctx)
+		s.placed.Done(result, now)
+		return
 	}
-	placed.Done(placer.Failed, now)
+	s.placed.Done(placer.Failed, now)
 	if out.Broken {
-		x.recordCrash(placed.Replica, x.request.SharedParts, now)
-		if x.Blocker.PartSuspected(x.request.SharedParts, now) {
-			return x.finish(out.Cause.Error())
-		}
-	}
-	if !x.allowRepeat(now) {
-		return x.finish(out.Cause.Error())
+		x.recordCrash(s.placed.Replica, x.request.SharedParts, now)
 	}
-	return false
 }
 
 // handleAnswered sends the response to the caller, or repeats the request after a
 // server error.
-func (x *execution) handleAnswered(placed placer.Placement, out Answered) bool {
+func (x *execution) handleAnswered(s *send, out Answered) bool {
 	now := time.Now()
-	x.possibleRuns++
 	if out.Response.Status >= minServerErrorStatus {
-		placed.Done(placer.Failed, now)
-		x.serverError = &out.Response
-		if !x.allowRepeat(now) {
+		x.recordServerError(s, out, now)
+		if x.successor == nil && !x.allowRepeat(now) {
 			return x.finish("the replica returned a server error")
 		}
 		return false
 	}
-	placed.Done(placer.Succeeded, now)
+	s.placed.Done(placer.Succeeded, now)
 	x.Blocker.RecordSuccess(x.request.Fingerprint)
 	if out.Response.Status < minRedirectStatus {
 		x.Blocker.RecordPartSuccess(x.request.SharedParts, now, now)
@@ -372,6 +403,12 @@
 	return true
 }
 
+// recordServerError keeps a response with a server error for the caller.
+func (x *execution) recordServerError(s *send, out Answered, now time.Time) {
+	s.placed.Done(placer.Failed, now)
+	x.serverError = &out.Response
+}
+
 // allowRepeat reports whether a request that may have run can be sent again, and
 // if so takes one retry from the budget.
 func (x *execution) allowRepeat(now time.Time) bool {
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -24,10 +24,9 @@
 // handleStreaming forwards the events to the caller and reports whether the
 // request has ended. It has not if the stream broke and can be resumed on another
 // replica.
-func (x *execution) handleStreaming(ctx context.Context, placed placer.Placement, out Streaming) bool {
+func (x *execution) handleStreaming(ctx context.Context, s *send, out Streaming) bool {
 	defer out.Events.Close()
-	x.possibleRuns++
-	placed.RecordFirstToken(time.Now())
+	s.placed.RecordFirstToken(time.Now())
 	if !x.streamBegun {
 		x.streamBegun = true
 		x.sink.Begin(out.Response)
@@ -35,33 +34,40 @@
 	batches := 0
 	var firstBatch time.Time
 	for {
+		s.wait()
 		batch, err := out.Events.Next()
 		now := time.Now()
+		ended := errors.Is(err, io.EOF)
+		broken := err != nil && !ended && s.ctx.Err() == nil
+		x.successor = s.settle(len(batch.Data) > 0 || ended)
+		if x.successor != nil && !broken {
+			s.placed.Done(placer.Failed, now)
+			return false
+		}
 		if len(batch.Data) > 0 {
 			batches++
 			if batches == 1 {
 				firstBatch = now
 			}
 		}
-		ended := errors.Is(err, io.EOF)
 		if batches == progressBatches && len(batch.Data) > 0 || ended && batches >= minBatchesOfAnswer {
 			x.Blocker.RecordPartSuccess(x.request.SharedParts, firstBatch, now)
 		}
 		if writeErr := x.forward(batch, now); writeErr != nil {
-			placed.Done(placer.Neutral, now)
+			s.placed.Done(placer.Neutral, now)
 			x.sink.Abort()
 			x.recordEnd("caller-left")
 			return true
 		}
 		if ended {
-			placed.Done(placer.Succeeded, now)
+			s.placed.Done(placer.Succeeded, now)
 			x.Blocker.RecordSuccess(x.request.Fingerprint)
 			x.sink.End()
 			x.recordEnd("streamed")
 			return true
 		}
 		if err != nil {
-			return x.handleBrokenStream(ctx, placed, err, batches, now)
+			return x.handleBrokenStream(ctx, s, err, batches, now)
 		}
 	}
 }
@@ -83,21 +89,21 @@
 
 // handleBrokenStream handles a stream that the replica broke off after some batches of
 // events, and reports whether the request has ended.
-func (x *execution) handleBrokenStream(ctx context.Context, placed placer.Placement, err error, batches int, now time.Time) bool {
+func (x *execution) handleBrokenStream(ctx context.Context, s *send, err error, batches int, now time.Time) bool {
 	if ctx.Err() != nil {
-		placed.Done(placer.Neutral, now)
+		s.placed.Done(placer.Neutral, now)
 		return x.abandon(ctx)
 	}
-	placed.Done(placer.Failed, now)
+	s.placed.Done(placer.Failed, now)
 	var suspects []blocker.Fingerprint
 	if batches < progressBatches && !isTimeout(err) {
 		suspects = x.request.SharedParts
 	}
-	x.recordCrash(placed.Replica, suspects, now)
+	x.recordCrash(s.placed.Replica, suspects, now)
 	x.Log.Info("decision", zap.String("kind", "stream-broken"), zap.String("subject", x.request.ID),
-		zap.String("chosen", placed.Replica.ID), zap.String("resume", x.lastEventID), zap.Bool("silent", isTimeout(err)),
+		zap.String("chosen", s.placed.Replica.ID), zap.String("resume", x.lastEventID), zap.Bool("silent", isTimeout(err)),
 		zap.Int("runs", x.possibleRuns), zap.Int("max-attempts", x.request.Route.MaxAttempts), zap.Error(err))
-	if x.request.Route.Resumable && !x.Blocker.PartSuspected(suspects, now) && x.allowRepeat(now) {
+	if x.successor != nil || x.request.Route.Resumable && !x.Blocker.PartSuspected(suspects, now) && x.allowRepeat(now) {
 		return false
 	}
 	return x.fail(false, "the replica broke off the stream")
--- a/internal/request/dispatcher/types.go
+++ b/internal/request/dispatcher/types.go
@@ -60,6 +60,12 @@
 	// StallTimeout bounds the wait for each further event of a stream; 0 means no
 	// bound.
 	StallTimeout time.Duration
+	// FirstByteSilence and EventSilence are the times without a part of the response, and
+	// without an event of a stream that has begun, after which OnSilence is called; 0 means
+	// that it is not. The attempt goes on.
+	FirstByteSilence time.Duration
+	EventSilence     time.Duration
+	OnSilence        func()
 	// LastEventID is the id of the event after which the stream continues; empty
 	// for the whole stream.
 	LastEventID string
@@ -167,4 +173,6 @@
 	Ended(r *Request, outcome string, firstByte, total time.Duration)
 	// Retried reports a retry that was taken from the budget of the service.
 	Retried(service string)
+	// Silent reports that a request was sent to another replica because its own was silent.
+	Silent(service string)
 }
