--- a/internal/request/dispatcher/silence_test.go
+++ b/internal/request/dispatcher/silence_test.go
@@ -17,7 +17,8 @@
 	"github.com/lentilbridge/lentilbridge/internal/request/prover"
 )
 
-// part is what a replica sends after a pause: an event, an outcome without events, or an error.
+// part is what a replica sends after a pause: an event, an error or both, or an outcome without
+// events.
 type part struct {
 	after   time.Duration
 	event   string
@@ -75,10 +76,7 @@
 	if err := e.wait(p.after, silence); err != nil {
 		return Batch{}, err
 	}
-	if p.err != nil {
-		return Batch{}, p.err
-	}
-	return Batch{Data: []byte(p.event), LastID: p.event}, nil
+	return Batch{Data: []byte(p.event), LastID: p.event}, p.err
 }
 
 // wait waits for the next part of the response and reports the silence meanwhile.
@@ -134,6 +132,9 @@
 		{"stream, breaks while the other is asked", matcher.Streaming, 2, 10, [][]part{
 			{{event: "1"}, {after: 1400 * ms, err: errBroken}}, later(600 * ms),
 		}, whole, "12", 2, 1600 * ms},
+		{"stream, breaks after an event while the other is asked", matcher.Streaming, 2, 10, [][]part{
+			{{event: "1"}, {after: 1400 * ms, event: "2", err: errBroken}}, later(600 * ms),
+		}, whole, "12", 2, 1600 * ms},
 		{"stream, breaks and the other too", matcher.Streaming, 2, 10, [][]part{
 			{{event: "1"}, {after: 1400 * ms, err: errBroken}}, {{after: 600 * ms, err: errBroken}},
 		}, []string{"begin", "abort"}, "1", 2, 1600 * ms},
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -39,10 +39,13 @@
 		now := time.Now()
 		ended := errors.Is(err, io.EOF)
 		broken := err != nil && !ended && s.ctx.Err() == nil
-		x.successor = s.settle(len(batch.Data) > 0 || ended)
-		if x.successor != nil && !broken {
-			s.placed.Done(placer.Failed, now)
-			return false
+		if x.successor = s.settle(err == nil || ended); x.successor != nil {
+			if !broken {
+				s.placed.Done(placer.Failed, now)
+				return false
+			}
+			// The successor has been asked for these events too.
+			batch = Batch{}
 		}
 		if len(batch.Data) > 0 {
 			batches++
