A version that expires ends only attempts without a response

What callers would see: 502 for a plain response of a model replica that pauses in its body for longer than the version of its weights has left, although it began in time.

Cause: two clocks bounded the wait for the first byte by the rest of the version's time. One of them began again with each part of a plain response, so that it bounded each pause in the body too.

The clock is removed. Silence is reported, the end of a version ends the attempt, and a stalled stream has its own bound. TestBeginsInTime checks VersionLeft, which TestQueuedRequestOutlastsVersion shows enforced.

--- a/internal/request/dispatcher/alternative.go
+++ b/internal/request/dispatcher/alternative.go
@@ -70,7 +70,7 @@
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.attempt = Attempt{
 		Request: x.request, Number: x.sends + 1, Replica: placed.Replica, Version: placed.Version, VersionLeft: versionLeft,
-		Remaining: remaining, LastEventID: x.lastEventID, FirstByteTimeout: versionLeft, StallTimeout: x.stallTimeout(),
+		Remaining: remaining, LastEventID: x.lastEventID, StallTimeout: x.stallTimeout(),
 		FirstByteSilence: x.firstByteSilence(remaining), EventSilence: x.eventSilence(), OnSilence: s.onSilence,
 	}
 	x.sends++
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -268,7 +268,7 @@
 		r := newRequest(matcher.Streaming, true, 1, time.Now())
 		r.Model = "m"
 		d.Dispatch(context.Background(), r, &recordingSink{})
-		c.Assert(sender.sent[0].FirstByteTimeout, qt.Equals, 300*time.Millisecond)
+		c.Assert(sender.sent[0].VersionLeft, qt.Equals, 300*time.Millisecond)
 	})
 }
 
--- a/internal/request/dispatcher/types.go
+++ b/internal/request/dispatcher/types.go
@@ -49,20 +49,17 @@
 	// Version is the model version that the replica must serve; 0 for any.
 	Version int
 	// VersionLeft is the time during which the request may begin on Version; 0 means no
-	// bound.
+	// bound. An attempt without a response by then is ended.
 	VersionLeft time.Duration
 	// Remaining is the time until the deadline of the request, which the replica may
 	// use.
 	Remaining time.Duration
-	// FirstByteTimeout bounds the wait for the first byte of the response, and each pause
-	// in a plain one; 0 means no bound.
-	FirstByteTimeout time.Duration
 	// StallTimeout bounds the wait for each further event of a stream; 0 means no
 	// bound.
 	StallTimeout time.Duration
-	// FirstByteSilence and EventSilence are the times without a part of the response, and
-	// without an event of a stream that has begun, after which OnSilence is called; 0 means
-	// that it is not. The attempt goes on.
+	// FirstByteSilence and EventSilence are the times without the beginning of a response or
+	// a further part of a plain one, and without a further event of a stream, after which
+	// OnSilence is called; 0 means that it is not. The attempt goes on.
 	FirstByteSilence time.Duration
 	EventSilence     time.Duration
 	OnSilence        func()
