A stopping daemon takes no request that runs once and may outlast it

What callers saw: in a planned stop, requests that may run at most once were taken, passed on and cut at the end, with 502 or within their stream. Their callers can't repeat them and don't know whether they ran.

Cause: Plan.Takes let everything in until the intake ended (2.5 s of 8 s here, half of the time in short stops), whatever its deadline and kind. The share of the time that was right for requests that can be sent again was used for those that cannot.

Why this fixes it: a request that isn't repeatable is taken only if its deadline, the caller's or the route's, is before the end of the requests, at any time of the stop. The others get 503 with 10 ms at once. Weighed: a refused caller loses a round trip and a connection, since it may turn to another daemon at once; a cut one loses the call. If no other daemon is ready, a refused caller would have nowhere to go, so then all are taken in the intake as before. Repeatable requests are taken as before: a cut one is sent again or resumed.

Ruled out by reading: SIGHUP in the stop (the channel holds it, nothing reads it), a change of the configuration (a request keeps the route that it came under), the agents (they refuse by deadline and by their own limit already).

--- a/internal/daemon/router/requests.go
+++ b/internal/daemon/router/requests.go
@@ -94,7 +94,7 @@
 		return forwarder.FailedResult(err)
 	}
 	entry.Request = req
-	if plan := r.stop.Load(); plan != nil && !plan.Takes(req.Deadline, now) {
+	if r.stopsBefore(req, now) {
 		return forwarder.FailedResult(identifier.StoppingError(identifier.OutcomeNotRun))
 	}
 	permit, err := r.admitter.Admit(ctx, req, now)
@@ -106,8 +106,21 @@
 	return r.forwarder.Run(ctx, req, answer)
 }
 
+// stopsBefore reports whether the daemon stops and may end before the deadline of a request.
+func (r *Requests) stopsBefore(req *identifier.Request, now time.Time) bool {
+	plan := r.stop.Load()
+	return plan != nil && !plan.Takes(req.Deadline, req.Idempotent, now)
+}
+
 // Stop refuses the requests that do not fit into the plan of a stop.
-func (r *Requests) Stop(plan drainer.Plan) { r.stop.Store(&plan) }
+func (r *Requests) Stop(plan drainer.Plan) {
+	plan.HasOtherDaemon = r.hasOtherDaemon
+	r.stop.Store(&plan)
+}
+
+// hasOtherDaemon reports whether an entry daemon is live that does not leave. While this
+// one stops, it leaves.
+func (r *Requests) hasOtherDaemon(now time.Time) bool { return r.liveEntries(now) > 0 }
 
 // release releases the permit at the time of the call. A deferred
 // permit.Release(time.Now()) would use the time of the defer statement.
--- /dev/null
+++ b/internal/daemon/router/stop_test.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// listOtherDaemon makes another entry daemon known as live.
+func (d *stoppingDaemon) listOtherDaemon() {
+	d.requests.Entries = func(now time.Time) []*messenger.EntryVM {
+		return append(d.membership.Entries(now), &messenger.EntryVM{Vm: "entry-2"})
+	}
+}
+
+func (d *stoppingDaemon) connectOrFail(c *qt.C) net.Conn {
+	conn, err := d.listener.connect()
+	c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// TestStopCutsCallThatRunsOnce guards against a call that a stopping daemon takes although
+// it may outlast it, and whose caller cannot send it again after the cut.
+func TestStopCutsCallThatRunsOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		request sentRequest
+		alone   bool
+		status  int
+	}{
+		{"must end in time", orderRequest.with(30*time.Second, 0), false, 201},
+		{"may outlast the stop", orderRequest, false, 503},
+		{"no other daemon", orderRequest, true, 201},
+		{"may be repeated", plainRequest, false, 200},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newStoppingDaemon(time.Minute, &slowAgent{takes: 8 * time.Second})
+				if !tc.alone {
+					d.listOtherDaemon()
+				}
+				time.AfterFunc(time.Second, d.stop)
+				time.Sleep(2 * time.Second)
+				conn := d.connectOrFail(c)
+				got := tc.request.send(conn)
+				_ = conn.Close()
+				c.Check(got.err, qt.IsNil)
+				c.Check(got.status, qt.Equals, tc.status)
+				if tc.status == http.StatusServiceUnavailable {
+					c.Check(got.outcome, qt.Equals, "not-run")
+					c.Check(d.agent.count(), qt.Equals, 0)
+				}
+				<-d.stopped
+				c.Check(d.err, qt.IsNil)
+			})
+		})
+	}
+}
--- a/internal/request/drainer/drainer.go
+++ b/internal/request/drainer/drainer.go
@@ -2,9 +2,10 @@
 //
 // A process is killed at a fixed time after the signal to stop, and a request may last
 // until its deadline. Callers reach a stopping daemon until their list of addresses
-// expires. During that time it takes all requests, most of which end long before the
-// process does. Later it takes only those that cannot outlast it, and refuses the others
-// at once, while their callers have time to turn to another daemon.
+// expires. During that time it takes all requests that can be sent again if they are cut:
+// most of them end long before the process does. Of the others it takes only those that
+// cannot outlast it, as it does of all requests later. The rest is refused at once, while
+// the callers have time to turn to another daemon.
 package drainer
 
 import (
@@ -21,18 +22,24 @@
 	// the exit of the process, at most maxExitTime.
 	exitShare   = 1.0 / 12
 	maxExitTime = 700 * time.Millisecond
+	// RetryAfter is the retry-after time of a request that is refused because of the stop.
+	// Another daemon can take it at once.
+	RetryAfter = 10 * time.Millisecond
 )
 
 // Plan is the schedule of a stop.
 type Plan struct {
 	Began time.Time
-	// IntakeEnds is the end of the time in which all requests are taken.
+	// IntakeEnds is the end of the time in which requests are taken that may outlast the
+	// stop.
 	IntakeEnds time.Time
 	// RequestsEnd is when the requests that are still in progress are ended.
 	RequestsEnd time.Time
 	// ConnectionsClose is when the last connections are closed. Until then, callers of
 	// the ended requests get their answers.
 	ConnectionsClose time.Time
+	// HasOtherDaemon reports, if set, whether another daemon can take requests.
+	HasOtherDaemon func(now time.Time) bool
 }
 
 // NewPlan returns the schedule of a stop that began at a time. Callers come until
@@ -49,10 +56,17 @@
 	}
 }
 
-// Takes reports whether a request that has arrived now and may last until its deadline
-// is taken.
-func (p *Plan) Takes(deadline, now time.Time) bool {
-	return now.Before(p.IntakeEnds) || !deadline.After(p.RequestsEnd)
+// Takes reports whether a request is taken now that has not run and may last until its
+// deadline. A request that is not repeatable cannot be sent again after it was cut.
+func (p *Plan) Takes(deadline time.Time, repeatable bool, now time.Time) bool {
+	if !deadline.After(p.RequestsEnd) {
+		return true
+	}
+	return now.Before(p.IntakeEnds) && (repeatable || !p.hasOtherDaemon(now))
+}
+
+func (p *Plan) hasOtherDaemon(now time.Time) bool {
+	return p.HasOtherDaemon != nil && p.HasOtherDaemon(now)
 }
 
 // StoppedError is the cause with which the context of a request ends when the daemon
--- a/internal/request/drainer/drainer_test.go
+++ b/internal/request/drainer/drainer_test.go
@@ -7,28 +7,37 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestTakenRequestOutlastsStop guards against taking a request, after the callers have
-// been told to leave, that may last longer than the process.
+// TestTakenRequestOutlastsStop guards against taking a request that may last longer than
+// the process, after the callers have been told to leave or although it cannot be repeated.
 func TestTakenRequestOutlastsStop(t *testing.T) {
 	began := time.Unix(1000, 0)
 	tests := []struct {
 		name            string
 		listed, stop    time.Duration
 		arrives, expire time.Duration
-		want            bool
+		// once is set if the request cannot be sent again, and alone if no other daemon
+		// can take it.
+		once, alone bool
+		want        bool
 	}{
-		{"at the signal", 2500 * time.Millisecond, 8 * time.Second, 0, 6 * time.Second, true},
-		{"callers still know the address", 2500 * time.Millisecond, 8 * time.Second, 2400 * time.Millisecond, 8400 * time.Millisecond, true},
-		{"may outlast the process", 2500 * time.Millisecond, 8 * time.Second, 3550 * time.Millisecond, 9500 * time.Millisecond, false},
-		{"may outlast the process by little", 2500 * time.Millisecond, 8 * time.Second, 2600 * time.Millisecond, 7400 * time.Millisecond, false},
-		{"ends before the process", 2500 * time.Millisecond, 8 * time.Second, 3550 * time.Millisecond, 6 * time.Second, true},
-		{"stop time shorter than the listed time", 2500 * time.Millisecond, 2 * time.Second, 950 * time.Millisecond, 6 * time.Second, false},
-		{"very short stop time", 2500 * time.Millisecond, 500 * time.Millisecond, 250 * time.Millisecond, 6 * time.Second, false},
+		{"at the signal", 2500 * time.Millisecond, 8 * time.Second, 0, 6 * time.Second, false, false, true},
+		{"callers still know the address", 2500 * time.Millisecond, 8 * time.Second, 2400 * time.Millisecond, 8400 * time.Millisecond, false, false, true},
+		{"may outlast the process", 2500 * time.Millisecond, 8 * time.Second, 3550 * time.Millisecond, 9500 * time.Millisecond, false, false, false},
+		{"may outlast the process by little", 2500 * time.Millisecond, 8 * time.Second, 2600 * time.Millisecond, 7400 * time.Millisecond, false, false, false},
+		{"ends before the process", 2500 * time.Millisecond, 8 * time.Second, 3550 * time.Millisecond, 6 * time.Second, false, false, true},
+		{"stop time shorter than the listed time", 2500 * time.Millisecond, 2 * time.Second, 950 * time.Millisecond, 6 * time.Second, false, false, false},
+		{"very short stop time", 2500 * time.Millisecond, 500 * time.Millisecond, 250 * time.Millisecond, 6 * time.Second, false, false, false},
+		{"runs once, ends before the process", 2500 * time.Millisecond, 8 * time.Second, 0, 6 * time.Second, true, false, true},
+		{"runs once, may outlast the process", 2500 * time.Millisecond, 8 * time.Second, 1400 * time.Millisecond, 7400 * time.Millisecond, true, false, false},
+		{"runs once, short stop time", 2500 * time.Millisecond, 2 * time.Second, 0, 6 * time.Second, true, false, false},
+		{"runs once, no other daemon", 2500 * time.Millisecond, 8 * time.Second, 1400 * time.Millisecond, 7400 * time.Millisecond, true, true, true},
+		{"runs once, no other daemon, after the intake", 2500 * time.Millisecond, 8 * time.Second, 2600 * time.Millisecond, 7400 * time.Millisecond, true, true, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			p := NewPlan(began, tc.listed, tc.stop)
-			qt.Assert(t, p.Takes(began.Add(tc.expire), began.Add(tc.arrives)), qt.Equals, tc.want)
+			p.HasOtherDaemon = func(time.Time) bool { return !tc.alone }
+			qt.Assert(t, p.Takes(began.Add(tc.expire), !tc.once, began.Add(tc.arrives)), qt.Equals, tc.want)
 		})
 	}
 }
