A stop answers a request whose body is incomplete

What callers saw: a caller whose body was still on its way at the end of a stop saw its connection close, without a word whether its request ran.

Cause: the end of the requests cancels their contexts, and a read of a body doesn't look at its context. The connection was closed at the very end.

Evidence, on the code before: TestStopClosesConnectionWithinBody, here and in the router: "unexpected EOF" instead of 503.

Open: a body that is under way when the signal comes is awaited although the refusal may be certain already.

--- a/internal/daemon/router/stop_test.go
+++ b/internal/daemon/router/stop_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -87,3 +89,27 @@
 		<-d.stopped
 	})
 }
+
+// TestStopClosesConnectionWithinBody guards against a connection that is closed without an
+// answer because the body of its request is not complete when the requests end.
+func TestStopClosesConnectionWithinBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newStoppingDaemon(0, &slowAgent{})
+		time.AfterFunc(time.Second, d.stop)
+		time.Sleep(15 * time.Second)
+		conn := d.connectOrFail(c)
+		_, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\nContent-Length: 1000\r\n\r\n{")
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		c.Check(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(resp.Header.Get("lentil-outcome"), qt.Equals, "not-run")
+		c.Check(string(body), qt.Contains, "entry-stopping")
+		_ = conn.Close()
+		<-d.stopped
+	})
+}
--- a/internal/request/accepter/accepter.go
+++ b/internal/request/accepter/accepter.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/drainer"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/relayer"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -223,6 +224,7 @@
 
 func (a *Accepter) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	setReadDeadline(w, time.Now().Add(bodyTimeout))
+	defer drainer.LimitBody(w, r)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, orDefault(a.MaxBody, DefaultMaxBody)))
 	if err == nil {
 		// The server goes on reading, to notice that the caller leaves.
@@ -235,6 +237,9 @@
 			Message: "the body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes", Outcome: identifier.OutcomeNotRun,
 		}
 	}
+	if err != nil && drainer.StopCause(r.Context()) != nil {
+		return nil, identifier.StoppingError(identifier.OutcomeNotRun)
+	}
 	if err != nil {
 		return nil, invalidRequestError("", "body-incomplete", "the body could not be read")
 	}
