A stop answers first requests that come while the last ones end

What callers saw: a connection that had been silent until the last 0.3 s of a stop sent its first request then, and was closed without an answer.

Cause: Drain called Shutdown right after it had ended the requests, and after Shutdown net/http reads the first request of a silent connection and drops it.

Fix: the requests end first, and Shutdown follows once no connection has a request under way or has yet to send one, at the latest at the time at which the connections close. Their contexts have ended then also if no request was cut, so that a request which comes then is refused and not begun.

Evidence, on the code before: TestStopDropsFirstRequestAtItsEnd: "io: read/write on closed pipe" instead of 502 (the status of the test's handler for an ended context; the daemons refuse it).

--- a/internal/request/drainer/server.go
+++ b/internal/request/drainer/server.go
@@ -104,11 +104,13 @@
 	closing := time.Now().Add(minAnswerTime)
 	if requests > 0 {
 		s.Log.Warn("requests end because the daemon stops", zap.Int("requests", requests))
-		s.endRequests(&StoppedError{After: plan.RequestsEnd.Sub(plan.Began)})
 		if plan.ConnectionsClose.After(closing) {
 			closing = plan.ConnectionsClose
 		}
 	}
+	// A first request that a silent connection sends now is answered too.
+	s.endRequests(&StoppedError{After: time.Since(plan.Began)})
+	s.waitUntil(ctx, closing, s.isIdle)
 	s.close(ctx, closing)
 	return requests == 0
 }
--- a/internal/request/drainer/server_test.go
+++ b/internal/request/drainer/server_test.go
@@ -175,3 +175,32 @@
 		c.Check(<-drained, qt.IsFalse)
 	})
 }
+
+// TestStopDropsFirstRequestAtItsEnd guards against a connection that is closed without an
+// answer because its first request comes while the last requests end.
+func TestStopDropsFirstRequestAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestServer(time.Minute, 0)
+		busy, err := s.conns.Dial()
+		c.Assert(err, qt.IsNil)
+		silent, err := s.conns.Dial()
+		c.Assert(err, qt.IsNil)
+		plan := NewPlan(time.Now(), 2*time.Second, 8*time.Second)
+		drained := make(chan bool)
+		go func() { drained <- s.Drain(context.Background(), plan) }()
+		var answered sync.WaitGroup
+		answered.Go(func() {
+			status, err := s.send(busy)
+			c.Check(err, qt.IsNil)
+			c.Check(status, qt.Equals, http.StatusBadGateway)
+		})
+		time.Sleep(time.Until(plan.RequestsEnd.Add(100 * time.Millisecond)))
+		status, err := s.send(silent)
+		c.Check(err, qt.IsNil)
+		c.Check(status, qt.Equals, http.StatusBadGateway)
+		answered.Wait()
+		_, _ = busy.Close(), silent.Close()
+		c.Check(<-drained, qt.IsFalse)
+	})
+}
