A process that pauses stays up at its agent

What callers saw: an agent polls its engine or service every 0.2 s and gave it 1 s to answer. One poll without an answer set the process down: the agent refused all new attempts with NOT_READY and reported its replica as FAILED, so that entry daemons left it out. With no other replica, callers got 503 for requests that the process would have served a moment later; an attempt refused so also counted as a failure of the server.

Cause: a poll that timed out was handled like one that was refused. A timeout does not show that the process has ended, which confirmCrash already respects.

Evidence: in virtual time, a process that pauses from 1 s on was down after 1 s:

--- FAIL: TestPausedProcessCountsAsDown/1.1_s/engine got: s"1s" want: s"0s" --- FAIL: TestPausedProcessCountsAsDown/1.1_s/service got: s"1s" want: s"0s" and the same for 1.5 and 1.9 s (six rows)

Ruled out: that a process which fails (connection refused) is kept: two rows, also right after a pause, failed neither before nor now.

Fix: while polls only time out, the process stays up for 3 s after its last answer. A process that was down stays down until it answers. What it costs: an engine that freezes for good takes attempts for up to 4 s instead of 1 s; entry daemons give each up after their own timeout and try another replica.

--- a/internal/daemon/agent/backend.go
+++ b/internal/daemon/agent/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 const (
 	backendPollInterval = 200 * time.Millisecond
 	backendPollTimeout  = time.Second
+	// maxBackendSilence is how long a process counts as up after its last answer while its
+	// polls time out: it may pause and go on.
+	maxBackendSilence = 3 * time.Second
 	// maxCacheEvents limits the cache events that are kept for reports.
 	maxCacheEvents = 1024
 )
@@ -32,10 +36,12 @@
 	mu sync.Mutex
 	up bool
 	// everUp is set once the process has answered.
-	everUp  bool
-	engine  adapter.EngineState
-	events  []*messenger.CacheEvent
-	crashes int
+	everUp bool
+	// answeredAt is the time of the last answer.
+	answeredAt time.Time
+	engine     adapter.EngineState
+	events     []*messenger.CacheEvent
+	crashes    int
 	// lastEvent is the sequence number of the last cache event.
 	lastEvent uint64
 }
@@ -59,12 +65,13 @@
 }
 
 func (b *backend) pollEngine(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, backendPollTimeout)
+	pollCtx, cancel := context.WithTimeout(ctx, backendPollTimeout)
 	defer cancel()
 	sequence := b.Orders.currentSequence()
-	state, err := b.Engine.State(ctx)
+	state, err := b.Engine.State(pollCtx)
+	now := time.Now()
 	if err != nil {
-		b.setState(executor.BackendState{}, err)
+		b.recordFailure(err, now)
 		return
 	}
 	b.mu.Lock()
@@ -75,8 +82,8 @@
 	}
 	b.mu.Unlock()
 	b.observeEngine(state, sequence)
-	b.setState(executor.BackendState{Up: true, Instance: state.Instance, Queued: state.Queued}, nil)
-	b.pollEvents(ctx)
+	b.setState(executor.BackendState{Up: true, Instance: state.Instance, Queued: state.Queued}, nil, now)
+	b.pollEvents(pollCtx)
 }
 
 // observeEngine compares the engine's state with the active version and
@@ -119,15 +126,36 @@
 	ctx, cancel := context.WithTimeout(ctx, backendPollTimeout)
 	defer cancel()
 	err := b.Service.Healthy(ctx)
-	b.setState(executor.BackendState{Up: err == nil}, err)
+	now := time.Now()
+	if err != nil {
+		b.recordFailure(err, now)
+		return
+	}
+	b.setState(executor.BackendState{Up: true}, nil, now)
+}
+
+// recordFailure records that the process did not answer a poll.
+func (b *backend) recordFailure(err error, now time.Time) {
+	b.mu.Lock()
+	paused := b.up && errors.Is(err, context.DeadlineExceeded) && now.Sub(b.answeredAt) < maxBackendSilence
+	silence := now.Sub(b.answeredAt)
+	b.mu.Unlock()
+	if paused {
+		b.Log.Info("the backend server's process is silent", zap.Duration("silence", silence))
+		return
+	}
+	b.setState(executor.BackendState{}, err, now)
 }
 
 // setState passes the state to the executor and logs a change.
-func (b *backend) setState(state executor.BackendState, err error) {
+func (b *backend) setState(state executor.BackendState, err error, now time.Time) {
 	b.mu.Lock()
 	changed := b.up != state.Up
 	b.up = state.Up
 	b.everUp = b.everUp || state.Up
+	if state.Up {
+		b.answeredAt = now
+	}
 	b.mu.Unlock()
 	b.Executor.SetBackend(state)
 	if changed {
