A pause of an engine does not take its replica out of use

What callers saw: an agent of the platform reads its engine's state every 0.1 s and waits 0.8 s for it. One state that did not arrive in time was replaced by an empty one: the agent reported the replica at once as down and without a version, and all entry daemons stopped placing requests on it. A pause of one engine of about a second so emptied the list of places, also for streams that looked for a place to go on at.

Cause: a poll that timed out was handled like an engine that has ended.

Evidence: in virtual time, TestPausedEngineCountsAsDown on the code before:

1.1_s reported as down got: s"850ms" want: s"0s" 1.5_s reported as down got: s"800ms" want: s"0s" 1.9_s reported as down got: s"850ms" want: s"0s"

The rows of an engine that fails, at once or right after a pause, passed before and pass now.

Fix: while polls only time out, the last state holds for 2.5 s after the last answer. A failed call still counts at once, and so does a new incarnation in the next answer. What it costs: an engine that stays silent for good is reported as down after 2.7 s instead of 0.9 s; until then the entry daemons notice it by the silence of their own requests.

--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	// pollInterval is how often the engine's state is read. The engine runs on the
 	// same VM, where reading its state is free and returns current data.
 	pollInterval = 100 * time.Millisecond
+	// maxEngineSilence is how long the last state holds after the last answer while polls
+	// time out: the engine may pause and go on.
+	maxEngineSilence = 2500 * time.Millisecond
 	// transferTimeout limits the duration of one transfer. A transfer takes two
 	// seconds at the rate of the VM's link. After a timeout the next transfer
 	// continues with the chunks that are already held.
@@ -126,6 +130,8 @@
 
 	mu    sync.Mutex
 	state State
+	// answeredAt is when the engine last reported its state.
+	answeredAt time.Time
 	// loadingUntil is the time until which the latest order is considered in
 	// progress even if the engine does not report that it is busy.
 	loadingUntil time.Time
@@ -187,11 +193,17 @@
 	defer recoverer.Contain(l.Log, "engine state")
 	s, err := l.Engine.State(ctx)
 	now := time.Now()
-	if err != nil {
-		s = State{}
-	}
 	l.mu.Lock()
 	old := l.state
+	switch {
+	case err == nil:
+		l.answeredAt = now
+	case old.Up && errors.Is(err, context.DeadlineExceeded) && now.Sub(l.answeredAt) < maxEngineSilence:
+		l.Log.Info("engine is silent", zap.Duration("silence", now.Sub(l.answeredAt)))
+		s = old
+	default:
+		s = State{}
+	}
 	if s.Model == "" {
 		s.Model = old.Model
 	}
--- /dev/null
+++ b/internal/weights/loader/silence_test.go
@@ -0,0 +1,90 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// pausingEngine does not answer between two times, or fails from a time on. A poll of its
+// state times out as one of the platform's engine does.
+type pausingEngine struct {
+	*fakeEngine
+	silentFrom, silentUntil, failsFrom time.Time
+}
+
+const statePollTimeout = 800 * time.Millisecond
+
+func (e *pausingEngine) State(ctx context.Context) (State, error) {
+	now := time.Now()
+	if !e.failsFrom.IsZero() && !now.Before(e.failsFrom) {
+		return State{}, errors.New("connection refused")
+	}
+	if now.Before(e.silentFrom) || !now.Before(e.silentUntil) {
+		return e.state, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, statePollTimeout)
+	defer cancel()
+	select {
+	case <-time.After(time.Until(e.silentUntil)):
+		return e.state, nil
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+}
+
+// TestPausedEngineCountsAsDown guards against a replica that its agent reports as down, or
+// without a version, because the engine pauses, and against one that stays after its end.
+func TestPausedEngineCountsAsDown(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name   string
+		pause  time.Duration
+		fails  time.Duration
+		downBy time.Duration
+	}{
+		{name: "1.1 s", pause: 1100 * ms},
+		{name: "1.5 s", pause: 1500 * ms},
+		{name: "1.9 s", pause: 1900 * ms},
+		{name: "silent for long", pause: time.Minute, downBy: 3500 * ms},
+		{name: "fails", fails: 1, downBy: 200 * ms},
+		{name: "fails after a pause", pause: 1500 * ms, fails: 1500 * ms, downBy: 1700 * ms},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				begin := time.Now().Add(time.Second)
+				e := &pausingEngine{
+					fakeEngine: &fakeEngine{state: State{Up: true, Model: "m", Version: 2, Incarnation: 7}, staged: versionChunks(2)},
+					silentFrom: begin, silentUntil: begin.Add(tc.pause),
+				}
+				if tc.fails > 0 {
+					e.failsFrom = begin.Add(tc.fails)
+				}
+				l := newLoader(e.fakeEngine, map[string]int{"m": 2}, time.Now())
+				l.Engine = e
+				done := &loaderRun{loader: l, ended: make(chan struct{})}
+				go done.run(ctx)
+				var downAt time.Duration
+				for time.Sleep(time.Until(begin)); time.Since(begin) < 10*time.Second && downAt == 0; time.Sleep(50 * ms) {
+					if s, _ := l.Snapshot(); !s.Up || s.Version != 2 {
+						downAt = time.Since(begin)
+					}
+				}
+				cancel()
+				<-done.ended
+				if tc.downBy == 0 {
+					c.Assert(downAt, qt.Equals, time.Duration(0), qt.Commentf("reported as down"))
+					return
+				}
+				c.Assert(downAt > 0 && downAt <= tc.downBy, qt.IsTrue, qt.Commentf("down at %v", downAt))
+			})
+		})
+	}
+}
