The grace of an order begins with the engine's answer to it

What callers saw: nothing yet; found by asking for pauses within an order. An engine that pauses before it takes an order to load, and reports a little later that it is busy, was ordered to load the same version a second time, and got requests in between.

Cause: for orderGracePeriod (0.4 s) an order counts as in progress although the engine does not report it. That time began before the order was sent, so a pause of the engine used it up. The number of accepted orders does not prevent the second order, because it had been read again.

Evidence: TestPauseInOrderRepeatsIt on the code before: with pauses of 1.1, 1.5 and 1.9 s, orders [5 6] instead of [5], and no notice to entry daemons after the answer; without a pause it passed.

Fix: the time begins again when the call returns, also when it timed out: the engine may take the order then. An order that the engine refuses leaves the time as it was.

--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -401,20 +401,29 @@
 	if err := l.stage(ctx, s.Model, m); err != nil {
 		return err
 	}
-	l.mu.Lock()
-	l.drainAnnounced = true
-	l.loadingUntil = time.Now().Add(drainNotice + orderGracePeriod)
-	l.mu.Unlock()
+	l.announceLoad(drainNotice + orderGracePeriod)
 	l.OnChange()
 	if s.Version > 0 {
 		waiter.Wait(ctx, drainNotice)
 	}
 	err := l.Engine.Load(ctx, s.Model, version, s.Orders)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		// The engine may have paused before it took the order.
+		l.announceLoad(orderGracePeriod)
+	}
 	l.Log.Info("decision", zap.String("kind", "load"), zap.String("subject", SourcePath(s.Model, version)),
 		zap.Int("from", s.Version), zap.Uint64("orders", s.Orders), zap.Int("running", s.Running), zap.Error(err))
 	return err
 }
 
+// announceLoad keeps requests and further orders from the engine for the given time.
+func (l *Loader) announceLoad(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drainAnnounced = true
+	l.loadingUntil = time.Now().Add(d)
+}
+
 // stage stores the chunks of a version at the engine and reads them back until
 // every chunk matches its digest. The engine itself does not verify staged chunks.
 func (l *Loader) stage(ctx context.Context, model string, m *verifier.Manifest) error {
--- a/internal/weights/loader/silence_test.go
+++ b/internal/weights/loader/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,10 @@
 	silentFrom, silentUntil, failsFrom time.Time
 }
 
-const statePollTimeout = 800 * time.Millisecond
+const (
+	statePollTimeout = 800 * time.Millisecond
+	orderTimeout     = 2 * time.Second
+)
 
 func (e *pausingEngine) State(ctx context.Context) (State, error) {
 	now := time.Now()
@@ -88,3 +92,62 @@
 		})
 	}
 }
+
+// slowOrders is an engine that answers an order late and reports later that it is busy.
+type slowOrders struct {
+	*fakeEngine
+	answersAfter, busyAfter time.Duration
+	// busyFrom is in nanoseconds since 1970, or 0 before the first order.
+	busyFrom atomic.Int64
+}
+
+func (e *slowOrders) State(context.Context) (State, error) {
+	s := e.state
+	from := e.busyFrom.Load()
+	s.Busy = from > 0 && time.Now().UnixNano() >= from
+	return s, nil
+}
+
+func (e *slowOrders) Load(ctx context.Context, model string, version int, orders uint64) error {
+	time.Sleep(min(e.answersAfter, orderTimeout))
+	e.busyFrom.CompareAndSwap(0, time.Now().Add(e.busyAfter).UnixNano())
+	e.state.Orders++
+	err := e.fakeEngine.Load(ctx, model, version, orders)
+	if e.answersAfter > orderTimeout {
+		err = context.DeadlineExceeded
+	}
+	return err
+}
+
+// TestPauseInOrderRepeatsIt guards against a second order to load, and requests for an engine
+// that loads, because the engine paused before it answered the first order.
+func TestPauseInOrderRepeatsIt(t *testing.T) {
+	for _, pause := range []time.Duration{0, 1100 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond, 3 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				e := &slowOrders{
+					fakeEngine:   &fakeEngine{state: State{Up: true, Model: "m", Version: 1, Orders: 5}, staged: versionChunks(2)},
+					answersAfter: pause, busyAfter: 300 * time.Millisecond,
+				}
+				l := newLoader(e.fakeEngine, map[string]int{"m": 2}, time.Now())
+				l.Engine = e
+				done := &loaderRun{loader: l, ended: make(chan struct{})}
+				go done.run(ctx)
+				for e.busyFrom.Load() == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				for time.Now().UnixNano() < e.busyFrom.Load() {
+					_, draining := l.Snapshot()
+					c.Check(draining, qt.IsTrue)
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				cancel()
+				<-done.ended
+				c.Assert(e.orders, qt.DeepEquals, []uint64{5})
+			})
+		})
+	}
+}
