A silent agent keeps its attempt while another one is made

What callers saw: nothing reported from the product's own path; found by asking there what ended responses on the platform's. A request whose start waited in its agent's queue for 0.6 s and whose engine then paused for 1.5 s ended with 503 "no other replica is ready" after 2 s, with outcome unknown, although its deadline was a minute away and the engine would have begun 0.1 s later. The same with no retry left (502), or with a second replica that refused or broke. Within a stream, 10 s of silence did the same.

Cause: the watchdog of an attempt cancelled it when no event had arrived for the start timeout (2 s, which includes the agent's queue and the engine's response header), the first token timeout or the token timeout. Only then were a retry, a budget and a server asked for.

Ruled out: pauses of 1.1 to 1.9 s alone, before or within a stream: those rows passed before, as the timeouts are longer.

Fix: silence starts another attempt beside the silent one (race.go), if a server, the retry budget and the number of attempts allow it, and looks again every 0.1 s if not. The first attempt that sends tokens, an end or an answer serves the caller and ends the others (lead.go), so tokens are never mixed. An attempt is given up after three times its timeout only, so that a frozen agent still ends a request that has no other place. A crash beside a silent attempt is reported, stops further attempts, and decides how to go on unless the silent one answers. Trials run alone as before. not-run still needs a proof for each attempt (TestSilenceHidesStartedRequest).

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +26,11 @@
 	incarnation string
 	client      messenger.AgentClient
 	sink        Sink
+	// lead is nil if the attempt is the only one that may serve the caller.
+	lead *lead
+	// streamCtx is the context of the stream, which stop ends.
+	streamCtx context.Context
+	stop      context.CancelCauseFunc
 
 	// offset is the number of tokens passed to the sink so far, including those
 	// of earlier attempts.
@@ -37,56 +41,43 @@
 	versionName string
 	// isAccepted is set once the agent has accepted the attempt.
 	isAccepted bool
+	// hasSetVersion is set once the sink has the version.
+	hasSetVersion bool
 	// firstTokenAt is when the first token of this attempt arrived.
 	firstTokenAt time.Time
 	// sentAt is when the start frame was sent.
 	sentAt time.Time
 }
 
-// errStreamTimeout is the cancellation cause of a stream on which no event arrived
-// in time.
-var errStreamTimeout = errors.New("no event from the agent in time")
-
-// watchdog cancels a stream on which no event arrives within a timeout. The timer is
-// reset by the reader of the events.
-type watchdog struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
-	fired  atomic.Bool
-}
-
-func newWatchdog(d time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{cancel: cancel}
-	w.timer = time.AfterFunc(d, w.fire)
-	return w
-}
-
-func (w *watchdog) fire() {
-	w.fired.Store(true)
-	w.cancel(errStreamTimeout)
+// open prepares the context of the stream. Canceling it closes the stream; the agent then
+// cancels the attempt.
+func (a *attempt) open(ctx context.Context) {
+	a.streamCtx, a.stop = context.WithCancelCause(ctx)
 }
 
-// run sends the start frame and processes events until the attempt ends.
+// run sends the start frame and processes events until the attempt ends. open must come
+// first.
 func (a *attempt) run(ctx context.Context, start *messenger.AttemptStart) ending {
+	defer a.stop(nil)
 	if err := a.dial(); err != nil {
 		return neverSent{err}
 	}
-	sctx, cancel := context.WithCancelCause(ctx)
-	// Canceling the context closes the stream; the agent then cancels the attempt.
-	defer cancel(nil)
-	wd := newWatchdog(a.startTimeout(), cancel)
+	wd := newWatchdog(a, a.startTimeout(), time.Now())
 	defer wd.timer.Stop()
-	stream, err := a.client.Attempt(sctx)
+	stream, err := a.client.Attempt(a.streamCtx)
 	if cause := a.requestEndCause(ctx, time.Now()); err != nil && cause != nil {
 		return requestEnded{cause}
 	}
+	if err != nil && a.isSuperseded() {
+		return superseded{}
+	}
 	if err != nil {
 		return neverSent{err}
 	}
 	a.sentAt = time.Now()
 	frame := &messenger.AttemptFrame{Frame: &messenger.AttemptFrame_Start{Start: start}}
 	if err := stream.Send(frame); err != nil && !errors.Is(err, io.EOF) {
-		return a.streamError(ctx, wd, err)
+		return a.streamError(ctx, err)
 	}
 	return a.readEvents(ctx, stream, wd)
 }
@@ -109,7 +100,7 @@
 	for {
 		event, err := stream.Recv()
 		if err != nil {
-			return a.streamError(ctx, wd, err)
+			return a.streamError(ctx, err)
 		}
 		if !a.ownsEvent(event.GetId()) {
 			continue
@@ -140,16 +131,16 @@
 	now := time.Now()
 	switch e := event.GetEvent().(type) {
 	case *messenger.AttemptEvent_Accepted:
-		wd.timer.Reset(a.firstTokenTimeout())
+		wd.reset(a.firstTokenTimeout(), now)
 		return a.handleAccepted(e.Accepted, now)
 	case *messenger.AttemptEvent_Refused:
 		return a.handleRefused(e.Refused, now)
 	case *messenger.AttemptEvent_Tokens:
 		// The watchdog covers the agent only. The sink limits the wait for a slow
 		// caller.
-		wd.timer.Stop()
+		wd.pause()
 		end := a.handleTokens(ctx, e.Tokens, now)
-		wd.timer.Reset(a.tokenTimeout())
+		wd.reset(a.tokenTimeout(), time.Now())
 		return end
 	case *messenger.AttemptEvent_End:
 		a.choice.Report(e.End.GetLoad(), now)
@@ -162,6 +153,9 @@
 		if a.sink != nil {
 			return a.protocolError("model request ended with a service answer")
 		}
+		if !a.serves() {
+			return superseded{}
+		}
 		// A service answer has no tokens; its arrival is reported instead.
 		a.choice.FirstToken(now.Sub(a.sentAt), now)
 		return answered{e.Answer}
@@ -195,10 +189,12 @@
 	if a.version != "" && e.GetVersion() != a.version {
 		return a.protocolError("agent accepted the attempt with a version other than the requested one")
 	}
-	a.isAccepted = true
-	a.version, a.versionName = e.GetVersion(), e.GetVersionName()
-	if a.sink != nil {
-		a.sink.Version(a.version, a.versionName)
+	if a.version == "" {
+		a.version = e.GetVersion()
+	}
+	a.isAccepted, a.versionName = true, e.GetVersionName()
+	if !a.lead.isBeside(a) && !a.serves() {
+		return superseded{}
 	}
 	return nil
 }
@@ -218,6 +214,9 @@
 	if len(e.GetTokens()) == 0 {
 		return nil
 	}
+	if !a.serves() {
+		return superseded{}
+	}
 	if a.firstTokenAt.IsZero() {
 		a.firstTokenAt = now
 		a.choice.FirstToken(now.Sub(a.sentAt), now)
@@ -237,9 +236,30 @@
 	if e.GetVersion() != a.version {
 		return a.protocolError("version of the end event differs from the accepted version")
 	}
+	if !a.serves() {
+		return superseded{}
+	}
 	return completed{e}
 }
 
+// serves reports whether the attempt serves the caller. An attempt beside a silent one does
+// so from its first token on, unless another one has responded.
+func (a *attempt) serves() bool {
+	if !a.lead.take(a) {
+		return false
+	}
+	if a.sink != nil && !a.hasSetVersion {
+		a.hasSetVersion = true
+		a.sink.Version(a.version, a.versionName)
+	}
+	return true
+}
+
+// isSuperseded reports whether another attempt serves the caller.
+func (a *attempt) isSuperseded() bool {
+	return errors.Is(context.Cause(a.streamCtx), errSuperseded)
+}
+
 // protocolError ends an attempt whose events are inconsistent. The tokens received
 // before are contiguous, so another attempt can resume after them.
 func (a *attempt) protocolError(reason string) ending {
@@ -249,12 +269,14 @@
 }
 
 // streamError returns the ending of an attempt whose stream failed.
-func (a *attempt) streamError(ctx context.Context, wd *watchdog, err error) ending {
+func (a *attempt) streamError(ctx context.Context, err error) ending {
 	if cause := a.requestEndCause(ctx, time.Now()); cause != nil {
 		return requestEnded{cause}
 	}
 	switch {
-	case wd.fired.Load():
+	case a.isSuperseded():
+		return superseded{}
+	case errors.Is(context.Cause(a.streamCtx), errStreamTimeout):
 		return lost{errStreamTimeout.Error()}
 	case errors.Is(err, io.EOF):
 		return lost{"stream closed without an end event"}
--- a/internal/request/forwarder/ending.go
+++ b/internal/request/forwarder/ending.go
@@ -36,6 +36,10 @@
 // the request has passed, or that the daemon stops.
 type requestEnded struct{ cause error }
 
+// superseded means that another attempt of the request serves the caller. The attempt may
+// still be running.
+type superseded struct{}
+
 func (neverSent) ending()    {}
 func (refused) ending()      {}
 func (completed) ending()    {}
@@ -43,17 +47,18 @@
 func (broken) ending()       {}
 func (lost) ending()         {}
 func (requestEnded) ending() {}
+func (superseded) ending()   {}
 
 // releaseServer releases the picked server and reports to the picker what the
-// ending shows about the server. An attempt that ended because of the caller, or
-// that was refused because of load or a planned change, shows nothing about the
-// server's health.
+// ending shows about the server. An attempt that ended because of the caller or of
+// another attempt, or that was refused because of load or a planned change, shows nothing
+// about the server's health.
 func (a *attempt) releaseServer(e ending, now time.Time) {
 	switch e := e.(type) {
 	case completed, answered:
 		a.choice.Done(true, now)
 		return
-	case requestEnded:
+	case requestEnded, superseded:
 		a.choice.Release()
 		return
 	case neverSent:
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -15,14 +15,14 @@
 )
 
 const (
-	// DefaultStartTimeout limits the time for an agent to accept or refuse an
-	// attempt. Agents do so immediately, so a timeout indicates a stopped process
-	// or a broken network link.
+	// DefaultStartTimeout is how long an agent may be silent before it accepts or
+	// refuses an attempt. It accepts one when the backend server has begun with it, which
+	// includes the time in its own queue.
 	DefaultStartTimeout = 2 * time.Second
-	// DefaultFirstTokenTimeout limits the time from acceptance to the first event,
-	// which includes the time in the engine's queue.
+	// DefaultFirstTokenTimeout is how long it may be silent from acceptance to the first
+	// event, which includes the time in the engine's queue.
 	DefaultFirstTokenTimeout = 30 * time.Second
-	// DefaultTokenTimeout limits the time between two events of a stream.
+	// DefaultTokenTimeout is how long it may be silent between two events of a stream.
 	DefaultTokenTimeout = 10 * time.Second
 	// DefaultCancelTimeout limits calls that must also complete for a request that
 	// has ended: cancels, status queries and reports to the isolation owner.
@@ -71,7 +71,8 @@
 	Counters  *Counters
 	Log       *logger.Logger
 
-	// Timeouts. 0 means the respective default.
+	// Timeouts. 0 means the respective default. An attempt that is silent for longer goes on
+	// for a while, and another one is made beside it; a call that is not idempotent ends.
 	StartTimeout      time.Duration
 	FirstTokenTimeout time.Duration
 	TokenTimeout      time.Duration
--- a/internal/request/forwarder/nonidempotent.go
+++ b/internal/request/forwarder/nonidempotent.go
@@ -194,6 +194,7 @@
 	defer stop()
 	rctx, cancel := context.WithDeadlineCause(sctx, c.req.Deadline, errDeadline)
 	defer cancel()
+	a.open(rctx)
 	e := a.run(rctx, start)
 	a.releaseServer(e, time.Now())
 	return c.handleEnding(rctx, a, e)
--- a/internal/request/forwarder/retryable.go
+++ b/internal/request/forwarder/retryable.go
@@ -26,7 +26,7 @@
 	// version that generated them.
 	offset  int
 	version string
-	// tried holds the servers of earlier attempts.
+	// tried holds the servers of all attempts so far.
 	tried []*picker.Server
 	// abandoned are the attempts that may have started and did not complete.
 	abandoned []*attempt
@@ -87,27 +87,21 @@
 	}
 }
 
-// runAttempt picks a server and runs one attempt on it. The attempt is nil if there is
-// no server.
+// runAttempt picks a server and runs one attempt on it, and others beside it while it is
+// silent. It returns the one that ended the last, or nil if there is no server.
 func (r *retryableRequest) runAttempt(ctx context.Context) (*attempt, ending) {
-	q := picker.Query{
-		Subject: r.req.ID, Target: r.req.Target, PrefixHash: r.req.PrefixHash,
-		Version: r.version, Exclude: r.tried,
-	}
-	choice, ok := r.Picker.Pick(&q, time.Now())
+	choice, ok := r.pick(r.version, time.Now())
 	if !ok {
 		return nil, nil
 	}
-	r.result.Attempts++
-	r.result.VM = choice.VM
-	a := &attempt{
-		Forwarder: r.Forwarder, req: r.req, choice: choice, incarnation: choice.Incarnation, sink: r.sink,
-		id:     &messenger.AttemptId{RequestId: r.req.ID, Number: uint32(r.result.Attempts)},
-		offset: r.offset, version: r.version,
-	}
-	e := a.run(ctx, r.startFrame(a))
-	r.recordAttempt(a, e)
-	return a, e
+	c := newRace(r)
+	return c.run(ctx, c.newAttempt(choice, r.offset, r.version))
+}
+
+func (r *retryableRequest) pick(version string, now time.Time) (picker.Choice, bool) {
+	return r.Picker.Pick(&picker.Query{
+		Subject: r.req.ID, Target: r.req.Target, PrefixHash: r.req.PrefixHash, Version: version, Exclude: r.tried,
+	}, now)
 }
 
 // startFrame returns the start frame of an attempt.
@@ -116,21 +110,21 @@
 	start.Alone = r.trial != nil
 	switch call := r.req.Call.(type) {
 	case *identifier.Completion:
-		start.Call = &messenger.AttemptStart_Model{Model: r.modelCall(call)}
+		start.Call = &messenger.AttemptStart_Model{Model: r.modelCall(call, a)}
 	case *identifier.ServiceCall:
 		start.Call = &messenger.AttemptStart_Service{Service: serviceCall(r.req, call)}
 	}
 	return start
 }
 
-func (r *retryableRequest) modelCall(call *identifier.Completion) *messenger.ModelCall {
+func (r *retryableRequest) modelCall(call *identifier.Completion, a *attempt) *messenger.ModelCall {
 	return &messenger.ModelCall{
 		Model:        r.req.Target.Model,
-		Version:      r.version,
+		Version:      a.version,
 		Adapter:      r.req.Target.Adapter,
 		Prompt:       call.Prompt,
 		MaxTokens:    uint32(call.MaxTokens),
-		ResumeOffset: uint32(r.offset),
+		ResumeOffset: uint32(a.offset),
 		Temperature:  call.Temperature,
 		Stop:         call.Stop,
 		Seed:         call.Seed,
@@ -160,6 +154,7 @@
 func (r *retryableRequest) recordAttempt(a *attempt, e ending) {
 	now := time.Now()
 	a.releaseServer(e, now)
+	r.result.VM = a.choice.VM
 	if a.offset > r.offset {
 		// All tokens of an answer must come from the same version.
 		r.version = a.version
@@ -172,7 +167,6 @@
 		r.result.FirstToken = a.firstTokenAt.Sub(r.req.Arrived)
 	}
 	r.result.Tokens = r.offset
-	r.tried = append(r.tried, a.choice.Server)
 }
 
 func isCompleted(e ending) bool {
@@ -199,7 +193,7 @@
 		// uses no retry budget.
 		r.logRetry(a, "the backend server could not be reached")
 		return nil
-	case lost:
+	case lost, superseded:
 		r.abandoned = append(r.abandoned, a)
 	}
 	return r.retry(a, "attempt-failed", "the backend server failed")
