An agent that pauses is asked again for the state of a call

What callers saw: nothing reported; found by asking for pauses on the path of calls that may run only once. If the stream of such a call broke, or a caller sent its key again, while the agent paused for 1.1 to 1.9 s, the caller got 502 with outcome unknown, although the call had been served and its answer was kept, or although it had never started and could have been run.

Cause: the agent was asked once for the state, for 1 s; a query that timed out ended the request.

No row had a second run or not-run, before or now.

Fix: a query that times out is repeated twice while the request goes on. Queries that fail in another way still end the wait at once, and a frozen agent still gives unknown (rows "silent for long"), after 3 s of queries instead of 1 s. What remains: the cancel after that is asked once, so a pause then gives unknown where not-run would be true.

--- a/internal/request/forwarder/nonidempotent.go
+++ b/internal/request/forwarder/nonidempotent.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/lentilbridge/lentilbridge/internal/request/drainer"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
 	"github.com/lentilbridge/lentilbridge/internal/request/picker"
@@ -17,6 +20,9 @@
 	maxReservations = 3
 	// statusPollInterval is the time between status queries for a running call.
 	statusPollInterval = 50 * time.Millisecond
+	// maxSilentQueries is how many status queries in a row may time out: an agent may
+	// pause and go on.
+	maxSilentQueries = 3
 )
 
 // nonIdempotentCall is the state of a non-idempotent service call. The call is
@@ -271,13 +277,13 @@
 // resolveLost determines the outcome of a started call whose stream was lost.
 func (c *nonIdempotentCall) resolveLost(ctx context.Context, a *attempt) *identifier.RequestError {
 	for ctx.Err() == nil {
-		status, err := a.status(ctx)
+		reply, err := a.status(ctx)
 		if err != nil {
 			break
 		}
-		switch status.GetState() {
+		switch reply.GetState() {
 		case messenger.AttemptState_ATTEMPT_STATE_FINISHED, messenger.AttemptState_ATTEMPT_STATE_BROKEN:
-			return c.finishWithState(ctx, a, status.GetState())
+			return c.finishWithState(ctx, a, reply.GetState())
 		case messenger.AttemptState_ATTEMPT_STATE_RUNNING:
 			waiter.Wait(ctx, statusPollInterval)
 			continue
@@ -294,8 +300,8 @@
 		c.completeClaim(ctx, a, identifier.OutcomeNotRun, nil)
 		return serverError(http.StatusGatewayTimeout, "not-started", "the backend server did not start the call in time")
 	case messenger.AttemptState_ATTEMPT_STATE_FINISHED:
-		if status, err := a.status(ctx); err == nil && status.GetAnswer() != nil {
-			return c.recordServed(ctx, a, status.GetAnswer())
+		if reply, err := a.status(ctx); err == nil && reply.GetAnswer() != nil {
+			return c.recordServed(ctx, a, reply.GetAnswer())
 		}
 	case messenger.AttemptState_ATTEMPT_STATE_BROKEN:
 		c.completeClaim(ctx, a, identifier.OutcomeUnknown, nil)
@@ -305,8 +311,18 @@
 	return unknownError("the answer of the backend server did not arrive")
 }
 
-// status asks the agent for the state of the attempt.
+// status asks the agent for the state of the attempt, again while it is silent and the
+// request has not ended.
 func (a *attempt) status(ctx context.Context) (*messenger.AttemptStatusReply, error) {
+	for n := 1; ; n++ {
+		reply, err := a.queryStatus(ctx)
+		if status.Code(err) != codes.DeadlineExceeded || n == maxSilentQueries || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+}
+
+func (a *attempt) queryStatus(ctx context.Context) (*messenger.AttemptStatusReply, error) {
 	cctx, cancel := a.detachedContext(ctx)
 	defer cancel()
 	return a.client.AttemptStatus(cctx, &messenger.AttemptStatusRequest{Id: a.id, Incarnation: a.incarnation})
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/identifier"
@@ -142,3 +144,83 @@
 		})
 	}
 }
+
+// statusAfter returns a status function of an agent that does not answer for a time from its
+// first query on, and then reports the state.
+func statusAfter(pause time.Duration, state messenger.AttemptState) func() (*messenger.AttemptStatusReply, error) {
+	var until time.Time
+	return func() (*messenger.AttemptStatusReply, error) {
+		if until.IsZero() {
+			until = time.Now().Add(pause)
+		}
+		if left := time.Until(until); left > DefaultCancelTimeout {
+			time.Sleep(DefaultCancelTimeout)
+			return nil, status.Error(codes.DeadlineExceeded, "context deadline exceeded")
+		} else if left > 0 {
+			time.Sleep(left)
+		}
+		return &messenger.AttemptStatusReply{State: state, Answer: answer("late").GetAnswer()}, nil
+	}
+}
+
+// TestPauseHidesOutcome guards against an unknown outcome of a call that may run only once,
+// or a second run of it, because its agent pauses when it is asked what became of it.
+func TestPauseHidesOutcome(t *testing.T) {
+	const ms = time.Millisecond
+	inProgress := &messenger.ClaimReply{
+		State: messenger.ClaimState_CLAIM_STATE_IN_PROGRESS, AgentAddress: "vm1", Attempt: &messenger.AttemptId{RequestId: "earlier", Number: 1},
+	}
+	granted := &messenger.ClaimReply{State: messenger.ClaimState_CLAIM_STATE_GRANTED}
+	frozen := func() (*messenger.AttemptStatusReply, error) { return statusAfter(time.Hour, running)() }
+	lostStream := playEvents(acceptedV1)
+	for _, pause := range []time.Duration{0, 1100 * ms, 1500 * ms, 1900 * ms} {
+		tests := []struct {
+			name          string
+			first, second *fakeAgent
+			claims        []*messenger.ClaimReply
+			outcome       identifier.Outcome
+			body          string
+			starts        int
+		}{
+			{
+				name: "stream lost, call finished", outcome: "served", body: "late", starts: 1,
+				first: &fakeAgent{script: lostStream, state: statusAfter(pause, finished), cancelState: running}, second: &fakeAgent{script: serveStored},
+			},
+			{
+				name: "stream lost, call broken", outcome: "unknown", starts: 1,
+				first: &fakeAgent{script: lostStream, state: statusAfter(pause, brokenOff), cancelState: brokenOff}, second: &fakeAgent{script: serveStored},
+			},
+			{
+				name: "stream lost, agent silent for long", outcome: "unknown", starts: 1,
+				first: &fakeAgent{script: lostStream, state: frozen}, second: &fakeAgent{script: serveStored},
+			},
+			{
+				name: "earlier call finished", outcome: "served", body: "late", claims: []*messenger.ClaimReply{inProgress},
+				first: &fakeAgent{script: serveStored}, second: &fakeAgent{script: serveStored, state: statusAfter(pause, finished)},
+			},
+			{
+				name: "earlier call never started", outcome: "served", body: "stored", starts: 1, claims: []*messenger.ClaimReply{inProgress, granted},
+				first: &fakeAgent{script: serveStored}, second: &fakeAgent{script: serveStored, state: statusAfter(pause, neverStarted)},
+			},
+			{
+				name: "agent of the earlier call silent for long", outcome: "unknown", claims: []*messenger.ClaimReply{inProgress},
+				first: &fakeAgent{script: serveStored}, second: &fakeAgent{script: serveStored, state: frozen},
+			},
+		}
+		for _, tc := range tests {
+			t.Run(pause.String()+"/"+tc.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					r := newFixture(t, "", tc.first, tc.second)
+					r.claims.replies = tc.claims
+					begin := time.Now()
+					res := r.Run(t.Context(), orderRequest("k"), &sink{})
+					c.Check(res.Outcome, qt.Equals, tc.outcome, qt.Commentf("%v", res.Err))
+					c.Check(string(res.Answer.GetBody()), qt.Equals, tc.body)
+					c.Check(len(tc.first.starts)+len(tc.second.starts), qt.Equals, tc.starts)
+					c.Check(time.Since(begin) < 10*time.Second, qt.IsTrue)
+				})
+			})
+		}
+	}
+}
