An engine that did not answer still holds off calls

What callers saw: nothing reported; found by asking what a pause of an engine does to its agent. An engine that had asked for no calls (503 with Retry-After) and then did not answer its agent's polls got calls as soon as it answered again, before the end of that time.

Cause: a poll without an answer sets a state without an instance. The change of the instance, there and back, counted as a restart, which ends the hold-off.

Evidence: TestSilenceForgetsHoldOff on the code before: the next call was sent to the engine 1 s after an answer with Retry-After 9 (it refused again: "got: int64(9000) want: int64(7000)"). Rows for a real restart (TestEngineThatHoldsOffIsCalled) pass before and now.

Fix: a state without an answer keeps the last instance; only an answer with another instance ends the hold-off.

--- a/internal/daemon/executor/executor.go
+++ b/internal/daemon/executor/executor.go
@@ -174,6 +174,10 @@
 func (e *Executor) SetBackend(state BackendState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !state.Up {
+		// A process that does not answer may be the same one when it does.
+		state.Instance = e.state.Instance
+	}
 	if state.Instance != e.state.Instance {
 		e.heldUntil = time.Time{}
 	}
--- a/internal/daemon/executor/holdoff_test.go
+++ b/internal/daemon/executor/holdoff_test.go
@@ -94,3 +94,22 @@
 		c.Assert(service.callCount(), qt.Equals, 1)
 	})
 }
+
+// TestSilenceForgetsHoldOff guards against calls to an engine that has asked for none for a
+// time, because it did not answer in between.
+func TestSilenceForgetsHoldOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e, engine := newModelExecutor(1)
+		engine.refusal = &adapter.EngineError{Operation: "generate", Status: 503, RetryAfter: []string{"9"}, Cause: errors.New("busy")}
+		c.Assert(openAttempt(t, e, modelStart("r1")).last().GetRefused().GetReason(), qt.Equals, overloaded)
+		time.Sleep(time.Second)
+		e.SetBackend(executor.BackendState{})
+		time.Sleep(time.Second)
+		e.SetBackend(executor.BackendState{Up: true, Instance: "engine-1"})
+		late := openAttempt(t, e, modelStart("r2")).last().GetRefused()
+		c.Assert(late.GetReason(), qt.Equals, overloaded)
+		c.Assert(late.GetRetryAfterMs(), qt.Equals, int64(7000))
+		c.Assert(engine.startedIDs(), qt.HasLen, 0)
+	})
+}
