A pause of an isolation owner allows no second trial

What callers saw: nothing reported; found by asking what a silent daemon does to the others. A request that has crashed one backend server may run again only as a trial, one at a time. While the owner of its shard paused for over a second, each other entry daemon granted a permit of its own, so that two trials could run at a time and crash a third server.

Cause: an owner that did not answer within 1 s was taken for gone, and the daemon that asked took its place, although the owner goes on.

Evidence: TestPauseOfOwnerAllowsSecondTrial on the code before: with pauses of 1.1, 1.5 and 1.9 s both daemons that asked got a permit; without a pause one did.

Ruled out: crash reports. They too are handled here after a second, but a crash counts once per VM, in whichever daemon it is counted (TestCrashReportedPastTheOwner).

Fix: an owner that is silent is asked for a permit three times before this daemon grants one. The question carries the permit that the daemon would use, so that an owner that handles the first one late grants the same permit again. Other failures still lead to a permit at once, and a dead owner to one after 3 s instead of 1 s (TestDeadOwnerEndsTrials).

--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -6,12 +6,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
@@ -42,6 +45,10 @@
 	// forwardTimeout limits a call to the owner of a shard. After a timeout, this
 	// daemon handles the request itself.
 	forwardTimeout = time.Second
+	// maxTrialAsks is how many times an owner that does not answer is asked for a trial
+	// permit before this daemon grants one: it may pause, and two daemons that grant
+	// permits at a time allow two trials.
+	maxTrialAsks = 3
 	// refreshInterval is the interval at which the owner of a shard reads its stored
 	// blocks. It limits the time until a block that an operator removes is lifted.
 	refreshInterval = 10 * time.Second
@@ -215,18 +222,33 @@
 
 func (i *Isolator) askOwner(ctx context.Context, req *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
 	shard := ShardName(ShardOf(req.GetFingerprint()))
-	if owner := i.Owner(shard); owner != nil {
-		forwardCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
-		defer cancel()
-		reply, err := owner.Suspect(forwardCtx, req)
+	if req.GetAskTrial() && req.GetTrial() == "" {
+		// The owner grants the same permit when it is asked again.
+		req = &messenger.SuspectRequest{Fingerprint: req.GetFingerprint(), AskTrial: true, Trial: rand.Text()}
+	}
+	for n := 1; ; n++ {
+		owner := i.Owner(shard)
+		if owner == nil {
+			break
+		}
+		reply, err := forward(ctx, owner, req)
 		if err == nil {
 			return reply, nil
 		}
 		i.Log.Warn("isolation owner not reachable", zap.String("shard", shard), zap.Error(err))
+		if !req.GetAskTrial() || status.Code(err) != codes.DeadlineExceeded || n == maxTrialAsks || ctx.Err() != nil {
+			break
+		}
 	}
 	return i.SuspectHere(ctx, req)
 }
 
+func forward(ctx context.Context, owner messenger.EntryClient, req *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return owner.Suspect(ctx, req)
+}
+
 func (i *Isolator) logDecision(req *messenger.SuspectRequest, reply *messenger.SuspectReply) {
 	reason := "trial requested"
 	switch {
--- a/internal/request/isolator/shard.go
+++ b/internal/request/isolator/shard.go
@@ -59,7 +59,7 @@
 	case req.GetSucceeded():
 		return s.recordSuccess(req, known, now)
 	case req.GetAskTrial():
-		return s.grantTrial(known, now), false
+		return s.grantTrial(req, known, now), false
 	}
 	// A trial that neither crashed nor succeeded returns its permit.
 	if known != nil && req.GetTrial() != "" && req.GetTrial() == known.trial {
@@ -105,20 +105,24 @@
 	return &messenger.SuspectReply{}, true
 }
 
-func (s *shard) grantTrial(known *suspect, now time.Time) *messenger.SuspectReply {
+func (s *shard) grantTrial(req *messenger.SuspectRequest, known *suspect, now time.Time) *messenger.SuspectReply {
 	if known == nil {
 		return &messenger.SuspectReply{TrialGranted: true}
 	}
 	if known.isBlocked(now) {
 		return known.reply(now)
 	}
-	if known.trial != "" && now.Before(known.trialUntil) {
+	isAgain := req.GetTrial() != "" && req.GetTrial() == known.trial
+	if !isAgain && known.trial != "" && now.Before(known.trialUntil) {
 		// Most trials end long before their permit expires.
 		wait := min(known.trialUntil.Sub(now), trialRetryDelay)
 		return &messenger.SuspectReply{RetryAfterMs: wait.Milliseconds()}
 	}
 	s.trials++
-	known.trial = fmt.Sprintf("%d-%d", now.UnixNano(), s.trials)
+	known.trial = req.GetTrial()
+	if known.trial == "" {
+		known.trial = fmt.Sprintf("%d-%d", now.UnixNano(), s.trials)
+	}
 	known.trialUntil = now.Add(TrialDuration)
 	return &messenger.SuspectReply{TrialGranted: true, Trial: known.trial}
 }
