A hold-off outlasts the registration of a replica's new start

Callers could get refusals from a replica that had asked for no requests: a replica that starts again under its id and sheds load answers before its registration has the new start. The answer was recorded for the start that the request was placed with, and the registration of the new start then ended the hold-off, so requests went on to the replica during the time it had asked for (a repeat budget and the replica's own wish are both exceeded).

Cause: what a replica says was tied to the start that was listed when the request was placed; the list is up to a heartbeat older than the replica. A hold-off now counts for every start until the answer. It was so already for replicas whose start is unknown; both cases are one now.

Ruled out: asking the replica for its start with each answer; answers don't carry one.

TestHoldOffInAnyOrder counted only answers of the start that is listed; it counts all now. Three rows of TestHeldReplicaIsUsed had a later start that lay long before the answer, which is the case above and has to hold requests off; they have a start after the answer instead.

--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -2,52 +2,49 @@
 
 import (
 	"container/heap"
-	"maps"
+	"slices"
 	"time"
 )
 
-// holdOff is until when a replica wants no requests.
+// holdOff is a time in which a replica wants no requests.
 type holdOff struct {
-	// until counts for startedAtMs, the latest start with which the replica said so, and
-	// earlier ones.
-	startedAtMs int64
-	until       time.Time
-	// unknownUntil counts for all starts until unknownAt, when the replica last said so while
-	// its start was unknown.
-	unknownAt, unknownUntil time.Time
+	// startedBy bounds the starts that it counts for, in Unix milliseconds. The registration
+	// of a replica that has started again comes later than its first answers, so it is when
+	// the replica said so, or the start with which it is listed if that is later.
+	startedBy int64
+	until     time.Time
 }
 
-// of returns until when a replica with a start wants no requests. If that is unknown, the
-// incarnation may be any.
-func (h holdOff) of(startedAtMs int64) time.Time {
+// covers reports whether another time counts for no start, or no longer, than this one.
+func (h holdOff) covers(other holdOff) bool {
+	return other.startedBy <= h.startedBy && !other.until.After(h.until)
+}
+
+// holdOffs are the times of one replica, none of which another one covers.
+type holdOffs []holdOff
+
+// of returns until when a replica with a start wants no requests.
+func (h holdOffs) of(startedAtMs int64) time.Time {
 	var until time.Time
-	if startedAtMs <= h.startedAtMs {
-		until = h.until
-	}
-	if startedAtMs <= h.unknownAt.UnixMilli() && h.unknownUntil.After(until) {
-		until = h.unknownUntil
+	for _, o := range h {
+		if startedAtMs <= o.startedBy && o.until.After(until) {
+			until = o.until
+		}
 	}
 	return until
 }
 
-// add adds what a replica with a start has said.
-func (h holdOff) add(startedAtMs int64, until, now time.Time) holdOff {
-	switch {
-	case startedAtMs == 0:
-		h.unknownAt = now
-		if until.After(h.unknownUntil) {
-			h.unknownUntil = until
-		}
-	case startedAtMs > h.startedAtMs, startedAtMs == h.startedAtMs && until.After(h.until):
-		h.startedAtMs, h.until = startedAtMs, until
+func (h holdOffs) add(o holdOff) holdOffs {
+	if slices.ContainsFunc(h, func(old holdOff) bool { return old.covers(o) }) {
+		return h
 	}
-	return h
+	return append(slices.DeleteFunc(h, o.covers), o)
 }
 
 // HoldOff places nothing on a replica until a time, as the replica has asked, also if its
-// registration vanishes meanwhile. Of several times the latest counts; a later start ends it.
-// Requests that wait and can no longer be placed in time are refused at once. It reports
-// whether the time is later than the one before.
+// registration vanishes meanwhile. Of several times the latest counts; a start after the
+// replica has asked ends them. Requests that wait and can no longer be placed in time are
+// refused at once. It reports whether the time is later than the one before.
 func (p *Placer) HoldOff(r Replica, until, now time.Time) (extended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,22 +52,23 @@
 	if r.StartedAtMs == 0 && s != nil {
 		r.StartedAtMs = s.StartedAtMs
 	}
-	if s != nil && r.StartedAtMs < s.StartedAtMs {
-		return false
-	}
-	old := p.holds[r.ID]
-	h := old.add(r.StartedAtMs, until, now)
 	if p.holds == nil {
-		p.holds = map[string]holdOff{}
+		p.holds = map[string]holdOffs{}
+	}
+	start := r.StartedAtMs
+	if s != nil {
+		start = s.StartedAtMs
 	}
+	old := p.holds[r.ID].of(start)
+	h := p.holds[r.ID].add(holdOff{startedBy: max(r.StartedAtMs, now.UnixMilli()), until: until})
 	p.holds[r.ID] = h
-	if !h.of(r.StartedAtMs).After(old.of(r.StartedAtMs)) {
+	if !h.of(start).After(old) {
 		return false
 	}
 	if s == nil {
 		return true
 	}
-	s.heldUntil = h.of(s.StartedAtMs)
+	s.heldUntil = h.of(start)
 	time.AfterFunc(until.Sub(now), p.admitAfterHoldOff)
 	p.refuseHopeless(s.Service, now)
 	return true
@@ -110,7 +108,13 @@
 
 // expireHolds removes the times that have passed.
 func (p *Placer) expireHolds(now time.Time) {
-	maps.DeleteFunc(p.holds, func(_ string, h holdOff) bool { return !now.Before(h.until) && !now.Before(h.unknownUntil) })
+	for id, h := range p.holds {
+		if h = slices.DeleteFunc(h, func(o holdOff) bool { return !now.Before(o.until) }); len(h) == 0 {
+			delete(p.holds, id)
+			continue
+		}
+		p.holds[id] = h
+	}
 }
 
 // FirstReturn returns the time until the first replica that could run the request takes
--- a/internal/request/placer/holdoff_order_test.go
+++ b/internal/request/placer/holdoff_order_test.go
@@ -46,12 +46,10 @@
 			case "vanish":
 				p.Update(nil, now)
 			case "refuse":
-				// The request was placed with what is listed, which is the replica that runs.
-				if listedStart == current {
-					p.HoldOff(listed, now.Add(wait), now)
-					if until.Before(now.Add(wait)) {
-						until = now.Add(wait)
-					}
+				// The request was placed with what is listed, and the replica that runs answers.
+				p.HoldOff(listed, now.Add(wait), now)
+				if until.Before(now.Add(wait)) {
+					until = now.Add(wait)
 				}
 			case "refuse late":
 				p.HoldOff(at(rapid.SampledFrom(starts).Draw(t, "start"), true), now.Add(wait), now)
--- a/internal/request/placer/holdoff_test.go
+++ b/internal/request/placer/holdoff_test.go
@@ -31,6 +31,7 @@
 // against a replica that is not used again after that time or after it has started again.
 func TestHeldReplicaIsUsed(t *testing.T) {
 	start := time.Unix(1000, 0)
+	again := Replica{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: start.UnixMilli() + 100}
 	tests := []struct {
 		name string
 		then func(p *Placer)
@@ -48,7 +49,7 @@
 		}, time.Second, false},
 		{"its registration vanished and it started again", func(p *Placer) {
 			p.Update(nil, start.Add(time.Second))
-			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start.Add(time.Second))
+			p.Update([]Replica{again}, start.Add(time.Second))
 		}, time.Second, true},
 		{"asked while it was not listed", func(p *Placer) {
 			p.Update(nil, start.Add(2*time.Second))
@@ -56,16 +57,14 @@
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4}}, start.Add(2*time.Second))
 		}, 3 * time.Second, false},
 		{"asked before it started again", func(p *Placer) {
-			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
+			p.Update([]Replica{again}, start)
 			p.HoldOff(Replica{ID: "r0", StartedAtMs: 5}, start.Add(4*time.Second), start)
 		}, time.Second, true},
 		{"asked with an unknown start before its start was known", func(p *Placer) {
 			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
 			p.HoldOff(Replica{ID: "r0"}, start.Add(4*time.Second), start)
 		}, time.Second, false},
-		{"started again", func(p *Placer) {
-			p.Update([]Replica{{ID: "r0", Address: "r0:1", Service: "s", Slots: 4, StartedAtMs: 9}}, start)
-		}, time.Second, true},
+		{"started again", func(p *Placer) { p.Update([]Replica{again}, start) }, time.Second, true},
 	}
 	for _, tc := range tests {
 		p := heldPlacer([]time.Duration{2 * time.Second}, start)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -254,7 +254,7 @@
 	oldestReport time.Time
 	waiting      waitQueue
 	// holds holds, by ID, the replicas that want no requests, listed or not.
-	holds    map[string]holdOff
+	holds    map[string]holdOffs
 	sequence uint64
 	// correction is the ratio of observed to predicted times to the first token,
 	// by service.
