Soak: replicas that fall silent, and changes of limits, weights and priorities

A sound replica may send nothing for a second or so and go on. The soak never had that, so it could not find requests that daemons give up because of it.

Also new: changes of the timeout, the attempts and the priority of a route in use, of the priority of a team, and of the weights of two services of the streams, in silences and beside SIGHUP and stops. The checker allows the limits of the configurations that may apply.

The mutation silent-attempt ends an attempt at a silent replica as before the fix.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -109,6 +109,7 @@
 	holdOffs          map[hop][]*holdOff
 	partCrashes       []time.Time
 	lateArrivals      int
+	limitChanges      map[string][]limitChange
 	versionChanges    []versionChange
 	routes            map[string]*routeLifetime
 	violations        []violation
@@ -139,7 +140,7 @@
 func newChecker(now time.Time) *checker {
 	return &checker{
 		Start: now, requests: map[string]*request{}, leftAt: map[string]time.Time{}, endedAt: map[string]time.Time{},
-		leavingHops: map[hop]passedResponse{}, holdOffs: map[hop][]*holdOff{}, routes: map[string]*routeLifetime{}, counts: map[string]int{},
+		leavingHops: map[hop]passedResponse{}, holdOffs: map[hop][]*holdOff{}, limitChanges: map[string][]limitChange{}, routes: map[string]*routeLifetime{}, counts: map[string]int{},
 	}
 }
 
@@ -279,8 +280,8 @@
 	if r.Route.Kind == matcher.NonIdempotent && len(r.replicas) > 1 {
 		c.addViolationLocked("TWICE", "%s ran on %v", r.ID, r.replicas)
 	}
-	if len(r.replicas) > r.Route.Attempts {
-		c.addViolationLocked("BUDGET", "%s ran on %v, allowed are %d", r.ID, r.replicas, r.Route.Attempts)
+	if l := c.loosestLimits(r); len(r.replicas) > l.attempts {
+		c.addViolationLocked("BUDGET", "%s ran on %v, allowed are %d", r.ID, r.replicas, l.attempts)
 	}
 	if r.refused {
 		c.addViolationLocked("REFUSED", "%s runs on %s after its caller was told that it has not run", r.ID, run.Replica)
@@ -291,7 +292,7 @@
 }
 
 func (c *checker) checkContent(r *request, run simulator.Run) {
-	if run.Service != r.Route.Service {
+	if run.Service != r.Route.Service && (r.Route.Name != routeStream.Name || run.Service != secondStreamService) {
 		c.addViolationLocked("ROUTE", "%s for %s runs on %s of %s", r.ID, r.Route.Service, run.Replica, run.Service)
 	}
 	if run.Method != http.MethodPost || run.Path != r.Path || run.Body != r.Body || !slices.Equal(run.Prompt, r.Prompt) {
@@ -356,7 +357,7 @@
 	}
 	c.counts["cut"]++
 	read := r.arrivedAt != "" || now.Sub(r.written) > lossSlack+schedulingSlack
-	expired := now.Sub(r.written) >= min(r.Deadline, routeTimeout)
+	expired := now.Sub(r.written) >= min(r.Deadline, c.loosestLimits(r).timeout)
 	if !read || expired || c.replicaBrokeOff(r) || c.outlastsStop(r, now) || !c.undisturbed(r.Sent, true, entrySubject(r.Entry)) {
 		return
 	}
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -16,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
 	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
@@ -107,7 +106,9 @@
 	Callers int
 	// Signals makes replicas say of themselves that they leave or want no requests.
 	Signals bool
-	Checker *checker
+	// Silences adds a second service for streams if there are two engines or more.
+	Silences bool
+	Checker  *checker
 
 	// networkOctet is the second octet of the loopback addresses.
 	networkOctet int
@@ -124,6 +125,11 @@
 	// number of the newest.
 	extraRoutes    []string
 	lastExtraRoute int
+	// limits and priorities hold what faults changed, by the names of routes and teams, and
+	// secondWeight the weight of secondStreamService.
+	limits       map[string]limits
+	priorities   map[string]int
+	secondWeight int
 	// partCrashes is set while callers send requests with crashPart.
 	partCrashes atomic.Bool
 	// stopped is set when no replica may be started any more.
@@ -153,6 +159,7 @@
 
 // start starts the simulators and the daemons.
 func (c *cluster) start(ctx context.Context) error {
+	c.limits, c.priorities, c.secondWeight = map[string]limits{}, map[string]int{}, maxWeight/2
 	c.store, c.origin = simulator.NewStore(), &simulator.Origin{Model: model}
 	go c.store.Run(ctx)
 	if err := c.serveStore(os.Getpid()); err != nil {
@@ -226,9 +233,12 @@
 		if err != nil {
 			return err
 		}
-		name := fmt.Sprintf("engine-%d", i)
+		name, service := fmt.Sprintf("engine-%d", i), routeStream.Service
+		if c.hasSecondService() && i%2 == 1 {
+			service = secondStreamService
+		}
 		c.slots = append(c.slots, &replicaSlot{
-			VM: name, Service: "llm", Domain: failureDomain(i), Listen: c.address(netEngines, i, replicaPort), Proxy: proxy,
+			VM: name, Service: service, Domain: failureDomain(i), Listen: c.address(netEngines, i, replicaPort), Proxy: proxy,
 			Engine: &simulator.Engine{VM: name, Model: model, Observer: c.Checker},
 		})
 	}
@@ -326,7 +336,7 @@
 		DrainTime: drainTime, StopTime: stopTimeout, VersionTime: maxVersionDelay,
 	}
 	if v.Role == roleAgent {
-		settings.EngineAddress, settings.EngineService = v.InboundProxy.Listener.Addr().String(), routeStream.Service
+		settings.EngineAddress, settings.EngineService = v.InboundProxy.Listener.Addr().String(), c.slots[len(c.slots)-c.Engines+v.Index].Service
 	} else {
 		settings.CallerAddress = c.address(netEntries, v.Index, callerPort)
 		settings.ReadyAddress = c.address(netEntries, v.Index, readyPort)
@@ -360,63 +370,6 @@
 	}
 }
 
-// writeConfiguration writes the next configuration and reports whether the store
-// accepted it.
-func (c *cluster) writeConfiguration(now time.Time) bool {
-	routes := []route{routeStream, routeOrder, routeLookup}
-	for _, name := range c.extraRoutes {
-		routes = append(routes, extraRoute(name))
-	}
-	cfg := &matcher.Configuration{
-		Version: uint64(c.revision + 1),
-		Services: map[string]*matcher.Service{
-			routeStream.Service: {Name: routeStream.Service, Engine: &matcher.Engine{Models: []string{model}}},
-			routeOrder.Service:  {Name: routeOrder.Service},
-			routeLookup.Service: {Name: routeLookup.Service},
-			"weights":           {Name: "weights", OriginAddress: c.address(netStandIns, 1, storePort), OriginRegion: failureDomain(0)},
-		},
-		Limits: matcher.Limits{MaxBodyBytes: maxBodyBytes},
-	}
-	for _, r := range routes {
-		cfg.Routes = append(cfg.Routes, matcher.Route{
-			Name: r.Name, Host: host, PathPrefix: r.Prefix, Kind: r.Kind, Timeout: routeTimeout, TargetLatency: routeTargetLatency,
-			Backends: []matcher.Backend{{Service: r.Service}}, MaxAttempts: r.Attempts, Resumable: r.Kind == matcher.Streaming, Priority: 1,
-		})
-	}
-	for _, t := range teams {
-		cfg.Teams = append(cfg.Teams, matcher.Team{Name: t.name, Keys: []string{t.key}})
-	}
-	if !c.store.WriteConfiguration(cfg, now) {
-		return false
-	}
-	c.revision++
-	c.Checker.recordRoutes(c.extraRoutes, now)
-	return true
-}
-
-// extraRoute returns the extra route with a name.
-func extraRoute(name string) route {
-	return route{Name: name, Prefix: "/" + name + "/", Kind: matcher.Idempotent, Service: routeLookup.Service, Attempts: 2}
-}
-
-// changeConfiguration adds an extra route or removes the oldest one. A retried
-// write repeats the same change.
-func (c *cluster) changeConfiguration(add bool, writeWithRetry func(write func(now time.Time) bool)) {
-	changed := false
-	writeWithRetry(func(now time.Time) bool {
-		switch {
-		case changed:
-		case len(c.extraRoutes) == 0 || add && len(c.extraRoutes) < maxExtraRoutes:
-			c.lastExtraRoute++
-			c.extraRoutes = append(c.extraRoutes, fmt.Sprintf("%s%d", extraRoutePrefix, c.lastExtraRoute))
-		default:
-			c.extraRoutes = slices.Clone(c.extraRoutes[1:])
-		}
-		changed = true
-		return c.writeConfiguration(now)
-	})
-}
-
 // writeNextVersion writes the next model version and reports whether the store
 // accepted it.
 func (c *cluster) writeNextVersion(now time.Time) bool {
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -96,6 +96,9 @@
 	if s.Signals {
 		kinds = append(kinds, signalFaults...)
 	}
+	if s.Silences {
+		kinds = append(kinds, silenceFaults...)
+	}
 	plannedOnly := s.Rand.IntN(3) == 0
 	for _, f := range kinds {
 		if chosen := s.Rand.IntN(2) == 0; plannedOnly && f.planned || !plannedOnly && chosen {
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -56,6 +56,8 @@
 	Extended bool
 	// Signals makes replicas say of themselves that they leave or want no requests.
 	Signals bool
+	// Silences lets replicas fall silent for a moment and adds changes of the configuration.
+	Silences bool
 }
 
 // report is the result of a run.
@@ -76,7 +78,7 @@
 	}
 	c := &cluster{
 		Binary: s.Binary, Dir: s.Dir, Seed: s.Seed, Entries: s.Entries, Engines: s.Engines, Callers: s.Callers,
-		Signals: s.Signals, Checker: newChecker(time.Now()),
+		Signals: s.Signals, Silences: s.Silences, Checker: newChecker(time.Now()),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer c.stop()
@@ -88,7 +90,7 @@
 	c.startCallers(ctx)
 	out := &report{}
 	sched := &schedule{
-		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended, Signals: s.Signals,
+		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended, Signals: s.Signals, Silences: s.Silences,
 		OnFault: func(name string) {
 			out.faults = append(out.faults, fmt.Sprintf("%6.1fs %s", time.Since(c.Checker.Start).Seconds(), name))
 		},
@@ -152,6 +154,8 @@
 	extended bool
 	// signals makes replicas say of themselves that they leave or want no requests.
 	signals bool
+	// silences lets replicas fall silent for a moment and adds changes of the configuration.
+	silences bool
 	// untilViolation stops at the first seed with violations and inverts the exit
 	// status: a violation is a success.
 	untilViolation bool
@@ -177,6 +181,7 @@
 	fs.BoolVar(&o.partCrashes, "part-crashes", true, "allow the fault in which a part of prompts crashes replicas")
 	fs.BoolVar(&o.extended, "extended", true, "add the kinds of faults that seeds kept from before do not have")
 	fs.BoolVar(&o.signals, "signals", true, "replicas say in their responses that they leave or want no requests, with faults of these kinds")
+	fs.BoolVar(&o.silences, "silences", true, "replicas fall silent for a moment, beside changes of the limits of routes, the priorities and the weights of services")
 	fs.StringVar(&o.dir, "dir", filepath.Join(os.TempDir(), "lentil-soak"), "`directory` for binaries and logs; logs of clean runs are removed")
 	fs.StringVar(&o.mutation, "without", "", "build the daemons with a `mechanism` removed: "+strings.Join(mutationNames(), ", "))
 	fs.BoolVar(&o.untilViolation, "until-violation", false, "stop with success at the first seed with violations; fail if no seed has any")
@@ -218,7 +223,7 @@
 	for i := range o.seeds {
 		seed := o.seed + uint64(i)
 		dir := filepath.Join(o.dir, fmt.Sprintf("seed-%d", seed))
-		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes, Extended: o.extended, Signals: o.signals}
+		s := &soak{Binary: binary, Dir: dir, Seed: seed, Duration: o.duration, Entries: o.entries, Engines: o.engines, Callers: o.callers, PartCrashes: o.partCrashes, Extended: o.extended, Signals: o.signals, Silences: o.silences}
 		r, err := s.run(ctx)
 		if err != nil {
 			return failed, err
--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -57,6 +57,10 @@
 		"hold-off-check", "platform/signals.go",
 		"s.OnHoldOff(r, wait, now)", "_ = s.OnHoldOff",
 	},
+	{
+		"silent-attempt", "platform/events.go",
+		"startSilenceTimer(a.EventSilence, a.OnSilence)", "startSilenceTimer(a.EventSilence, s.cancelStalled)",
+	},
 	{
 		"store-era", "platform/store.go",
 		"value := h.Get(eraHeader)", "value := \"\"",
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -57,9 +57,10 @@
 	OnFault func(name string)
 	// PartCrashes allows the fault in which a part of prompts crashes replicas.
 	PartCrashes bool
-	// Extended adds extendedFaults, and Signals signalFaults.
+	// Extended adds extendedFaults, Signals signalFaults, and Silences silenceFaults.
 	Extended bool
 	Signals  bool
+	Silences bool
 
 	// restores counts the restores of the store.
 	restores int
