A caller that half-closes gets 502 only if its request may have run

What callers saw: a caller that shuts down its sending side after a whole request, and reads on, got 502 although no replica had been asked: it must not send a request that may run once again, for no reason.

Cause: net/http's background read sees the end of the input and cancels the request. dispatcher.abandon took each canceled request for one whose caller is gone, and answered 502, which seemed not to matter.

Decision: such a caller still counts as having left. A close and a half-close both arrive as the end of the input; only a write that is answered by a reset tells them apart, and writing before the response means interim responses that callers don't expect. A caller that has left must not reach a replica later (GONE), so serving on isn't an option. But the answer is true now: what the replica said if it failed, 502 if it may have run, a broken stream, and otherwise 503. The end is logged as caller-left, as before; a refusal of a caller that left isn't remembered or announced as one that returns.

Evidence, on the code before: TestHalfClosedCallerIsToldThatRequestMayHaveRun: got 502, want 503. dispatcher.TestLeftCallerIsToldThatRequestMayHaveRun fails in "waits for a place" and "refused by the replica" (fail instead of refuse) and "failed at the replica" (fail instead of the replica's response).

--- a/internal/request/dispatcher/ending.go
+++ b/internal/request/dispatcher/ending.go
@@ -43,11 +43,7 @@
 		return x.finishStopped("the daemon stops before the deadline of the request")
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		if x.streamBegun {
-			x.sink.Abort()
-		} else {
-			x.sink.Fail(false, "the caller left")
-		}
+		x.respondToLeft(time.Now())
 		x.recordEnd("caller-left")
 		return true
 	}
@@ -57,6 +53,21 @@
 	return x.finish("deadline passed before an attempt ran")
 }
 
+// respondToLeft responds to a caller that has closed its side of the connection, which may
+// still read.
+func (x *execution) respondToLeft(now time.Time) {
+	switch {
+	case x.streamBegun:
+		x.sink.Abort()
+	case x.serverError != nil:
+		x.sink.Respond(*x.serverError)
+	case x.mayHaveRun:
+		x.sink.Fail(false, "the caller left")
+	default:
+		x.sink.Refuse(x.proof, x.RetryAfter(x.request, now))
+	}
+}
+
 // finish ends a request that gets no further attempt. A server error of a replica
 // is returned to the caller, and the request is refused only if it has not run.
 func (x *execution) finish(reason string) bool {
