A stopping daemon goes on with repeatable requests that it has taken

Fix: only requests that run once are checked against the plan again before an attempt, and when a call leaves the router's queue. For the others the end of the requests counts as deadline, as for repeats.

--- a/internal/daemon/router/requests.go
+++ b/internal/daemon/router/requests.go
@@ -103,7 +103,7 @@
 		return forwarder.FailedResult(err)
 	}
 	defer release(permit)
-	if r.stopsBefore(req, time.Now()) {
+	if !req.Idempotent && r.stopsBefore(req, time.Now()) {
 		return forwarder.FailedResult(identifier.StoppingError(identifier.OutcomeNotRun))
 	}
 	return r.forwarder.Run(ctx, req, answer)
--- a/internal/request/dispatcher/ending.go
+++ b/internal/request/dispatcher/ending.go
@@ -26,11 +26,11 @@
 	return x.Stop()
 }
 
-// mayOutlastStop reports whether the daemon stops and does not take the request any more,
-// which waits for its first attempt.
+// mayOutlastStop reports whether the daemon stops and would not take the request now, which
+// has not run and may run only once.
 func (x *execution) mayOutlastStop(now time.Time) bool {
 	plan := x.stopPlan()
-	return plan != nil && x.possibleRuns == 0 && !plan.Takes(x.request.Deadline, x.request.Route.Repeatable(), now)
+	return plan != nil && x.possibleRuns == 0 && !x.request.Route.Repeatable() && !plan.Takes(x.request.Deadline, false, now)
 }
 
 // abandon ends a request whose caller has left, whose deadline has passed, or for which
