--- a/internal/daemon/executor/executor_test.go
+++ b/internal/daemon/executor/executor_test.go
@@ -197,6 +197,29 @@
 	})
 }
 
+// Guards against a crash that is recorded because the engine pauses when its process is
+// checked after a broken connection.
+func TestPauseIsNoCrash(t *testing.T) {
+	for _, pause := range []time.Duration{1100 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			e, engine := newModelExecutor(2)
+			s := openAttempt(t, e, modelStart("r1"))
+			other := openAttempt(t, e, modelStart("r2"))
+			engine.mu.Lock()
+			engine.pausedUntil = time.Now().Add(pause)
+			engine.mu.Unlock()
+			close(engine.streams["r1.1"].broken)
+			time.Sleep(pause)
+			c.Assert(s.last().GetBroken(), qt.IsNotNil)
+			c.Assert(s.last().GetBroken().GetBackendCrashed(), qt.IsFalse)
+			engine.sendEnd("r2.1", 0)
+			c.Assert(other.last().GetEnd(), qt.IsNotNil)
+			c.Assert(openAttempt(t, e, modelStart("r3")).last().GetAccepted(), qt.IsNotNil)
+		})
+	}
+}
+
 // Guards against a drain that interrupts running attempts or admits new ones.
 func TestDrainFinishesRunningAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/executor/fakes_test.go
+++ b/internal/daemon/executor/fakes_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -99,6 +100,8 @@
 	adapter.Engine
 	mu   sync.Mutex
 	dead bool
+	// pausedUntil is until when State does not answer.
+	pausedUntil time.Time
 	// refusal is returned by Generate, if set.
 	refusal  error
 	streams  map[string]*fakeTokens
@@ -140,7 +143,15 @@
 	return nil
 }
 
-func (e *fakeEngine) State(context.Context) (adapter.EngineState, error) {
+func (e *fakeEngine) State(ctx context.Context) (adapter.EngineState, error) {
+	e.mu.Lock()
+	pause := time.Until(e.pausedUntil)
+	e.mu.Unlock()
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+		return adapter.EngineState{}, &adapter.EngineError{Operation: "state", Started: true, Cause: ctx.Err()}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead {
