Test: pauses before the start of a call that may run only once

Pauses of 1.1 to 1.9 s before the start, and ones that outlast the start timeout: the call runs once and its answer arrives. Passes on the code as it is.

--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -182,6 +182,14 @@
 			body          string
 			starts        int
 		}{
+			{
+				name: "pause before the start", outcome: "served", body: "stored", starts: 1,
+				first: &fakeAgent{script: after(pause, serveStored)}, second: &fakeAgent{script: serveStored},
+			},
+			{
+				name: "pause longer than the start timeout", outcome: "served", body: "late", starts: 1,
+				first: &fakeAgent{script: after(2*time.Second+pause, serveStored), state: statusAfter(pause, finished)}, second: &fakeAgent{script: serveStored},
+			},
 			{
 				name: "stream lost, call finished", outcome: "served", body: "late", starts: 1,
 				first: &fakeAgent{script: lostStream, state: statusAfter(pause, finished), cancelState: running}, second: &fakeAgent{script: serveStored},
