Soak: mutations drain and stop-intake follow the changed sources

TestMutations failed since the merge: both texts were gone. The mutations remove the same mechanisms: the state draining of a registration, and the refusal of requests that outlast a stop.

--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -33,12 +33,12 @@
 		"found := m.sum(data)", "found := m.Chunks[index]",
 	},
 	{
-		"drain", "platform/configuration.go",
-		"case \"draining\":\n\t\tr.Draining = true", "case \"draining\":",
+		"drain", "platform/registration.go",
+		"r.Draining = state == \"draining\"", "r.Draining = false",
 	},
 	{
 		"stop-intake", "internal/request/drainer/drainer.go",
-		"return now.Before(p.IntakeEnds) || !deadline.After(p.RequestsEnd)", "return true",
+		"return now.Before(p.IntakeEnds) && (repeatable || !p.hasOtherDaemon(now))", "return true",
 	},
 	{
 		"part-block", "internal/request/blocker/parts.go",
