Soak: stand-ins that stand still do not count as cuts by daemons

The stand-in replicas, which share a process, had sent nothing for longer than the pause after which the platform's callers leave a stream (2 s here). The stand-in callers never leave. Now the checker knows when replicas sent events, and a stream with a gap as long as callers wait may be ended. Injected silences are shorter; a stream that is cut in one is reported as before, and so is one cut before its first event.

The proxy in front of the entry VM resets a connection if its own isn't established within 1 s. It tries again after a timeout now, for longer than any deadline. That the dial had timed out is inferred from the missing log lines and the time.

The soak now says when it did not run itself (stall lines and a count); a stall excuses nothing.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -83,6 +83,10 @@
 	// that replica has written the whole response.
 	arrivedAt string
 	completed bool
+	// lastSent is when a replica sent an event last, and longestGap the longest time between
+	// two events.
+	lastSent   time.Time
+	longestGap time.Duration
 	// replicas lists the replicas that ran it.
 	replicas []string
 	// refused is set when the caller received a status that says that the request
@@ -116,6 +120,7 @@
 	droppedViolations int
 	counts            map[string]int
 	results           []result
+	stalls            []string
 }
 
 // versionChange is a model version and the time at which it was written to the
@@ -358,7 +363,7 @@
 	c.counts["cut"]++
 	read := r.arrivedAt != "" || now.Sub(r.written) > lossSlack+schedulingSlack
 	expired := now.Sub(r.written) >= min(r.Deadline, c.loosestLimits(r).timeout)
-	if !read || expired || c.replicaBrokeOff(r) || c.outlastsStop(r, now) || !c.undisturbed(r.Sent, true, entrySubject(r.Entry)) {
+	if !read || expired || c.replicaBrokeOff(r) || r.outlastsPatience(now) || c.outlastsStop(r, now) || !c.undisturbed(r.Sent, true, entrySubject(r.Entry)) {
 		return
 	}
 	text := ""
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -67,6 +67,8 @@
 	droppedViolations int
 	counts            map[string]int
 	faults            []string
+	// stalls are the times in which the soak itself did not run.
+	stalls []string
 	// servedRatio is the ratio of requests served after the recovery wait.
 	servedRatio float64
 }
@@ -88,6 +90,8 @@
 	}
 	waiter.Wait(ctx, startupWait)
 	c.startCallers(ctx)
+	watch := &stallWatch{Checker: c.Checker}
+	c.running.Go(func() { waiter.Every(ctx, stallInterval, watch.check) })
 	out := &report{}
 	sched := &schedule{
 		Cluster: c, Rand: rand.New(rand.NewPCG(s.Seed, 0)), Until: time.Now().Add(s.Duration), PartCrashes: s.PartCrashes, Extended: s.Extended, Signals: s.Signals, Silences: s.Silences,
@@ -116,7 +120,7 @@
 	defer ck.mu.Unlock()
 	// Callers still update the checker until the cluster stops, so its data is
 	// copied.
-	out.violations, out.droppedViolations, out.counts, out.servedRatio = slices.Clone(ck.violations), ck.droppedViolations, maps.Clone(ck.counts), ratio
+	out.violations, out.droppedViolations, out.counts, out.servedRatio, out.stalls = slices.Clone(ck.violations), ck.droppedViolations, maps.Clone(ck.counts), ratio, slices.Clone(ck.stalls)
 	return out, nil
 }
 
@@ -134,6 +138,9 @@
 	for _, f := range r.faults {
 		fmt.Fprintf(w, "  fault %s\n", f)
 	}
+	for _, stall := range r.stalls {
+		fmt.Fprintf(w, "  stall %s\n", stall)
+	}
 	for _, v := range r.violations {
 		fmt.Fprintf(w, "  %6.1fs %s %s\n", v.At.Seconds(), v.Rule, v.Text)
 	}
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -10,6 +11,8 @@
 	proxyBufferBytes = 16 << 10
 	proxyDelay       = 150 * time.Millisecond
 	proxyDialTimeout = time.Second
+	// maxProxyDialTime exceeds the longest deadline of a request.
+	maxProxyDialTime = 10 * time.Second
 	// blockedPollInterval is how often a blocked connection checks whether its link
 	// mode has changed.
 	blockedPollInterval = 50 * time.Millisecond
@@ -37,6 +40,8 @@
 type proxy struct {
 	Listener net.Listener
 	Target   string
+	// Dial connects to the target; nil means net.DialTimeout.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
 
 	mu    sync.Mutex
 	mode  linkMode
@@ -96,7 +101,7 @@
 		resetConn(c.client)
 		return
 	}
-	server, err := net.DialTimeout("tcp", c.proxy.Target, proxyDialTimeout)
+	server, err := c.proxy.connect(time.Now())
 	if err != nil {
 		resetConn(c.client)
 		return
@@ -111,6 +116,23 @@
 	<-c.closed
 }
 
+// connect connects to the target. Timeouts are tried again, because a connection that is not
+// established in time does not end the one to the client.
+func (p *proxy) connect(start time.Time) (net.Conn, error) {
+	dial := p.Dial
+	if dial == nil {
+		dial = net.DialTimeout
+	}
+	for {
+		conn, err := dial("tcp", p.Target, proxyDialTimeout)
+		var netErr net.Error
+		again := errors.As(err, &netErr) && netErr.Timeout() && time.Since(start) < maxProxyDialTime && p.currentMode() != linkReset
+		if !again {
+			return conn, err
+		}
+	}
+}
+
 func (p *proxy) add(c *connPair) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
