--- a/tools/soak/pause_test.go
+++ b/tools/soak/pause_test.go
@@ -41,3 +41,36 @@
 	qt.Assert(t, c.Checker.counts["cut"], qt.Equals, 0, qt.Commentf("%v", c.Checker.counts))
 	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
 }
+
+// TestSilenceBreaksResponses guards against entry daemons that end responses because all
+// replicas are silent for a moment, also beside changes of the configuration.
+func TestSilenceBreaksResponses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	dir := t.TempDir()
+	binary, err := build(dir, "")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 2, Engines: 4, Callers: 12, Checker: newChecker(time.Now())}
+	defer c.stop()
+	defer cancel()
+	qt.Assert(t, c.start(ctx), qt.IsNil)
+	waiter.Wait(ctx, startupWait)
+	c.startCallers(ctx)
+	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
+	for i := range 4 {
+		waiter.Wait(ctx, time.Second)
+		for _, slot := range c.slots {
+			slot.currentReplica().FallSilent(1600*time.Millisecond, i%2 == 0, time.Now())
+		}
+		waiter.Wait(ctx, time.Second/2)
+		s.changeConfiguration(true)()
+		waiter.Wait(ctx, 2*time.Second)
+	}
+	c.Checker.mu.Lock()
+	defer c.Checker.mu.Unlock()
+	qt.Assert(t, c.Checker.violations, qt.HasLen, 0, qt.Commentf("%v", c.Checker.violations))
+	qt.Assert(t, c.Checker.counts["cut"], qt.Equals, 0, qt.Commentf("%v", c.Checker.counts))
+	qt.Assert(t, c.Checker.counts["served"] > 0, qt.IsTrue)
+}
