Refuse returning requests that would wait in vain

Callers: a request that was refused once and returns may wait for 1.5 s for a place. Each waited nearly as long as it may; more than half were refused then, a second time and too late for another try, and many of the others got a place so late that their stream was cut at its deadline.

Cause: the queue accepted every request for as long as it might wait, whatever was queued before it. Places are few, so the queue was always full, and each place went to the request that had waited longest.

Now a returning request is refused at once if more requests are queued before it than returning ones get places in the time that it may wait, two more allowed. The rate is a running average per service, so it follows replicas that hold requests off and those that return. As many requests are queued as get a place, so no place stays free.

The same for new requests was tried and dropped: they wait for 0.12 s only, and the ones that were refused at once came back late.

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -102,6 +102,7 @@
 	best.inFlight++
 	best.prefill += prefill
 	best.recordPlacement(prefill, now)
+	p.recordRate(q, now)
 	return placed, true
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -253,6 +253,8 @@
 	// oldestReport is not after the time of any report in peers.
 	oldestReport time.Time
 	waiting      waitQueue
+	// rates holds, by service, the rate at which returning requests get places.
+	rates map[string]placementRate
 	// holds holds, by ID, the replicas that want no requests, listed or not.
 	holds    map[string]holdOffs
 	sequence uint64
@@ -402,7 +404,7 @@
 			return placed, nil
 		}
 	}
-	if q.MaxWait <= 0 || p.waiting.Len() >= maxWaiting || p.countUsable(q, now, now.Add(q.MaxWait)) == 0 {
+	if q.MaxWait <= 0 || p.waiting.Len() >= maxWaiting || p.countUsable(q, now, now.Add(q.MaxWait)) == 0 || p.queuedTooMany(q, now) {
 		err := p.refusal(q, "no free slot", now)
 		p.mu.Unlock()
 		return Placement{}, err
