--- a/internal/request/forwarder/race.go
+++ b/internal/request/forwarder/race.go
@@ -12,7 +12,7 @@
 )
 
 // placementInterval is the time between two looks for a server beside a silent one.
-const placementInterval = 100 * time.Millisecond
+const placementInterval = 500 * time.Millisecond
 
 // race is an attempt with those made beside it while it is silent.
 type race struct {
