Daemons: a malformed entry no longer silences a live daemon

What callers saw: nothing that we have a record of. A daemon that starts reads the entries of the others from the store. One of another writer with the name and address of a live daemon and a later incarnation makes it ignore all messages of that daemon, as those of an earlier process, until the entry is forgotten after 5 minutes: the daemon counts as dead, and neither its loads, its revisions nor what it says of replicas that leave are taken.

Cause: what a third party says of a member ranked as what the member says itself.

Fix: an incarnation counts only once the member, or a digest of its failure domain, has been received.

--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -82,7 +82,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.known[member.Address]
-	if s != nil && s.Incarnation > member.Incarnation && s.VM == member.VM {
+	if s != nil && s.supersedes(member) {
 		return false
 	}
 	if s == nil {
@@ -97,6 +97,13 @@
 	return joined
 }
 
+// supersedes reports whether the record is of a later incarnation than a message. That of a
+// member that is known only from the object store or from lists shows nothing, as it may be wrong.
+func (s *memberState) supersedes(member Member) bool {
+	heard := !s.lastMessageAt.IsZero() || !s.listedAt.IsZero()
+	return heard && s.VM == member.VM && s.Incarnation > member.Incarnation
+}
+
 // isLive reports whether the member sent a message recently or was listed by a recent
 // digest.
 func (s *memberState) isLive(now time.Time) bool {
@@ -115,7 +122,7 @@
 				continue
 			}
 		}
-		if s.VM == member.VM && s.Incarnation > member.Incarnation {
+		if s.supersedes(member) {
 			continue
 		}
 		m.update(s, member)
