Gossiper: loads out of range are left out

What callers saw: nothing that we have a record of. The loads of all daemons on a replica are added up. Two of them near the largest integer make a negative sum, so that the replica looks idle to all that receive them; a negative one does so by itself. Prefill times overflow already at 9e12 ms, when they become durations.

Cause: numbers of other daemons were taken as they can be decoded.

TestMalformedLoadOverflows on fails in all rows but the usual one, for messages and for digests.

Fix: loads below 0, of more than 2^20 requests, or of more than an hour of prefill time are left out of a message; the other loads in it hold. The sum of 4,096 members, the most that a daemon knows, stays in range.

Checked with -race: the tests of messages and members; not the tests of large fleets.

--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/placer"
 	"github.com/lentilbridge/lentilbridge/internal/shared/recoverer"
 )
 
@@ -74,7 +76,7 @@
 	}
 	// The load of other failure domains arrives in digests.
 	if m.Load != nil && g.OnLoad != nil && m.From.FailureDomain == g.Self().FailureDomain {
-		g.OnLoad(m.From, false, m.Load, now)
+		g.OnLoad(m.From, false, plausibleLoads(m.Load), now)
 	}
 	if m.Replica != nil {
 		g.receiveReplica(m.From, *m.Replica, now)
@@ -91,6 +93,21 @@
 	}
 }
 
+const (
+	// maxRequests and maxPrefillMs bound the load of one replica, so that the sum of the loads
+	// of all daemons does not overflow. Both are far above what a replica can hold.
+	maxRequests  = 1 << 20
+	maxPrefillMs = int(time.Hour / time.Millisecond)
+)
+
+// plausibleLoads removes the loads that are out of range.
+func plausibleLoads(loads map[string]placer.Load) map[string]placer.Load {
+	maps.DeleteFunc(loads, func(_ string, l placer.Load) bool {
+		return l.Requests < 0 || l.Requests > maxRequests || l.PrefillMs < 0 || l.PrefillMs > maxPrefillMs
+	})
+	return loads
+}
+
 // receiveReplica records the state of a replica. A state of this failure domain goes
 // into its digests.
 func (g *Gossiper) receiveReplica(from Member, s ReplicaState, now time.Time) {
--- a/internal/coordination/gossiper/relay.go
+++ b/internal/coordination/gossiper/relay.go
@@ -241,7 +241,7 @@
 	}
 	g.Members.RecordDomain(d.Domain, d.Entries, d.Complete, now)
 	if d.Load != nil && g.OnLoad != nil {
-		g.OnLoad(Member{VM: m.From.VM, Role: Entry, FailureDomain: d.Domain}, true, d.Load, now)
+		g.OnLoad(Member{VM: m.From.VM, Role: Entry, FailureDomain: d.Domain}, true, plausibleLoads(d.Load), now)
 	}
 	for _, s := range d.Replicas {
 		if g.OnReplica != nil {
