Monitor: a malformed list of entry daemons is replaced

What callers saw: nothing that we have a record of. A list of the product's own object API that cannot be decoded, in place of that of a failure domain, was never written again: daemons that start later don't find the others by it.

Cause: the version of an object was recorded only after its value had been decoded. Without it the first relay tries to create the list, gets a conflict, reads it and tries to create it again.

TestMalformedEntryListStays on fails in all rows, for example:

nested: invalid character '[' exceeded max depth list: json: cannot unmarshal array into Go value

Fix: the version is recorded for a malformed list too, which counts as empty and is replaced.

--- a/internal/coordination/monitor/registration.go
+++ b/internal/coordination/monitor/registration.go
@@ -131,11 +131,13 @@
 // them, has arrived.
 func (m *Monitor) applyEntryList(o adapter.Object, now time.Time) {
 	var list entriesObject
-	if err := json.Unmarshal(o.Value, &list); err != nil {
+	err := json.Unmarshal(o.Value, &list)
+	if err != nil {
 		m.Log.Warn("list of entry daemons cannot be decoded", zap.String("key", o.Key), zap.Error(err))
-		return
+		list = entriesObject{}
 	}
 	if strings.TrimPrefix(o.Key, EntriesPrefix) == m.self.GetFailureDomain() {
+		// The version is needed to replace a malformed list too.
 		m.registered = registration{version: o.Version, entries: list.Entries}
 	}
 	for _, listed := range list.Entries {
