One request at first to a replica that takes requests again

Callers: when the time ended for which a replica had asked for no requests, all queued requests that fitted were sent there at once. If the replica still shed load, each was refused, took a retry from the common budget and looked for another place; with all replicas of a service shedding, again every few seconds.

Cause: the end of a hold-off said nothing about the replica, but the placer took it for one with all slots free, the best there was.

The first request after a hold-off is now sent alone; others follow after 50 ms without a refusal, which a replica that sheds load gives at once.

Ruled out: waiting for the first answer of the replica. The head of a stream comes with its first token, so places would stay free for too long.

Test on the code before:

--- FAIL: TestHeldReplicaGetsBurst/it_refuses_the_first_request requests placed: got 4, want 1 --- FAIL: TestHeldReplicaGetsBurst/the_replica_serves_again got 1s, want 1.05s

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -103,6 +103,9 @@
 	best.prefill += prefill
 	best.recordPlacement(prefill, now)
 	p.recordRate(q, now)
+	if best.onTrial {
+		p.beginTrial(best, now)
+	}
 	return placed, true
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -213,7 +213,9 @@
 	fullBackoff time.Duration
 	// heldUntil is until when the replica has asked for no requests.
 	heldUntil time.Time
-	invalid   invalidVersion
+	// onTrial is set until the first placement after heldUntil.
+	onTrial bool
+	invalid invalidVersion
 	// others is the load from the reports of peers that are not older than
 	// maxPeerLoadAge.
 	others Load
@@ -291,6 +293,7 @@
 		}
 		s.Replica = r
 		s.heldUntil = p.holds[r.ID].of(r.StartedAtMs)
+		s.onTrial = s.onTrial || now.Before(s.heldUntil)
 		s.others = Load{}
 		p.services[r.Service] = append(p.services[r.Service], s)
 		p.byID[r.ID] = s
