A silent replica beside a silent one no longer holds a request

Callers got no response, or the end of their stream, at the deadline of their request: its replica was silent, the one that was tried beside it was silent too, and others had free places, retries and attempts left. The same if the first replica failed meanwhile.

Cause: the silence of an attempt beside a silent one was not looked at, since it does not serve the caller, and once the first attempt has ended, the request waits for the other one.

Test, on the code before:

--- FAIL: TestSilencesOfTwoReplicas/both_silent,_a_third_responds got: "" want: "c", after 6s want 3.7s --- FAIL: TestSilencesOfTwoReplicas/first_lost,_second_silent got: "" want: "c", after 6s want 3.7s --- FAIL: TestSilencesOfTwoReplicas/both_streams_silent got: "1" want: "12", after 6s want 2.8s

Ruled out: the number of attempts (three are allowed in these rows), the retry budget (10).

The attempt beside a silent one now waits like the first one does, so that a further search runs beside it within the same limits. Its response, or that of the further attempt, is what is offered to the request. The goroutines still have the execution one at a time: each waits for the one that it has started. Routes with two attempts are not affected.

--- a/internal/request/dispatcher/alternative.go
+++ b/internal/request/dispatcher/alternative.go
@@ -41,7 +41,8 @@
 // attempt there. The silent attempt goes on: a replica that pauses is not a failed one, and
 // there may be no other place. The first of the two that sends a part of the response
 // serves the caller. Its goroutine has the execution to itself: the request waits for the
-// silent replica, and then for the goroutine.
+// silent replica, and then for the goroutine. So does the goroutine of a further search,
+// beside the attempt of this one.
 type alternative struct {
 	silent *send
 	ctx    context.Context
@@ -169,7 +170,13 @@
 		return false
 	}
 	s := x.newSend(a.ctx, placed, versionLeft, now)
+	// This replica may be silent too.
+	s.wait()
 	out := s.run()
+	if next := s.settle(x.responds(out)); next != nil {
+		x.recordUnused(s, out)
+		s, out = next.send, next.outcome
+	}
 	if !a.offer(s, out) {
 		x.recordUnused(s, out)
 	}
--- a/internal/request/dispatcher/alternative_test.go
+++ b/internal/request/dispatcher/alternative_test.go
@@ -25,6 +25,54 @@
 
 func plainPart(after time.Duration, out Outcome) []part { return []part{{after: after, outcome: out}} }
 
+// TestSilencesOfTwoReplicas guards against a request that ends, or waits for its deadline,
+// because the replica that was tried beside a silent one is silent too or fails.
+func TestSilencesOfTwoReplicas(t *testing.T) {
+	refused := Refused{Proof: prover.RefusedByReplica(503, true)}
+	lost := Lost{Cause: errBroken}
+	tests := []struct {
+		name    string
+		kind    matcher.Kind
+		scripts [][]part
+		data    string
+		took    time.Duration
+	}{
+		{"both silent, a third responds", matcher.Idempotent, [][]part{
+			plainPart(time.Hour, lost), plainPart(time.Hour, lost), plainPart(100*ms, answered(200, "c")),
+		}, "c", 3700 * ms},
+		{"both silent, a third responds later than the second", matcher.Idempotent, [][]part{
+			plainPart(time.Hour, lost), plainPart(2*second, answered(200, "b")), plainPart(second, answered(200, "c")),
+		}, "b", 3800 * ms},
+		{"both silent, a third responds later than the first", matcher.Idempotent, [][]part{
+			plainPart(4*second, answered(200, "a")), plainPart(time.Hour, lost), plainPart(second, answered(200, "c")),
+		}, "a", 4 * second},
+		{"first lost, second silent", matcher.Idempotent, [][]part{
+			plainPart(2*second, lost), plainPart(time.Hour, lost), plainPart(100*ms, answered(200, "c")),
+		}, "c", 3700 * ms},
+		{"first lost, then the second refuses", matcher.Idempotent, [][]part{
+			plainPart(2*second, lost), plainPart(500*ms, refused), plainPart(100*ms, answered(200, "c")),
+		}, "c", 2400 * ms},
+		{"both streams silent", matcher.Streaming, [][]part{
+			silentStream(time.Hour), {{after: time.Hour, event: "2"}}, {{event: "2"}, {err: io.EOF}},
+		}, "12", 2800 * ms},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				sender := &silentSender{scripts: tc.scripts}
+				d := newDispatcher(sender, &budgeter.Budget{Burst: 10}, start)
+				sink := &recordingSink{}
+				d.Dispatch(context.Background(), newRequest(tc.kind, true, 3, start), sink)
+				c.Check(sink.data, qt.Equals, tc.data)
+				c.Check(time.Since(start), qt.Equals, tc.took)
+				c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{})
+			})
+		})
+	}
+}
+
 // TestSecondSilenceOfReplica guards against a stream that stays at a silent replica because
 // another one refused in an earlier pause.
 func TestSecondSilenceOfReplica(t *testing.T) {
