Replicas that take requests again are tried one at a time

Callers: where all replicas of a service shed load and asked for no requests for 3 s, all were tried again within milliseconds of each other. If they still shed load, the service was without replicas for 3 s more, although they served again in the meantime.

Cause: replicas that shed load mostly do so for the same reason, but each was tried without regard to the others.

Now one replica of a service is tried at a time, the next one 300 ms after a trial that was refused. After a trial without a refusal, the others are tried at once for a second, so a service with sound replicas is back after 50 ms.

Test on the code before:

--- FAIL: TestAllReplicasRefuseAgain/for_half_a_second 0 replicas serve after 1.1s

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -73,7 +73,7 @@
 	bestScore := math.Inf(1)
 	for _, s := range p.services[q.Service] {
 		version, ok := s.eligible(q, now)
-		if !ok || now.Before(s.fullUntil) || now.Before(s.heldUntil) {
+		if !ok || now.Before(s.fullUntil) || now.Before(s.heldUntil) || !p.mayTry(s, now) {
 			continue
 		}
 		load := p.load(s, now)
--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// trialTime is the time after which a replica that takes requests again would have refused the
-// first one.
-const trialTime = 50 * time.Millisecond
-
 // holdOff is a time in which a replica wants no requests.
 type holdOff struct {
 	// startedBy bounds the starts that it counts for, in Unix milliseconds. The registration
@@ -78,14 +74,6 @@
 	return true
 }
 
-// beginTrial lets a replica that has held requests off get no further one for a moment: it may
-// refuse the first one as well.
-func (p *Placer) beginTrial(s *replicaState, now time.Time) {
-	s.onTrial = false
-	s.fullUntil = now.Add(trialTime)
-	time.AfterFunc(trialTime, p.admitAfterHoldOff)
-}
-
 // HeldOff returns the number of listed replicas that want no requests.
 func (p *Placer) HeldOff(now time.Time) int {
 	p.mu.Lock()
--- a/internal/request/placer/holdoff_trial_test.go
+++ b/internal/request/placer/holdoff_trial_test.go
@@ -66,3 +66,60 @@
 		})
 	}
 }
+
+// TestAllReplicasRefuseAgain guards against a service that stays without replicas although they
+// shed load for a moment only: each got a request as soon as its time ended, and all asked for no
+// requests again.
+func TestAllReplicasRefuseAgain(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name string
+		// sheds is how long the replicas go on to shed load after the time that they asked for.
+		sheds  time.Duration
+		served time.Duration
+		all    time.Duration
+	}{
+		{"not at all", 0, 20 * ms, 200 * ms},
+		{"for half a second", 500 * ms, 500*ms + trialTime + trialPause, 800*ms + trialTime + trialPause},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				p := heldPlacer([]time.Duration{time.Second, time.Second, time.Second, time.Second}, start)
+				free := start.Add(time.Second)
+				var mu sync.Mutex
+				var servedAt time.Duration
+				served := map[string]bool{}
+				request := func() {
+					placed, err := p.Place(context.Background(), Query{Service: "s", MaxWait: 120 * ms}, time.Now())
+					if err != nil {
+						return
+					}
+					now := time.Now()
+					if now.Sub(free) < tc.sheds {
+						p.HoldOff(placed.Replica, now.Add(3*time.Second), now)
+						placed.Done(Full, now)
+						return
+					}
+					mu.Lock()
+					if len(served) == 0 {
+						servedAt = now.Sub(free)
+					}
+					served[placed.Replica.ID] = true
+					mu.Unlock()
+					time.Sleep(100 * ms)
+					placed.Done(Succeeded, time.Now())
+				}
+				var all sync.WaitGroup
+				for time.Since(free) < tc.all {
+					all.Go(request)
+					time.Sleep(10 * ms)
+				}
+				all.Wait()
+				qt.Check(t, len(served) > 0 && servedAt <= tc.served, qt.IsTrue, qt.Commentf("first request served after %v", servedAt))
+				qt.Check(t, len(served) >= 2, qt.IsTrue, qt.Commentf("%d replicas serve after %v", len(served), tc.all))
+			})
+		})
+	}
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -258,7 +258,9 @@
 	// rates holds, by service, the rate at which returning requests get places.
 	rates map[string]placementRate
 	// holds holds, by ID, the replicas that want no requests, listed or not.
-	holds    map[string]holdOffs
+	holds map[string]holdOffs
+	// trials are those of replicas that have held requests off, by service.
+	trials   map[string]trials
 	sequence uint64
 	// correction is the ratio of observed to predicted times to the first token,
 	// by service.
