--- a/internal/request/placer/forecast.go
+++ b/internal/request/placer/forecast.go
@@ -39,6 +39,18 @@
 	p.rates[q.Service] = p.rates[q.Service].add(now)
 }
 
+// reasonNotToQueue returns why a request without a place is refused at once, or an empty string
+// if it is queued.
+func (p *Placer) reasonNotToQueue(q Query, now time.Time) string {
+	switch {
+	case q.MaxWait <= 0, p.waiting.Len() >= maxWaiting, p.countUsable(q, now, now.Add(q.MaxWait)) == 0:
+		return "no free slot"
+	case p.queuedTooMany(q, now):
+		return "too many requests are queued for the places that become free"
+	}
+	return ""
+}
+
 // queuedTooMany reports whether a returning request would wait in vain: more requests are
 // queued before it than get places in the time for which it may wait. New requests wait for a
 // moment only, and repeats are queued anyway, because the work of the earlier attempt is lost
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -409,8 +409,8 @@
 			return placed, nil
 		}
 	}
-	if q.MaxWait <= 0 || p.waiting.Len() >= maxWaiting || p.countUsable(q, now, now.Add(q.MaxWait)) == 0 || p.queuedTooMany(q, now) {
-		err := p.refusal(q, "no free slot", now)
+	if reason := p.reasonNotToQueue(q, now); reason != "" {
+		err := p.refusal(q, reason, now)
 		p.mu.Unlock()
 		return Placement{}, err
 	}
