--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -36,6 +36,7 @@
 		{7, "none", false, false, false, false},
 		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false, false, false},
 		{27000, "none", true, true, true, false},
+		{2904, "streams ended because their replicas were silent for a moment", true, true, true, true},
 	})
 }
 
