A replica that ends a request at its deadline has not crashed

Callers: nothing directly. A sound request whose stream is cut at the deadline several times could be blocked as one that crashes replicas.

Cause: replicas are given 5 ms less than what is left, and end the connection then. The daemon's own deadline had not passed, so the end counted as a crash of the replica, and was announced to the other daemons.

Test on the code before: the three rows "at the deadline" have one crash, want 0.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -57,6 +57,9 @@
 	// get for a repeat, because the work of the earlier attempt is lost if no replica
 	// is found.
 	retryExtraSlots = 2
+	// replicaEndMargin is the time before the deadline of a request from which on its replica may
+	// have ended it: replicas are given slightly less time than is left.
+	replicaEndMargin = 10 * time.Millisecond
 	// maxRetryWait bounds the wait of a repeat for a free replica.
 	maxRetryWait = time.Second
 	// minServerErrorStatus is the lowest HTTP status that counts as a failure of the
@@ -226,6 +229,12 @@
 	return remaining < minRemainingTime
 }
 
+// endedByDeadline reports whether a replica that ends its work now may do so because of the
+// deadline that it was given.
+func (x *execution) endedByDeadline(now time.Time) bool {
+	return x.request.Deadline.Sub(now) <= replicaEndMargin
+}
+
 // placementQuery returns the requirements of the next attempt on its replica.
 func (x *execution) placementQuery(now time.Time) placer.Query {
 	r := x.request
@@ -376,7 +385,7 @@
 		return
 	}
 	s.placed.Done(placer.Failed, now)
-	if out.Broken {
+	if out.Broken && !x.endedByDeadline(now) {
 		x.recordCrash(s.placed.Replica, x.request.SharedParts, now)
 	}
 }
--- a/internal/request/dispatcher/silence_test.go
+++ b/internal/request/dispatcher/silence_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
 	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
 	"github.com/lentilbridge/lentilbridge/internal/request/placer"
@@ -257,3 +258,38 @@
 		c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{})
 	})
 }
+
+// TestEndAtDeadlineCountsAsCrash guards against sound requests that count as crashing replicas
+// because those end their work at the deadline that they were given, slightly before that of the
+// request.
+func TestEndAtDeadlineCountsAsCrash(t *testing.T) {
+	const deadline = 6 * time.Second
+	tests := []struct {
+		name    string
+		kind    matcher.Kind
+		script  []part
+		crashes int
+	}{
+		{"stream, at the deadline", matcher.Streaming, []part{{event: "1"}, {after: deadline - replicaEndMargin, err: errBroken}}, 0},
+		{"stream, before it", matcher.Streaming, []part{{event: "1"}, {after: deadline - 2*replicaEndMargin, err: errBroken}}, 1},
+		{"no event, at the deadline", matcher.Streaming, []part{{after: deadline - replicaEndMargin, err: errBroken}}, 0},
+		{"no event, before it", matcher.Streaming, []part{{after: deadline - 2*replicaEndMargin, err: errBroken}}, 1},
+		{"plain, at the deadline", matcher.Idempotent, []part{{after: deadline - replicaEndMargin, outcome: Lost{Cause: errBroken, Broken: true}}}, 0},
+		{"plain, before it", matcher.Idempotent, []part{{after: deadline - 2*replicaEndMargin, outcome: Lost{Cause: errBroken, Broken: true}}}, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newDispatcher(&silentSender{scripts: [][]part{tc.script}}, budgeter.New(), time.Now())
+				crashes := 0
+				d.OnCrash = func(blocker.Crash, time.Time) { crashes++ }
+				r := newRequest(tc.kind, true, 1, time.Now())
+				sink := &recordingSink{}
+				d.Dispatch(context.Background(), r, sink)
+				c.Check(crashes, qt.Equals, tc.crashes)
+				c.Check(sink.calls[len(sink.calls)-1], qt.Not(qt.Equals), "end")
+			})
+		})
+	}
+}
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -98,6 +98,9 @@
 		return x.abandon(ctx)
 	}
 	s.placed.Done(placer.Failed, now)
+	if x.successor == nil && x.endedByDeadline(now) {
+		return x.fail(true, "the replica ended the stream at its deadline")
+	}
 	var suspects []blocker.Fingerprint
 	if batches < progressBatches && !isTimeout(err) {
 		suspects = x.request.SharedParts
