--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -258,7 +258,9 @@
 	// rates holds, by service, the rate at which returning requests get places.
 	rates map[string]placementRate
 	// holds holds, by ID, the replicas that want no requests, listed or not.
-	holds    map[string]holdOffs
+	holds map[string]holdOffs
+	// trials are those of replicas that have held requests off, by service.
+	trials   map[string]trials
 	sequence uint64
 	// correction is the ratio of observed to predicted times to the first token,
 	// by service.
@@ -407,8 +409,8 @@
 			return placed, nil
 		}
 	}
-	if q.MaxWait <= 0 || p.waiting.Len() >= maxWaiting || p.countUsable(q, now, now.Add(q.MaxWait)) == 0 || p.queuedTooMany(q, now) {
-		err := p.refusal(q, "no free slot", now)
+	if reason := p.reasonNotToQueue(q, now); reason != "" {
+		err := p.refusal(q, reason, now)
 		p.mu.Unlock()
 		return Placement{}, err
 	}
