Soak: a stream that its first replica broke off does not count as cut by the daemon

Since a daemon may ask a second replica and go on with the first one, the last replica that a request reached need not be the one that serves it. The checker now also takes the replica that sent an event after that. If none has sent one, or the second one has, a cut is reported as before.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -79,12 +79,14 @@
 
 	// written is when the last byte was written to the connection.
 	written time.Time
-	// arrivedAt is the last replica that the request reached, and completed whether
-	// that replica has written the whole response.
+	// arrivedAt is the last replica that the request reached, arrived when it did, and
+	// completed whether that replica has written the whole response.
 	arrivedAt string
+	arrived   time.Time
 	completed bool
-	// lastSent is when a replica sent an event last, and longestGap the longest time between
-	// two events.
+	// lastSender is the replica that sent an event last, lastSent when it did, and longestGap
+	// the longest time between two events.
+	lastSender string
 	lastSent   time.Time
 	longestGap time.Duration
 	// replicas lists the replicas that ran it.
@@ -232,7 +234,7 @@
 	if r == nil {
 		return
 	}
-	r.arrivedAt, r.completed = replica, false
+	r.arrivedAt, r.arrived, r.completed = replica, now, false
 	if r.Crashes {
 		c.checkPartCrash(r, now)
 	}
@@ -376,13 +378,17 @@
 	c.addViolationLocked("LOST", "the connection of %s to entry %d ended without an answer%s; it reached %q and ran on %v", r.ID, r.Entry, text, r.arrivedAt, r.replicas)
 }
 
-// replicaBrokeOff reports whether the replica that ran a request last, or the one that
-// it reached last, may have ended the response itself.
+// replicaBrokeOff reports whether the replica that ran a request last, the one that it
+// reached last, or one that has sent an event since then may have ended the response itself.
 func (c *checker) replicaBrokeOff(r *request) bool {
 	replicas := []string{r.arrivedAt}
 	if n := len(r.replicas); n > 0 {
 		replicas = append(replicas, r.replicas[n-1])
 	}
+	if r.lastSent.After(r.arrived) {
+		// A daemon goes on with the first replica to respond, if it asked another one.
+		replicas = append(replicas, r.lastSender)
+	}
 	return slices.ContainsFunc(replicas, func(replica string) bool {
 		_, ended := c.endedAt[replica]
 		vm := vmOf(replica)
--- a/tools/soak/checker_gaps.go
+++ b/tools/soak/checker_gaps.go
@@ -15,7 +15,7 @@
 )
 
 // Sent implements simulator.Observer.
-func (c *checker) Sent(id string, now time.Time) {
+func (c *checker) Sent(replica, id string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[id]
@@ -23,7 +23,7 @@
 		return
 	}
 	r.longestGap = max(r.longestGap, r.gap(now))
-	r.lastSent = now
+	r.lastSender, r.lastSent = replica, now
 }
 
 // gap returns the time since the latest event of a stream; 0 before the first one.
--- a/tools/soak/gaps_test.go
+++ b/tools/soak/gaps_test.go
@@ -35,13 +35,44 @@
 		c.recordSent(r)
 		arrive(c, r, start)
 		for _, d := range tc.events {
-			c.Sent(r.ID, start.Add(d))
+			c.Sent(firstReplica, r.ID, start.Add(d))
 		}
 		c.checkLostConnection(r, start.Add(tc.cut))
 		qt.Check(t, c.violations, qt.HasLen, tc.want, qt.Commentf("%s: %v", tc.name, c.violations))
 	}
 }
 
+// TestFirstReplicaEnds guards against a checker that reports a stream that the first of two
+// replicas broke off, and against one that excuses a cut while the second one has taken over.
+func TestFirstReplicaEnds(t *testing.T) {
+	start := time.Now()
+	at := func(n int) time.Time { return start.Add(time.Duration(n) * tick) }
+	tests := []struct {
+		name string
+		// sender sends an event after the request has reached the second replica.
+		sender string
+		want   int
+	}{
+		{"the first replica goes on and ends", firstReplica, 0},
+		{"the second replica has taken over", secondReplica, 1},
+		{"none has gone on", "", 1},
+	}
+	for _, tc := range tests {
+		c := newChecker(start)
+		r := newRequest("c0-1", routeStream, "b", teams[0], 0)
+		c.recordSent(r)
+		arrive(c, r, start)
+		c.Sent(firstReplica, r.ID, at(1))
+		c.Arrived(secondReplica, r.ID, at(2))
+		if tc.sender != "" {
+			c.Sent(tc.sender, r.ID, at(3))
+		}
+		c.Ended(firstReplica, at(4))
+		c.checkLostConnection(r, at(5))
+		qt.Check(t, c.violations, qt.HasLen, tc.want, qt.Commentf("%s: %v", tc.name, c.violations))
+	}
+}
+
 // TestStallIsHidden guards against a soak that does not say that it was stopped itself.
 func TestStallIsHidden(t *testing.T) {
 	start := time.Now()
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -37,6 +39,10 @@
 		{208, "requests with a part of prompts that crashes replicas were not counted together", true, false, false, false},
 		{27000, "none", true, true, true, false},
 		{2904, "streams ended because their replicas were silent for a moment", true, true, true, true},
+		{2911, "a stream was forwarded from an attempt that had just been canceled", true, true, true, true},
+		{291003, "stand-in replicas sent nothing for longer than callers wait", true, true, true, true},
+		{293003, "the soak and the entry daemons stood still for a second at the end of a stop", true, true, true, true},
+		{294000, "a stream that its first replica broke off, after another was asked, counted as cut", true, true, true, true},
 	})
 }
 
@@ -46,6 +52,9 @@
 	playSeeds(t, []soakSeed{{130, "a stopping entry daemon took requests that could outlast it", false, false, false, false}})
 }
 
+// parallelSeeds is the number of seeds that are played at the same time.
+const parallelSeeds = 2
+
 func playSeeds(t *testing.T, seeds []soakSeed) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -53,14 +62,23 @@
 	dir := t.TempDir()
 	binary, err := build(dir, "")
 	qt.Assert(t, err, qt.IsNil)
+	slots := make(chan struct{}, parallelSeeds)
 	for _, tc := range seeds {
-		s := &soak{Binary: binary, Dir: dir, Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12, PartCrashes: tc.partCrashes, Extended: tc.extended, Signals: tc.signals, Silences: tc.silences}
-		r, err := s.run(context.Background())
-		qt.Assert(t, err, qt.IsNil)
-		var out bytes.Buffer
-		r.print(&out, tc.seed)
-		qt.Check(t, r.violations, qt.HasLen, 0, qt.Commentf("%s\n%s", tc.cause, out.String()))
-		qt.Check(t, r.counts["served"] > 0, qt.IsTrue, qt.Commentf("%s", out.String()))
+		t.Run(fmt.Sprintf("seed %d", tc.seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			s := &soak{
+				Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(tc.seed)), Seed: tc.seed, Duration: 8 * time.Second, Entries: 3, Engines: 4, Callers: 12,
+				PartCrashes: tc.partCrashes, Extended: tc.extended, Signals: tc.signals, Silences: tc.silences,
+			}
+			r, err := s.run(context.Background())
+			qt.Assert(t, err, qt.IsNil)
+			var out bytes.Buffer
+			r.print(&out, tc.seed)
+			qt.Check(t, r.violations, qt.HasLen, 0, qt.Commentf("%s\n%s", tc.cause, out.String()))
+			qt.Check(t, r.counts["served"] > 0, qt.IsTrue, qt.Commentf("%s", out.String()))
+		})
 	}
 }
 
