The soak's mutation of the stop's intake finds its text again

The mutation is the same as before: all requests are taken at all times.

Run since: TestMutations passes.

--- a/tools/soak/mutations.go
+++ b/tools/soak/mutations.go
@@ -38,7 +38,7 @@
 	},
 	{
 		"stop-intake", "internal/request/drainer/drainer.go",
-		"return now.Before(p.IntakeEnds) || !deadline.After(p.RequestsEnd)", "return true",
+		"return now.Before(p.IntakeEnds) && (repeatable || !p.hasOtherDaemon(now))", "return true",
 	},
 	{
 		"part-block", "internal/request/blocker/parts.go",
