Crashes are counted at once beside another attempt

A replica that broke off a request while another one was tried beside it was counted as crashed, and announced to the other daemons, only once the other attempt had ended, which can be as late as the deadline; until then its place counted as taken, and other requests with the same content were sent on.

Cause: the outcome was recorded after the wait for the attempt beside it.

Test, on the code before (time of the report of the crash; the attempt beside it responds or breaks off later):

--- FAIL: TestCrashKnownLate/plain: 3.8s, want 2s; 2 places taken, want 1 --- FAIL: TestCrashKnownLate/stream: 3s, want 1.5s; 2 places taken, want 1 --- FAIL: TestCrashKnownLate/stream,_breaks_after_an_event

The place is now released and the crash recorded as soon as the attempt has ended; both are safe beside the other attempt, and the rest of the execution still waits for it. Batches that a replica sent before it broke off count for its progress also if they are dropped in favor of the other attempt.

TestInterleavingBreaksResponse now also counts the free places at the end, so that a place released twice fails it.

--- a/internal/request/dispatcher/alternative.go
+++ b/internal/request/dispatcher/alternative.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -84,9 +85,29 @@
 func (s *send) run() Outcome {
 	out := s.Sender.Send(s.ctx, s.attempt)
 	s.logAttempt(s.attempt, s.placed, out)
+	if lost, ok := out.(Lost); ok {
+		s.recordLost(lost, time.Now())
+	}
 	return out
 }
 
+// recordLost releases the place of an attempt that may have run, and records a crash. Nothing
+// of that waits for an attempt beside this one.
+func (s *send) recordLost(out Lost, now time.Time) {
+	if err := s.parent.Err(); err != nil {
+		result := placer.Neutral
+		if errors.Is(err, context.DeadlineExceeded) {
+			result = placer.Failed
+		}
+		s.placed.Done(result, now)
+		return
+	}
+	s.placed.Done(placer.Failed, now)
+	if out.Broken {
+		s.recordCrash(s.placed.Replica, s.request.SharedParts, now)
+	}
+}
+
 // wait begins to wait for a part of the response. Each wait ends with settle.
 func (s *send) wait() {
 	s.mu.Lock()
@@ -237,7 +258,7 @@
 		x.recordRefused(s, out, now)
 		return
 	case Lost:
-		x.recordLost(s, out, now)
+		x.mayHaveRun = true
 		return
 	case Answered:
 		if out.Response.Status >= minServerErrorStatus {
--- a/internal/request/dispatcher/alternative_test.go
+++ b/internal/request/dispatcher/alternative_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -348,7 +349,7 @@
 		scripts [][]part
 		burst   float64
 		calls   []string
-		crashes int
+		crashes int32
 		retries int32
 	}{
 		{"crash beside a response", [][]part{plainPart(3*second, answered(200, "a")), plainPart(0, broken)}, 10, []string{"respond"}, 1, 1},
@@ -366,12 +367,12 @@
 				d := newDispatcher(&silentSender{scripts: tc.scripts}, &budgeter.Budget{Burst: tc.burst}, start)
 				observer := &countingObserver{}
 				d.Observer = observer
-				crashes := 0
-				d.OnCrash = func(blocker.Crash, time.Time) { crashes++ }
+				var crashes atomic.Int32
+				d.OnCrash = func(blocker.Crash, time.Time) { crashes.Add(1) }
 				sink := &recordingSink{}
 				d.Dispatch(context.Background(), newRequest(matcher.Idempotent, true, 2, start), sink)
 				c.Check(sink.calls, qt.DeepEquals, tc.calls)
-				c.Check(crashes, qt.Equals, tc.crashes)
+				c.Check(crashes.Load(), qt.Equals, tc.crashes)
 				c.Check(observer.retried.Load(), qt.Equals, tc.retries)
 				c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{})
 			})
@@ -390,3 +391,37 @@
 		qt.Check(t, sender.sent[0].StallTimeout, qt.Equals, 2500*ms)
 	})
 }
+
+// TestCrashKnownLate guards against a crash that is counted, and a place at the crashed replica
+// that is free, only at the end of the attempt beside the one that crashed.
+func TestCrashKnownLate(t *testing.T) {
+	broken := Lost{Cause: errBroken, Broken: true}
+	tests := []struct {
+		name    string
+		kind    matcher.Kind
+		scripts [][]part
+		at      time.Duration
+	}{
+		{"plain", matcher.Idempotent, [][]part{plainPart(2*second, broken), plainPart(2*second, answered(200, "b"))}, 2 * second},
+		{"stream", matcher.Streaming, [][]part{
+			{{event: "1"}, {after: 1500 * ms, err: errBroken}}, {{after: 2 * second, event: "2"}, {err: io.EOF}},
+		}, 1500 * ms},
+		{"stream, breaks after an event", matcher.Streaming, [][]part{
+			{{event: "1"}, {after: 1500 * ms, event: "2", err: errBroken}}, {{after: 2 * second, event: "2"}, {err: io.EOF}},
+		}, 1500 * ms},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				d := newDispatcher(&silentSender{scripts: tc.scripts}, &budgeter.Budget{Burst: 10}, start)
+				var at []time.Duration
+				d.OnCrash = func(blocker.Crash, time.Time) { at = append(at, time.Since(start)) }
+				time.AfterFunc(tc.at+ms, func() { c.Check(d.Placer.Loads(), qt.HasLen, 1) })
+				d.Dispatch(context.Background(), newRequest(tc.kind, true, 2, start), &recordingSink{})
+				c.Check(at, qt.DeepEquals, []time.Duration{tc.at})
+			})
+		})
+	}
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -185,7 +184,7 @@
 	case Refused:
 		return x.handleRefused(ctx, s, out)
 	case Lost:
-		return x.handleLost(ctx, s, out)
+		return x.handleLost(ctx, out)
 	case Answered:
 		return x.handleAnswered(s, out)
 	case Streaming:
@@ -350,9 +349,9 @@
 
 // handleLost ends the request unless it can be repeated after an attempt that may
 // have run.
-func (x *execution) handleLost(ctx context.Context, s *send, out Lost) bool {
+func (x *execution) handleLost(ctx context.Context, out Lost) bool {
 	now := time.Now()
-	x.recordLost(s, out, now)
+	x.mayHaveRun = true
 	switch {
 	case ctx.Err() != nil:
 		return x.abandon(ctx)
@@ -364,23 +363,6 @@
 	return false
 }
 
-// recordLost records that the attempt may have run.
-func (x *execution) recordLost(s *send, out Lost, now time.Time) {
-	x.mayHaveRun = true
-	if err := s.parent.Err(); err != nil {
-		result := placer.Neutral
-		if errors.Is(err, context.DeadlineExceeded) {
-			result = placer.Failed
-		}
-		s.placed.Done(result, now)
-		return
-	}
-	s.placed.Done(placer.Failed, now)
-	if out.Broken {
-		x.recordCrash(s.placed.Replica, x.request.SharedParts, now)
-	}
-}
-
 // handleAnswered sends the response to the caller, or repeats the request after a
 // server error.
 func (x *execution) handleAnswered(s *send, out Answered) bool {
--- a/internal/request/dispatcher/interleaving_test.go
+++ b/internal/request/dispatcher/interleaving_test.go
@@ -16,7 +16,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
 	"github.com/lentilbridge/lentilbridge/internal/request/budgeter"
 	"github.com/lentilbridge/lentilbridge/internal/request/drainer"
 	"github.com/lentilbridge/lentilbridge/internal/request/matcher"
@@ -37,10 +36,9 @@
 	rand *rand.Rand
 	// sound makes the first attempt one that ends well, with pauses in which no caller leaves,
 	// and no other one fail after it has begun to respond.
-	sound   bool
-	sent    []Attempt
-	sentAt  []time.Time
-	crashes int
+	sound  bool
+	sent   []Attempt
+	sentAt []time.Time
 	// unrefused counts the attempts that were not refused.
 	unrefused int
 	// inProgress counts the attempts without an outcome and the streams that are not closed.
@@ -202,7 +200,6 @@
 	d := newDispatcher(sender, &budgeter.Budget{Burst: burst}, start)
 	observer := &countingObserver{}
 	d.Observer = observer
-	d.OnCrash = func(blocker.Crash, time.Time) { sender.crashes++ }
 	d.Placer.Random = rand.New(rand.NewPCG(r.Uint64(), 1)).Float64 //nolint:gosec // drawn test data
 	replicas := plainReplicas(1 + r.IntN(3))
 	d.Placer.Update(replicas, start)
@@ -285,4 +282,15 @@
 	}
 	time.Sleep(10 * time.Second)
 	c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{}, comment)
+	d.Placer.Update(plainReplicas(3), time.Now())
+	c.Check(countPlaces(d.Placer), qt.Equals, 6, comment)
+}
+
+// countPlaces takes all free places and returns their number.
+func countPlaces(p *placer.Placer) int {
+	for n := 0; ; n++ {
+		if _, err := p.Place(context.Background(), placer.Query{Service: "s"}, time.Now()); err != nil {
+			return n
+		}
+	}
 }
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -39,6 +39,10 @@
 		now := time.Now()
 		ended := errors.Is(err, io.EOF)
 		broken := err != nil && !ended && s.ctx.Err() == nil
+		var suspects []blocker.Fingerprint
+		if broken {
+			suspects = s.recordBreak(batch, err, batches, now)
+		}
 		if x.successor = s.settle(err == nil || ended); x.successor != nil {
 			if !broken {
 				s.placed.Done(placer.Failed, now)
@@ -57,7 +61,9 @@
 			x.Blocker.RecordPartSuccess(x.request.SharedParts, firstBatch, now)
 		}
 		if writeErr := x.forward(batch, now); writeErr != nil {
-			s.placed.Done(placer.Neutral, now)
+			if !broken {
+				s.placed.Done(placer.Neutral, now)
+			}
 			x.sink.Abort()
 			x.recordEnd("caller-left")
 			return true
@@ -69,8 +75,12 @@
 			x.recordEnd("streamed")
 			return true
 		}
+		if broken {
+			return x.handleBrokenStream(ctx, s, err, suspects, now)
+		}
 		if err != nil {
-			return x.handleBrokenStream(ctx, s, err, batches, now)
+			s.placed.Done(placer.Neutral, now)
+			return x.abandon(ctx)
 		}
 	}
 }
@@ -90,19 +100,27 @@
 	return x.sink.Write(batch.Data)
 }
 
-// handleBrokenStream handles a stream that the replica broke off after some batches of
-// events, and reports whether the request has ended.
-func (x *execution) handleBrokenStream(ctx context.Context, s *send, err error, batches int, now time.Time) bool {
-	if ctx.Err() != nil {
-		s.placed.Done(placer.Neutral, now)
-		return x.abandon(ctx)
-	}
+// recordBreak releases the place of a stream that the replica broke off after some batches of
+// events and a last one, and records the crash. It returns the parts of the prompt that may
+// have caused it. Nothing of that waits for an attempt beside this one.
+func (s *send) recordBreak(last Batch, err error, batches int, now time.Time) (suspects []blocker.Fingerprint) {
 	s.placed.Done(placer.Failed, now)
-	var suspects []blocker.Fingerprint
+	if len(last.Data) > 0 {
+		batches++
+	}
 	if batches < progressBatches && !isTimeout(err) {
-		suspects = x.request.SharedParts
+		suspects = s.request.SharedParts
+	}
+	s.recordCrash(s.placed.Replica, suspects, now)
+	return suspects
+}
+
+// handleBrokenStream goes on after a stream that the replica broke off, and reports whether
+// the request has ended.
+func (x *execution) handleBrokenStream(ctx context.Context, s *send, err error, suspects []blocker.Fingerprint, now time.Time) bool {
+	if ctx.Err() != nil {
+		return x.abandon(ctx)
 	}
-	x.recordCrash(s.placed.Replica, suspects, now)
 	x.Log.Info("decision", zap.String("kind", "stream-broken"), zap.String("subject", x.request.ID),
 		zap.String("chosen", s.placed.Replica.ID), zap.String("resume", x.lastEventID), zap.Bool("silent", isTimeout(err)),
 		zap.Int("runs", x.possibleRuns), zap.Int("max-attempts", x.request.Route.MaxAttempts), zap.Error(err))
