No retry is taken for an attempt that is not made

A request was refused, or its stream ended, although another replica had a place and the budget a last retry: the retry had been taken for the attempt beside a silent replica, and in that moment the silent one ended, so that the attempt was not made.

Cause: alternative.begin took the retry before it checked, under the lock, whether the request still waits.

Test, on the code before:

--- FAIL: TestRetryTakenInVain got: "refuse" want: "respond"

The retry is now the last condition, under the lock that the end of the wait needs. The window is the time between two statements; no run has shown it without the test's observer, which stretches it.

--- a/internal/request/dispatcher/alternative.go
+++ b/internal/request/dispatcher/alternative.go
@@ -208,12 +208,13 @@
 // takes a retry from the budget.
 func (a *alternative) begin(placed placer.Placement, now time.Time) bool {
 	s := a.silent
-	if !a.allowed(now) || !s.takeRetryBudget(now) {
+	if !a.allowed(now) {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.dropped || !s.waiting {
+	// The wait does not end while the retry is taken.
+	if a.dropped || !s.waiting || !s.takeRetryBudget(now) {
 		return false
 	}
 	a.sent = true
--- a/internal/request/dispatcher/alternative_test.go
+++ b/internal/request/dispatcher/alternative_test.go
@@ -47,6 +47,12 @@
 		{"both silent, a third responds later than the first", matcher.Idempotent, [][]part{
 			plainPart(4*second, answered(200, "a")), plainPart(time.Hour, lost), plainPart(second, answered(200, "c")),
 		}, "a", 4 * second},
+		{"both silent, the second refuses before a third responds", matcher.Idempotent, [][]part{
+			plainPart(time.Hour, lost), plainPart(2200*ms, refused), plainPart(second, answered(200, "c")),
+		}, "c", 4600 * ms},
+		{"both silent, the second fails before a third responds", matcher.Idempotent, [][]part{
+			plainPart(time.Hour, lost), plainPart(2200*ms, answered(500, "e")), plainPart(second, answered(200, "c")),
+		}, "c", 4600 * ms},
 		{"first lost, second silent", matcher.Idempotent, [][]part{
 			plainPart(2*second, lost), plainPart(time.Hour, lost), plainPart(100*ms, answered(200, "c")),
 		}, "c", 3700 * ms},
@@ -425,3 +431,36 @@
 		})
 	}
 }
+
+// slowObserver takes a moment to count a retry, in which the first attempt ends.
+type slowObserver struct {
+	noopObserver
+	counted chan struct{}
+}
+
+func (o *slowObserver) Retried(string) {
+	select {
+	case <-o.counted:
+	default:
+		close(o.counted)
+		time.Sleep(20 * ms)
+	}
+}
+
+// TestRetryTakenInVain guards against a request that is refused because a retry was taken for
+// an attempt beside a silent one that is not made, since the silent one has ended.
+func TestRetryTakenInVain(t *testing.T) {
+	c := qt.New(t)
+	counted := make(chan struct{})
+	sender := &stubbornSender{second: func(context.Context) Outcome { return answered(200, "b") }}
+	sender.first = func(_ context.Context, a Attempt) Outcome {
+		a.OnSilence()
+		<-counted
+		return Refused{Proof: prover.RefusedByReplica(503, true)}
+	}
+	d := newDispatcher(sender, &budgeter.Budget{Burst: 1}, time.Now())
+	d.Observer = &slowObserver{counted: counted}
+	sink := &recordingSink{}
+	d.Dispatch(context.Background(), newRequest(matcher.Idempotent, true, 2, time.Now()), sink)
+	c.Check(sink.calls, qt.DeepEquals, []string{"respond"})
+}
