--- a/internal/request/dispatcher/alternative_test.go
+++ b/internal/request/dispatcher/alternative_test.go
@@ -276,6 +276,7 @@
 					return tc.second(events)
 				}
 				d := newDispatcher(sender, &budgeter.Budget{Burst: 10}, time.Now())
+				d.OnCrash = func(blocker.Crash, time.Time) { t.Error("a canceled attempt counts as a crash") }
 				sink := &recordingSink{}
 				d.Dispatch(ctx, newRequest(matcher.Idempotent, true, 2, time.Now()), sink)
 				c.Check(sink.calls, qt.DeepEquals, tc.calls)
