A replica that takes no connection for a moment is tried again for a broken stream

A stream that its replica broke off ended, and a request that may have run failed, if the only other replica took no connection within 400 ms, although that replica goes on a moment later. Without a connection nothing of the request has been sent, so another try there costs no run.

A failed connection excluded the replica from all further attempts of the request, so that no place was left.

Test, on the code before:

--- FAIL: TestUnreachableReplicaEndsStream/stream got: begin, abort want: begin, end; data "1", want "12" --- FAIL: TestUnreachableReplicaEndsStream/stream,_unreachable_for_long: 2 sends, want 4 --- FAIL: TestUnreachableReplicaEndsStream/may_have_run

The replica stays eligible, after all others, within the four attempts of a request; three tries of 400 ms span a pause of about a second. Requests that have not run are still refused at once. In a search beside a silent replica it stays excluded: the request has a place, and tries that fail at once would use up its attempts.

By the dispatcher's tests only; a VM that is frozen as a whole was not played.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -324,8 +325,12 @@
 		return x.finish(out.Proof.Reason())
 	}
 	// A failed connection reached no replica and does not use the retry budget.
-	if !out.Proof.Unreachable() && !x.takeRetryBudget(now) {
-		return x.finish(out.Proof.Reason())
+	if !out.Proof.Unreachable() {
+		return !x.takeRetryBudget(now) && x.finish(out.Proof.Reason())
+	}
+	if x.streamBegun || x.mayHaveRun {
+		// The replica may be back before the request has to fail.
+		x.triedReplicas = slices.DeleteFunc(x.triedReplicas, func(id string) bool { return id == s.placed.Replica.ID })
 	}
 	return false
 }
--- a/internal/request/dispatcher/silence_test.go
+++ b/internal/request/dispatcher/silence_test.go
@@ -257,3 +257,42 @@
 		c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{})
 	})
 }
+
+// TestUnreachableReplicaEndsStream guards against a stream, or a request that may have run,
+// that ends because the only other replica takes no connection for a moment.
+func TestUnreachableReplicaEndsStream(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	unreachable := []part{{after: timeout, outcome: Refused{Proof: prover.NeverConnected(errBroken)}}}
+	broken := []part{{event: "1"}, {after: timeout, err: errBroken}}
+	rest := []part{{event: "2"}, {err: io.EOF}}
+	lost := []part{{outcome: Lost{Cause: errBroken}}}
+	tests := []struct {
+		name    string
+		kind    matcher.Kind
+		scripts [][]part
+		calls   []string
+		data    string
+	}{
+		{"stream", matcher.Streaming, [][]part{broken, unreachable, rest}, []string{"begin", "end"}, "12"},
+		{"stream, unreachable for long", matcher.Streaming, [][]part{broken, unreachable, unreachable, unreachable}, []string{"begin", "abort"}, "1"},
+		{"may have run", matcher.Idempotent, [][]part{lost, unreachable, {{outcome: answered(200, "a")}}}, []string{"respond"}, "a"},
+		{"has not run", matcher.Idempotent, [][]part{unreachable, unreachable}, []string{"refuse"}, ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				start := time.Now()
+				sender := &silentSender{scripts: tc.scripts}
+				d := newDispatcher(sender, &budgeter.Budget{Burst: 1}, start)
+				d.Placer.Update(plainReplicas(2), start)
+				sink := &recordingSink{}
+				d.Dispatch(context.Background(), newRequest(tc.kind, true, 2, start), sink)
+				c.Check(sink.calls, qt.DeepEquals, tc.calls)
+				c.Check(sink.data, qt.Equals, tc.data)
+				c.Check(sender.sent, qt.HasLen, len(tc.scripts))
+				c.Check(d.Placer.Loads(), qt.DeepEquals, map[string]placer.Load{})
+			})
+		})
+	}
+}
