Each crash of concurrent attempts is reported

If two backend servers crashed on a request while a third one was silent and then served it, only one of the crashes was reported, so that the request counted as one that had crashed one server and could reach two more.

Cause: the race kept only the last of these endings.

Test, on the code before:

--- FAIL: TestSilentAgentEndsRequest/two_others_crash reported crashes: got 1, want 2

All of them are kept now, and reported at the end of the race.

--- a/internal/request/forwarder/race.go
+++ b/internal/request/forwarder/race.go
@@ -22,9 +22,9 @@
 	running int
 	// again is when a server is looked for again, or nil.
 	again <-chan time.Time
-	// crash is the end of an attempt beside another one at which its backend server
-	// crashed. No further attempt is made then.
-	crash *attemptEnd
+	// crashes are the ends of attempts beside others at which their backend servers
+	// crashed. No further attempt is made after the first.
+	crashes []attemptEnd
 }
 
 // attemptEnd is the end of an attempt.
@@ -108,7 +108,7 @@
 func (c *race) addAttempt(ctx context.Context, now time.Time) {
 	c.again = nil
 	offset, version, wanted := c.lead.position()
-	if !wanted || c.crash != nil || c.trial != nil || c.result.Attempts >= maxAttempts || ctx.Err() != nil {
+	if !wanted || len(c.crashes) > 0 || c.trial != nil || c.result.Attempts >= maxAttempts || ctx.Err() != nil {
 		return
 	}
 	choice, ok := c.pick(version, now)
@@ -146,7 +146,7 @@
 	case broken:
 		c.started = true
 		if isCrash(e) {
-			c.crash = &end
+			c.crashes = append(c.crashes, end)
 		}
 	case refused:
 		if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_OVERLOADED {
@@ -164,14 +164,15 @@
 	for ; c.running > 0; c.running-- {
 		c.recordUnused(<-c.ends)
 	}
-	if c.crash != nil && !endsRequest(last.ending) {
+	if len(c.crashes) > 0 && !endsRequest(last.ending) {
 		c.recordUnused(last)
-		return c.crash.attempt, c.crash.ending
+		last, c.crashes = c.crashes[0], c.crashes[1:]
+	} else {
+		c.recordAttempt(last.attempt, last.ending)
 	}
-	c.recordAttempt(last.attempt, last.ending)
-	if c.crash != nil {
+	for _, crash := range c.crashes {
 		// reportCrash logs its error.
-		_, _ = c.reportCrash(ctx, c.crash.attempt, c.crash.ending.(broken), nil)
+		_, _ = c.reportCrash(ctx, crash.attempt, crash.ending.(broken), nil)
 	}
 	return last.attempt, last.ending
 }
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -81,6 +81,7 @@
 		{name: "1.9 s after the queue, another crashes", scripts: agents(queued(1900*ms), crashes), starts: []int{1, 1}, took: 2500 * ms, crashes: 1},
 		{name: "another crashes, then lost", scripts: agents(after(3*second, playEvents()), crashes, serveWords), starts: []int{1, 1, 1}, took: 3 * second, crashes: 1},
 		{name: "crashes while another is asked", scripts: agents(after(2500*ms, crashes), after(second, serveWords), serveWords), starts: []int{1, 1, 1}, took: 2500 * ms, crashes: 1},
+		{name: "two others crash", scripts: agents(after(5500*ms, serveWords), after(2500*ms, crashes), after(600*ms, crashes)), starts: []int{1, 1, 1}, took: 5500 * ms, crashes: 2},
 		{name: "lost while another is asked", scripts: agents(after(2500*ms, playEvents()), after(second, serveWords)), starts: []int{1, 1}, took: 3 * second},
 		{name: "refused while another is asked", scripts: agents(after(2500*ms, refuses), after(second, serveWords)), starts: []int{1, 1}, took: 3 * second},
 		{name: "two frozen, a third is asked", scripts: agents(blockUntilCanceled, blockUntilCanceled, serveWords), starts: []int{1, 1, 1}, took: 4 * second},
