A crash beside a silent attempt is reported at once

If a backend server crashed on a request while another attempt of it went on, the crash was reported to the isolation owner only when that attempt had ended, which for a long answer can be minutes later; until then the same request of others was not suspected.

Cause: the report was made at the end of the race.

Test, on the code before:

--- FAIL: TestCrashReportedLate reports 0.1 s after the crash: got 0, want 1

The report is now made beside the attempts that go on, and the end of the race waits for it, so that it still comes before the answer's end is known to the caller. The crash that decides how to go on is not reported twice: its reply is kept with the attempt.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -47,6 +47,9 @@
 	firstTokenAt time.Time
 	// sentAt is when the start frame was sent.
 	sentAt time.Time
+	// crash is the report of the crash at which the attempt ended, if it is reported while
+	// others go on.
+	crash *crashReport
 }
 
 // open prepares the context of the stream. Canceling it closes the stream; the agent then
--- a/internal/request/forwarder/fake_test.go
+++ b/internal/request/forwarder/fake_test.go
@@ -303,6 +303,7 @@
 
 // fakeIsolation blocks requests after the second crash.
 type fakeIsolation struct {
+	mu      sync.Mutex
 	down    bool
 	crashes int
 	trials  int
@@ -310,10 +311,14 @@
 }
 
 func (i *fakeIsolation) Blocked(_ string, now time.Time) (time.Time, bool, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	return now.Add(time.Minute), i.crashes >= 2, i.crashes == 1
 }
 
 func (i *fakeIsolation) Suspect(_ context.Context, req *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.down {
 		return nil, errConnectionLost
 	}
@@ -330,3 +335,10 @@
 	}
 	return reply, nil
 }
+
+// count returns the number of reported crashes.
+func (i *fakeIsolation) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.crashes
+}
--- a/internal/request/forwarder/isolation.go
+++ b/internal/request/forwarder/isolation.go
@@ -51,10 +51,33 @@
 	return len(e.GetInProgress()) == 0 || slices.Contains(e.GetInProgress(), req.Fingerprint)
 }
 
-// reportCrash reports the crash to the owner of the isolation shard. If the report
-// fails, the request must not be retried: it could crash more than two backend
-// servers.
+// crashReport is the report of a crash beside other attempts of the request.
+type crashReport struct {
+	attempt *attempt
+	ending  broken
+	// done is closed once reply and err are set.
+	done  chan struct{}
+	reply *messenger.SuspectReply
+	err   *identifier.RequestError
+}
+
+func (r *crashReport) run(ctx context.Context) {
+	defer close(r.done)
+	r.reply, r.err = r.attempt.sendCrash(ctx, r.attempt, r.ending, nil)
+}
+
+// reportCrash reports the crash to the owner of the isolation shard, or waits for the report
+// if that is being made. If it fails, the request must not be retried: it could crash more
+// than two backend servers.
 func (f *Forwarder) reportCrash(ctx context.Context, a *attempt, e broken, t *trial) (*messenger.SuspectReply, *identifier.RequestError) {
+	if a.crash == nil {
+		return f.sendCrash(ctx, a, e, t)
+	}
+	<-a.crash.done
+	return a.crash.reply, a.crash.err
+}
+
+func (f *Forwarder) sendCrash(ctx context.Context, a *attempt, e broken, t *trial) (*messenger.SuspectReply, *identifier.RequestError) {
 	if f.Isolation == nil {
 		return &messenger.SuspectReply{}, nil
 	}
--- a/internal/request/forwarder/race.go
+++ b/internal/request/forwarder/race.go
@@ -64,7 +64,7 @@
 			if c.lead.remove(end.attempt) && (c.running == 0 || endsRequest(end.ending)) {
 				return c.finish(ctx, end)
 			}
-			c.recordUnused(end)
+			c.recordUnused(ctx, end)
 			c.addAttempt(ctx, time.Now())
 		}
 	}
@@ -139,14 +139,17 @@
 	c.start(ctx, a)
 }
 
-// recordUnused records the end of an attempt that does not serve the caller.
-func (c *race) recordUnused(end attemptEnd) {
+// recordUnused records the end of an attempt that does not serve the caller. A crash is
+// reported while the others go on.
+func (c *race) recordUnused(ctx context.Context, end attemptEnd) {
 	c.recordAttempt(end.attempt, end.ending)
 	switch e := end.ending.(type) {
 	case broken:
 		c.started = true
 		if isCrash(e) {
 			c.crashes = append(c.crashes, end)
+			end.attempt.crash = &crashReport{attempt: end.attempt, ending: e, done: make(chan struct{})}
+			go end.attempt.crash.run(ctx)
 		}
 	case refused:
 		if e.GetReason() == messenger.RefuseReason_REFUSE_REASON_OVERLOADED {
@@ -162,10 +165,10 @@
 func (c *race) finish(ctx context.Context, last attemptEnd) (*attempt, ending) {
 	c.lead.close()
 	for ; c.running > 0; c.running-- {
-		c.recordUnused(<-c.ends)
+		c.recordUnused(ctx, <-c.ends)
 	}
 	if len(c.crashes) > 0 && !endsRequest(last.ending) {
-		c.recordUnused(last)
+		c.recordUnused(ctx, last)
 		last, c.crashes = c.crashes[0], c.crashes[1:]
 	} else {
 		c.recordAttempt(last.attempt, last.ending)
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -131,6 +131,21 @@
 	})
 }
 
+// TestCrashReportedLate guards against a crash beside a silent attempt that is reported only at
+// the end of an answer that goes on for long.
+func TestCrashReportedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		// The first agent responds after 2.5 s and goes on for 4 s; the other one crashes at 2 s.
+		first := after(2500*time.Millisecond, pausesWithin(4*time.Second))
+		r := newFixture(t, "", &fakeAgent{script: first, cancelState: running}, &fakeAgent{script: crashes})
+		time.AfterFunc(2100*time.Millisecond, func() { c.Check(r.isolation.count(), qt.Equals, 1) })
+		res := r.Run(t.Context(), modelRequest(), &sink{})
+		c.Check(res.Outcome, qt.Equals, identifier.OutcomeServed)
+		c.Check(r.isolation.count(), qt.Equals, 1)
+	})
+}
+
 // TestSilenceHidesStartedRequest guards against not-run for a request that an agent started
 // although another one, asked beside it, refused.
 func TestSilenceHidesStartedRequest(t *testing.T) {
