Test of pauses: a pause longer than the timeout is not as long as it

The row has a pause of the start timeout, 2 s, plus the pause of its group, which is 0 in one of them: the answer and the timeout come at the same moment, and either is right. Ruled out: the code, which serves the call once in both orders.

The pause is now 2.1 s plus that of the group, longer than the timeout in all groups, as the name of the row says.

--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -204,7 +204,7 @@
 			},
 			{
 				name: "pause longer than the start timeout", outcome: "served", body: "late", starts: 1,
-				first: &fakeAgent{script: after(2*time.Second+pause, serveStored), state: statusAfter(pause, finished)}, second: &fakeAgent{script: serveStored},
+				first: &fakeAgent{script: after(2100*ms+pause, serveStored), state: statusAfter(pause, finished)}, second: &fakeAgent{script: serveStored},
 			},
 			{
 				name: "stream lost, call finished", outcome: "served", body: "late", starts: 1,
