--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -81,6 +81,7 @@
 		{name: "1.9 s after the queue, another crashes", scripts: agents(queued(1900*ms), crashes), starts: []int{1, 1}, took: 2500 * ms, crashes: 1},
 		{name: "another crashes, then lost", scripts: agents(after(3*second, playEvents()), crashes, serveWords), starts: []int{1, 1, 1}, took: 3 * second, crashes: 1},
 		{name: "crashes while another is asked", scripts: agents(after(2500*ms, crashes), after(second, serveWords), serveWords), starts: []int{1, 1, 1}, took: 2500 * ms, crashes: 1},
+		{name: "two others crash", scripts: agents(after(5500*ms, serveWords), after(2500*ms, crashes), after(600*ms, crashes)), starts: []int{1, 1, 1}, took: 5500 * ms, crashes: 2},
 		{name: "lost while another is asked", scripts: agents(after(2500*ms, playEvents()), after(second, serveWords)), starts: []int{1, 1}, took: 3 * second},
 		{name: "refused while another is asked", scripts: agents(after(2500*ms, refuses), after(second, serveWords)), starts: []int{1, 1}, took: 3 * second},
 		{name: "two frozen, a third is asked", scripts: agents(blockUntilCanceled, blockUntilCanceled, serveWords), starts: []int{1, 1, 1}, took: 4 * second},
@@ -130,6 +131,21 @@
 	})
 }
 
+// TestCrashReportedLate guards against a crash beside a silent attempt that is reported only at
+// the end of an answer that goes on for long.
+func TestCrashReportedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		// The first agent responds after 2.5 s and goes on for 4 s; the other one crashes at 2 s.
+		first := after(2500*time.Millisecond, pausesWithin(4*time.Second))
+		r := newFixture(t, "", &fakeAgent{script: first, cancelState: running}, &fakeAgent{script: crashes})
+		time.AfterFunc(2100*time.Millisecond, func() { c.Check(r.isolation.count(), qt.Equals, 1) })
+		res := r.Run(t.Context(), modelRequest(), &sink{})
+		c.Check(res.Outcome, qt.Equals, identifier.OutcomeServed)
+		c.Check(r.isolation.count(), qt.Equals, 1)
+	})
+}
+
 // TestSilenceHidesStartedRequest guards against not-run for a request that an agent started
 // although another one, asked beside it, refused.
 func TestSilenceHidesStartedRequest(t *testing.T) {
@@ -188,7 +204,7 @@
 			},
 			{
 				name: "pause longer than the start timeout", outcome: "served", body: "late", starts: 1,
-				first: &fakeAgent{script: after(2*time.Second+pause, serveStored), state: statusAfter(pause, finished)}, second: &fakeAgent{script: serveStored},
+				first: &fakeAgent{script: after(2100*ms+pause, serveStored), state: statusAfter(pause, finished)}, second: &fakeAgent{script: serveStored},
 			},
 			{
 				name: "stream lost, call finished", outcome: "served", body: "late", starts: 1,
