Requests that have ended do not count as placed by idle peers

Cause: a peer is assumed to have placed a share of what this daemon has placed since the peer's last report. Requests that have ended were counted too, so that with reports of 1 to 2 s of age short requests filled a replica that had nothing to do.

--- a/internal/request/placer/choose.go
+++ b/internal/request/placer/choose.go
@@ -101,7 +101,7 @@
 	placed.prefill = &prefill
 	best.inFlight++
 	best.prefill += prefill
-	best.recordPlacement(prefill, now)
+	placed.record = best.recordPlacement(prefill, now)
 	p.recordRate(q, now)
 	if best.onTrial {
 		p.beginTrial(best, now)
@@ -170,20 +170,24 @@
 // the first replica that had loaded new weights.
 func (s *replicaState) placedSince(at time.Time) (requests int, prefill time.Duration) {
 	for i := len(s.recent) - 1; i >= 0 && s.recent[i].at.After(at); i-- {
-		requests++
-		prefill += s.recent[i].prefill
+		if r := s.recent[i]; !r.ended {
+			requests++
+			prefill += r.prefill
+		}
 	}
 	return requests, prefill
 }
 
 // recordPlacement adds a placement and drops those older than any peer report that
 // still counts.
-func (s *replicaState) recordPlacement(prefill time.Duration, now time.Time) {
+func (s *replicaState) recordPlacement(prefill time.Duration, now time.Time) *placementRecord {
 	keep := 0
 	for keep < len(s.recent) && now.Sub(s.recent[keep].at) > maxPeerLoadAge {
 		keep++
 	}
-	s.recent = append(s.recent[keep:], placementRecord{at: now, prefill: prefill})
+	r := &placementRecord{at: now, prefill: prefill}
+	s.recent = append(s.recent[keep:], r)
+	return r
 }
 
 // score returns the score of a replica, which is measured in requests in progress.
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -194,6 +194,7 @@
 	// and Done.
 	prefill *time.Duration
 	placed  time.Time
+	record  *placementRecord
 }
 
 // replicaState is a replica with the load and results that this daemon has recorded.
@@ -203,7 +204,7 @@
 	// prefill is the prefill time of the requests without a first token.
 	prefill time.Duration
 	// recent are the latest placements, oldest first.
-	recent []placementRecord
+	recent []*placementRecord
 	// failureAverage is the moving average of the failure rate at failureAverageAt.
 	failureAverage   float64
 	failureAverageAt time.Time
@@ -229,6 +230,7 @@
 type placementRecord struct {
 	at      time.Time
 	prefill time.Duration
+	ended   bool
 }
 
 // peerLoad is the last load report of a peer.
@@ -473,6 +475,7 @@
 	defer p.mu.Unlock()
 	s.inFlight--
 	pl.endPrefill()
+	pl.record.ended = true
 	switch result {
 	case Succeeded:
 		s.failureAverage = s.failureRate(now) * (1 - failureGain)
