--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -100,8 +100,8 @@
 // supersedes reports whether the record is of a later incarnation than a message. That of a
 // member that is known only from the object store or from lists shows nothing, as it may be wrong.
 func (s *memberState) supersedes(member Member) bool {
-	heard := !s.lastMessageAt.IsZero() || !s.listedAt.IsZero()
-	return heard && s.VM == member.VM && s.Incarnation > member.Incarnation
+	confirmed := !s.lastMessageAt.IsZero() || !s.listedAt.IsZero()
+	return confirmed && s.VM == member.VM && s.Incarnation > member.Incarnation
 }
 
 // isLive reports whether the member sent a message recently or was listed by a recent
--- a/tools/soak/pause_test.go
+++ b/tools/soak/pause_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -17,16 +16,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	dir := t.TempDir()
-	binary, err := build(dir, "")
-	qt.Assert(t, err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 2, Engines: 4, Callers: 12, Checker: newChecker(time.Now())}
-	defer c.stop()
-	defer cancel()
-	qt.Assert(t, c.start(ctx), qt.IsNil)
-	waiter.Wait(ctx, startupWait)
-	c.startCallers(ctx)
+	ctx, c := t.Context(), startTestCluster(t, 2, 4)
 	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
 	for i := range 4 {
 		waiter.Wait(ctx, 2*time.Second)
@@ -48,16 +38,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	dir := t.TempDir()
-	binary, err := build(dir, "")
-	qt.Assert(t, err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 2, Engines: 4, Callers: 12, Checker: newChecker(time.Now())}
-	defer c.stop()
-	defer cancel()
-	qt.Assert(t, c.start(ctx), qt.IsNil)
-	waiter.Wait(ctx, startupWait)
-	c.startCallers(ctx)
+	ctx, c := t.Context(), startTestCluster(t, 2, 4)
 	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
 	for i := range 4 {
 		waiter.Wait(ctx, time.Second)
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// startTestCluster starts a cluster of the daemons as they are, with callers, for the time of a
+// test.
+func startTestCluster(t *testing.T, entries, engines int) *cluster {
+	dir := t.TempDir()
+	binary, err := build(dir, "")
+	qt.Assert(t, err, qt.IsNil)
+	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: entries, Engines: engines, Callers: 12, Checker: newChecker(time.Now())}
+	t.Cleanup(c.stop)
+	qt.Assert(t, c.start(t.Context()), qt.IsNil)
+	waiter.Wait(t.Context(), startupWait)
+	c.startCallers(t.Context())
+	return c
+}
+
 // TestNamingInPauseExtendsWindow guards against entry daemons that go on using an old version
 // because they were paused when the next one was named. The engine of a paused agent keeps
 // the old version.
@@ -89,16 +103,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	dir := t.TempDir()
-	binary, err := build(dir, "")
-	qt.Assert(t, err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &cluster{Binary: binary, Dir: dir, Seed: 1, Entries: 3, Engines: 2, Callers: 12, Checker: newChecker(time.Now())}
-	defer c.stop()
-	defer cancel()
-	qt.Assert(t, c.start(ctx), qt.IsNil)
-	waiter.Wait(ctx, startupWait)
-	c.startCallers(ctx)
+	c := startTestCluster(t, 3, 2)
 	s := &schedule{Cluster: c, Rand: rand.New(rand.NewPCG(1, 0))}
 	s.nameVersionInPause(maxFaultDuration)()
 	s.running.Wait()
