--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -19,15 +19,19 @@
 
 // startClaimer runs a claimer with the object API until ctx ends.
 func startClaimer(ctx context.Context, api adapter.ObjectAPI, vm string, held bool) *claimer.Claimer {
-	c := &claimer.Claimer{
+	c := newClaimer(api, vm, held)
+	go c.Run(ctx)
+	return c
+}
+
+func newClaimer(api adapter.ObjectAPI, vm string, held bool) *claimer.Claimer {
+	return &claimer.Claimer{
 		API:                 api,
 		VM:                  vm,
 		Log:                 zap.NewNop(),
 		CompactionThreshold: 8,
 		Held:                func(string, time.Time) bool { return held },
 	}
-	go c.Run(ctx)
-	return c
 }
 
 func claimRequest(key, body, request string) *messenger.ClaimRequest {
--- a/pkg/claimer/silence_test.go
+++ b/pkg/claimer/silence_test.go
@@ -95,10 +95,11 @@
 						silences := map[string]*silence{"object API": {}, "owner": {}}
 						api := &silentObjects{MemoryObjects: &emulator.MemoryObjects{}, silence: silences["object API"]}
 						owner := startClaimer(ctx, api, "entry-1", true)
-						other := startClaimer(ctx, api, "entry-2", false)
+						other := newClaimer(api, "entry-2", false)
 						other.Owner = func(string) messenger.EntryClient {
 							return &silentOwner{claimer: owner, silence: silences["owner"]}
 						}
+						go other.Run(ctx)
 						if known {
 							c.Assert(claimState(c, other, claimRequest("before", "b", "r0")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
 						}
