Weights are not loaded on an old verification of the staged chunks

Cause: the loader verified the staged chunks, told entry daemons, waited 0.1 s and sent the order. The result of the verification had no age, so a stop of the process or a slow reading back made it old.

Ruled out: a verification that passes corrupt chunks (TestStaged), an order sent before the freeze (the record has it after).

Why it works: the verification is as old as the start of its reads, on the monotonic clock plus suspensions. It is checked after the notice and again once the connection exists, right before the body of the order is written; an order without its body can't be executed. A load on an old verification is given up and planned again from the present state, with a pause that doubles to 8 s, so that a slow VM does not read without end.

--- a/internal/shared/timekeeper/timekeeper.go
+++ b/internal/shared/timekeeper/timekeeper.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// Moment is a point in time on two clocks: one that stands still while the VM is suspended,
+// and one that counts the suspensions.
+type Moment struct {
+	Time      time.Time
+	Suspended time.Duration
+}
+
+// Now returns the present moment. The time is read last, so that a pause of the process in
+// between makes nothing look younger than it is.
+func Now() Moment {
+	suspended := Suspended()
+	return Moment{Time: time.Now(), Suspended: suspended}
+}
+
+// Since returns the time from an earlier moment to m, including suspensions of the VM.
+func (m Moment) Since(earlier Moment) time.Duration {
+	return m.Time.Sub(earlier.Time) + max(m.Suspended-earlier.Suspended, 0)
+}
+
 // check compares the present times with those of the last check. boot is the time since
 // the start of the VM.
 func (k *Timekeeper) check(now time.Time, boot time.Duration) {
--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilbridge/lentilbridge/internal/shared/recoverer"
+	"github.com/lentilbridge/lentilbridge/internal/shared/timekeeper"
 	"github.com/lentilbridge/lentilbridge/internal/shared/waiter"
 	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
@@ -50,9 +51,10 @@
 	maxHeldVersions = 2
 	// retryDelay is the pause after a failed step or transfer.
 	retryDelay = 250 * time.Millisecond
-	// maxStageRounds limits how often staged chunks are read back and invalid ones
-	// are replaced.
-	maxStageRounds = 4
+	// maxLoadDelay limits the pause after loads that were given up one after the other.
+	maxLoadDelay = 8 * time.Second
+	// maxDelayDoublings limits how often that pause is doubled.
+	maxDelayDoublings = 5
 )
 
 // State is the state that the engine reports.
@@ -82,8 +84,9 @@
 	Stage(ctx context.Context, model string, chunk int, data []byte) error
 	// Load orders the engine to load the staged chunks as a version. orders is
 	// State.Orders as last read; it prevents the same order from being executed
-	// twice.
-	Load(ctx context.Context, model string, version int, orders uint64) error
+	// twice. check is called as the last step before the order is sent; if it returns
+	// an error, the order is not sent and Load returns that error.
+	Load(ctx context.Context, model string, version int, orders uint64, check func() error) error
 }
 
 // Origin is the source that weights are first read from.
@@ -126,7 +129,9 @@
 	// OnChange is called when the state has changed and entry daemons should be
 	// notified.
 	OnChange func()
-	Log      *logger.Logger
+	// Now returns the present moment; nil means the clocks of the VM.
+	Now func() timekeeper.Moment
+	Log *logger.Logger
 
 	mu    sync.Mutex
 	state State
@@ -148,6 +153,10 @@
 	rateLimited bool
 	// current is the latest transfer. Only Run uses it.
 	current *transferRun
+	// givenUp is the number of loads that were given up since the last order, and
+	// loadAfter is when the next one may begin. Only Run uses them.
+	givenUp   int
+	loadAfter time.Time
 	// addingServed is set while the served version is added to the store.
 	addingServed atomic.Bool
 }
@@ -251,6 +260,9 @@
 		l.startTransfer(ctx, s.Model, plan.Fetch)
 	}
 	if plan.Load > 0 {
+		if now.Before(l.loadAfter) {
+			return nil
+		}
 		return l.load(ctx, s, plan.Load)
 	}
 	if plan.Fetch == 0 {
@@ -395,10 +407,12 @@
 func SourcePath(model string, version int) string { return fmt.Sprintf("%s@%d", model, version) }
 
 // load stages a version, verifies the staged chunks and orders the engine to load
-// them.
+// them. The order is given up if the verification is too old by then, for example because
+// the process was stopped; the next step plans again from the present state.
 func (l *Loader) load(ctx context.Context, s State, version int) error {
 	m := l.manifest(version)
-	if err := l.stage(ctx, s.Model, m); err != nil {
+	verified, err := l.stage(ctx, s.Model, m)
+	if err != nil {
 		return err
 	}
 	l.announceLoad(drainNotice + orderGracePeriod)
@@ -406,16 +420,45 @@
 	if s.Version > 0 {
 		waiter.Wait(ctx, drainNotice)
 	}
-	err := l.Engine.Load(ctx, s.Model, version, s.Orders)
-	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+	check := func() error { return checkVerification(l.present().Since(verified)) }
+	if err = check(); err == nil {
+		orderCtx, cancel := context.WithTimeout(ctx, verifiedFor-l.present().Since(verified))
+		err = l.Engine.Load(orderCtx, s.Model, version, s.Orders, check)
+		cancel()
+	}
+	var stale *staleVerificationError
+	switch {
+	case errors.As(err, &stale):
+		err = l.giveUpLoad(stale.Age, time.Now())
+	case err == nil || errors.Is(err, context.DeadlineExceeded):
 		// The engine may have paused before it took the order.
 		l.announceLoad(orderGracePeriod)
+		l.givenUp = 0
 	}
 	l.Log.Info("decision", zap.String("kind", "load"), zap.String("subject", SourcePath(s.Model, version)),
-		zap.Int("from", s.Version), zap.Uint64("orders", s.Orders), zap.Int("running", s.Running), zap.Error(err))
+		zap.Int("from", s.Version), zap.Uint64("orders", s.Orders), zap.Int("running", s.Running), zap.Duration("verified-ago", l.present().Since(verified)), zap.Error(err))
 	return err
 }
 
+func (l *Loader) present() timekeeper.Moment {
+	if l.Now == nil {
+		return timekeeper.Now()
+	}
+	return l.Now()
+}
+
+// giveUpLoad returns the engine to service and delays the next load, more so the more loads
+// were given up: on a VM that is too slow, verifying chunks again at once would not end.
+func (l *Loader) giveUpLoad(age time.Duration, now time.Time) error {
+	l.mu.Lock()
+	l.drainAnnounced, l.loadingUntil = false, time.Time{}
+	l.mu.Unlock()
+	l.givenUp++
+	delay := min(retryDelay<<min(l.givenUp, maxDelayDoublings), maxLoadDelay)
+	l.loadAfter = now.Add(delay)
+	return &staleVerificationError{Age: age, GivenUp: l.givenUp, Delay: delay}
+}
+
 // announceLoad keeps requests and further orders from the engine for the given time.
 func (l *Loader) announceLoad(d time.Duration) {
 	l.mu.Lock()
@@ -424,49 +467,6 @@
 	l.loadingUntil = time.Now().Add(d)
 }
 
-// stage stores the chunks of a version at the engine and reads them back until
-// every chunk matches its digest. The engine itself does not verify staged chunks.
-func (l *Loader) stage(ctx context.Context, model string, m *verifier.Manifest) error {
-	digest := m.Digest()
-	for round := range maxStageRounds {
-		invalid := 0
-		for i := range m.Chunks {
-			data, ok, err := l.Engine.Staged(ctx, model, i)
-			if err != nil {
-				return err
-			}
-			if ok {
-				if _, err := verifier.VerifyChunk(m, i, data); err == nil {
-					continue
-				}
-			}
-			invalid++
-			held, ok := l.Store.Chunk(digest, i)
-			if !ok {
-				return &transferError{Model: model, Cause: &storer.IncompleteError{Digest: digest, Total: len(m.Chunks)}}
-			}
-			if err := l.Engine.Stage(ctx, model, i, held); err != nil {
-				return err
-			}
-		}
-		if invalid == 0 {
-			return nil
-		}
-		l.Log.Info("chunks staged", zap.String("digest", digest), zap.Int("round", round), zap.Int("chunks", invalid))
-	}
-	return &transferError{Model: model, Cause: &stagingError{Rounds: maxStageRounds}}
-}
-
-// stagingError reports staged chunks that were invalid each time they were read
-// back.
-type stagingError struct {
-	Rounds int
-}
-
-func (e *stagingError) Error() string {
-	return fmt.Sprintf("staged chunks failed verification in each of %d rounds", e.Rounds)
-}
-
 // transferError reports a version whose transfer or staging failed.
 type transferError struct {
 	Model   string
--- a/internal/weights/loader/loader_test.go
+++ b/internal/weights/loader/loader_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"errors"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,7 @@
 // fakeEngine holds staged chunks and corrupts some of them. It implements Engine.
 type fakeEngine struct {
 	state  State
+	mu     sync.Mutex
 	staged map[int][]byte
 	// corruptions is how many times each chunk is corrupted when it is staged.
 	corruptions map[int]int
@@ -40,11 +42,15 @@
 func (e *fakeEngine) State(context.Context) (State, error) { return e.state, nil }
 
 func (e *fakeEngine) Staged(_ context.Context, _ string, chunk int) ([]byte, bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	data, ok := e.staged[chunk]
 	return data, ok, nil
 }
 
 func (e *fakeEngine) Stage(_ context.Context, _ string, chunk int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	data = bytes.Clone(data)
 	if e.corruptions[chunk] > 0 {
 		e.corruptions[chunk]--
@@ -54,7 +60,12 @@
 	return nil
 }
 
-func (e *fakeEngine) Load(_ context.Context, _ string, _ int, orders uint64) error {
+func (e *fakeEngine) Load(_ context.Context, _ string, _ int, orders uint64, check func() error) error {
+	if err := check(); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	staged := map[int][]byte{}
 	for i, data := range e.staged {
 		staged[i] = data
--- a/internal/weights/loader/silence_test.go
+++ b/internal/weights/loader/silence_test.go
@@ -108,11 +108,14 @@
 	return s, nil
 }
 
-func (e *slowOrders) Load(ctx context.Context, model string, version int, orders uint64) error {
+func (e *slowOrders) Load(ctx context.Context, model string, version int, orders uint64, check func() error) error {
+	if err := check(); err != nil {
+		return err
+	}
 	time.Sleep(min(e.answersAfter, orderTimeout))
 	e.busyFrom.CompareAndSwap(0, time.Now().Add(e.busyAfter).UnixNano())
 	e.state.Orders++
-	err := e.fakeEngine.Load(ctx, model, version, orders)
+	err := e.fakeEngine.Load(ctx, model, version, orders, func() error { return nil })
 	if e.answersAfter > orderTimeout {
 		err = context.DeadlineExceeded
 	}
