All parts of a prompt count when replicas crash

Cause: sharedParts bounded the work for one request by ignoring all parts beyond the 16th, so that no report of a crash had the part.

TestPartMemory stepped 1 ms for each of 3 x maxSuccesses parts, which would pass the end of the block with the larger limit; it now steps through half of that time.

Why it works: the header limit bounds the parts; notices are split at 512 parts and messages at 1,024; 16,384 suspects are kept, those of one crash make room first; suspects that can't be told apart are compared once; a repeated notice decides nothing again.

--- a/internal/coordination/gossiper/fleet_test.go
+++ b/internal/coordination/gossiper/fleet_test.go
@@ -28,6 +28,8 @@
 	// between failure domains.
 	messages map[Role]int
 	bytes    int
+	// largest is the size of the largest message in bytes.
+	largest  int
 	farBytes int
 	// lastSent and lastMessage are the last datagram and its contents. One datagram
 	// goes to many daemons.
@@ -126,6 +128,7 @@
 	target := f.byAddress[to.String()]
 	f.messages[c.from.self.Role]++
 	f.bytes += len(b)
+	f.largest = max(f.largest, len(b))
 	c.from.sentBytes += len(b)
 	if target != nil && target.self.FailureDomain != c.from.self.FailureDomain {
 		f.farBytes += len(b)
--- a/internal/coordination/gossiper/leaving.go
+++ b/internal/coordination/gossiper/leaving.go
@@ -125,7 +125,7 @@
 		n = 1
 	}
 	var taken []leavingNotice
-	taken, o.notices = takeNotices(o.notices, n, now)
+	taken, o.notices = takeNotices(o.notices, atMost[leavingNotice](n), now)
 	o.notices = slices.DeleteFunc(o.notices, isDone)
 	for i := range taken {
 		taken[i].delegated = false
--- a/internal/coordination/gossiper/notices.go
+++ b/internal/coordination/gossiper/notices.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -12,6 +13,11 @@
 	// in one digest, which carries those of a whole failure domain.
 	maxCrashes       = 8
 	maxDigestCrashes = 2 * maxCrashes
+	// maxCrashParts is the maximum number of parts in one notice of a crash; a crash with
+	// more is announced by several. maxMessageParts is the maximum of all notices in one
+	// message, so that it fits into a datagram.
+	maxCrashParts   = 512
+	maxMessageParts = 2 * maxCrashParts
 	// maxPendingCrashes and maxPendingDigestCrashes are the maximum numbers of crashes
 	// that wait to be sent.
 	maxPendingCrashes       = 8 * maxCrashes
@@ -41,16 +47,19 @@
 	sentAt    time.Time
 }
 
-// takeNotices returns the values for the next message, at most limit and those sent least
-// often first, and the notices that later messages have to repeat. It reuses the list.
-func takeNotices[T any](list []notice[T], limit int, now time.Time) (values []T, keep []notice[T]) {
+// takeNotices returns the values for the next message, those sent least often first and as
+// long as they fit, and the notices that later messages have to repeat. It reuses the list.
+func takeNotices[T any](list []notice[T], fits func(T) bool, now time.Time) (values []T, keep []notice[T]) {
 	slices.SortStableFunc(list, func(a, b notice[T]) int { return b.remaining - a.remaining })
 	keep = list[:0]
+	full := false
 	for _, n := range list {
-		if len(values) < limit && now.Sub(n.sentAt) >= minRepeatInterval {
-			values = append(values, n.value)
-			n.remaining--
-			n.sentAt = now
+		if !full && now.Sub(n.sentAt) >= minRepeatInterval {
+			if full = !fits(n.value); !full {
+				values = append(values, n.value)
+				n.remaining--
+				n.sentAt = now
+			}
 		}
 		if n.remaining > 0 {
 			keep = append(keep, n)
@@ -59,6 +68,25 @@
 	return values, keep
 }
 
+// atMost returns a function for takeNotices that accepts n values.
+func atMost[T any](n int) func(T) bool {
+	return func(T) bool {
+		n--
+		return n >= 0
+	}
+}
+
+// crashesThatFit returns a function for takeNotices that accepts n crashes, and no more than
+// maxMessageParts parts.
+func crashesThatFit(n int) func(crash) bool {
+	parts := 0
+	return func(c crash) bool {
+		n--
+		parts += len(c.Parts)
+		return n >= 0 && parts <= maxMessageParts
+	}
+}
+
 // crash is a crash with its time.
 type crash struct {
 	blocker.Crash
@@ -67,8 +95,56 @@
 
 // reportedCrash is a crash on the wire. An age needs no synchronized clocks.
 type reportedCrash struct {
-	blocker.Crash
-	AgeMs int64 `json:"age-ms,omitempty"`
+	Request blocker.Fingerprint `json:"fingerprint"`
+	Replica string              `json:"replica"`
+	Parts   packedParts         `json:"parts,omitempty"`
+	AgeMs   int64               `json:"age-ms,omitempty"`
+}
+
+// packedParts are fingerprints of fingerprintBytes each. In JSON they take half the space of
+// a list of numbers.
+type packedParts []byte
+
+const fingerprintBytes = 8
+
+func packParts(parts []blocker.Fingerprint) packedParts {
+	var out packedParts
+	for _, part := range parts {
+		out = binary.BigEndian.AppendUint64(out, uint64(part))
+	}
+	return out
+}
+
+func (p packedParts) unpack() []blocker.Fingerprint {
+	var out []blocker.Fingerprint
+	for packed := range slices.Chunk(p, fingerprintBytes) {
+		if len(packed) == fingerprintBytes {
+			out = append(out, blocker.Fingerprint(binary.BigEndian.Uint64(packed)))
+		}
+	}
+	return out
+}
+
+func reportCrash(c crash, now time.Time) reportedCrash {
+	return reportedCrash{Request: c.Fingerprint, Replica: c.Replica, Parts: packParts(c.Parts), AgeMs: ageMs(c.at, now)}
+}
+
+func (r *reportedCrash) crash() blocker.Crash {
+	return blocker.Crash{Fingerprint: r.Request, Replica: r.Replica, Parts: r.Parts.unpack()}
+}
+
+// split returns the notices that announce a crash.
+func (c crash) split() []crash {
+	if len(c.Parts) <= maxCrashParts {
+		return []crash{c}
+	}
+	var out []crash
+	for parts := range slices.Chunk(c.Parts, maxCrashParts) {
+		piece := c
+		piece.Parts = parts
+		out = append(out, piece)
+	}
+	return out
 }
 
 // reportedPart is a part on the wire with the age of its last success or crash.
@@ -160,9 +236,9 @@
 func (o *outbox) take(maxCrashes int, now time.Time) reports {
 	var out reports
 	var crashes []crash
-	crashes, o.crashes = takeNotices(o.crashes, maxCrashes, now)
+	crashes, o.crashes = takeNotices(o.crashes, crashesThatFit(maxCrashes), now)
 	for _, c := range crashes {
-		out.Crashes = append(out.Crashes, reportedCrash{Crash: c.Crash, AgeMs: ageMs(c.at, now)})
+		out.Crashes = append(out.Crashes, reportCrash(c, now))
 	}
 	out.Successes, o.successes = takeParts(o.successes, now)
 	out.Blocks, o.blocks = takeParts(o.blocks, now)
@@ -170,7 +246,7 @@
 }
 
 func takeParts(list []notice[blocker.PartTime], now time.Time) (out []reportedPart, keep []notice[blocker.PartTime]) {
-	parts, keep := takeNotices(list, maxParts, now)
+	parts, keep := takeNotices(list, atMost[blocker.PartTime](maxParts), now)
 	for _, p := range parts {
 		out = append(out, reportedPart{Part: p.Part, AgeMs: ageMs(p.At, now)})
 	}
@@ -193,15 +269,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []blocker.Fingerprint
-	out, g.refusals = takeNotices(g.refusals, maxRefusals, now)
+	out, g.refusals = takeNotices(g.refusals, atMost[blocker.Fingerprint](maxRefusals), now)
 	return out
 }
 
 // AnnounceCrash announces a crash to the other daemons.
 func (g *Gossiper) AnnounceCrash(c blocker.Crash, at time.Time) {
 	g.mu.Lock()
-	g.outbox.addCrash(crash{c, at}, maxPendingCrashes)
-	g.relay.outbox.addCrash(crash{c, at}, maxPendingDigestCrashes)
+	for _, piece := range (crash{c, at}).split() {
+		g.outbox.addCrash(piece, maxPendingCrashes)
+		g.relay.outbox.addCrash(piece, maxPendingDigestCrashes)
+	}
 	g.mu.Unlock()
 	g.SendSoon()
 }
@@ -268,11 +346,12 @@
 // receiveReports passes reports to the callbacks. With near, which is set for reports of
 // this failure domain, those that were unknown go into its digests.
 func (g *Gossiper) receiveReports(r reports, near bool, now time.Time) {
-	for _, c := range r.Crashes {
-		at, ok := fromAge(c.AgeMs, now)
-		if ok && g.OnCrash != nil && g.OnCrash(c.Crash, at) && near {
+	for _, reported := range r.Crashes {
+		c := reported.crash()
+		at, ok := fromAge(reported.AgeMs, now)
+		if ok && g.OnCrash != nil && g.OnCrash(c, at) && near {
 			g.mu.Lock()
-			g.relay.outbox.addCrash(crash{c.Crash, at}, maxPendingDigestCrashes)
+			g.relay.outbox.addCrash(crash{c, at}, maxPendingDigestCrashes)
 			g.mu.Unlock()
 		}
 	}
--- a/internal/coordination/gossiper/parts_test.go
+++ b/internal/coordination/gossiper/parts_test.go
@@ -154,3 +154,27 @@
 	f.run(1500 * time.Millisecond)
 	c.Check(f.without(blockers, soundPart), qt.Equals, len(blockers))
 }
+
+// TestLongPromptHidesCrash guards against daemons that do not learn which part crashes replicas,
+// because the requests with it have thousands of other parts, and against messages that do not
+// fit into a datagram.
+func TestLongPromptHidesCrash(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(3, 3, 0, 0.025)
+	f.run(4 * time.Second)
+	blockers := f.blockers()
+	const parts = 4000
+	for i, d := range f.entries()[:5] {
+		own := make([]blocker.Fingerprint, parts)
+		for j := range own {
+			own[j] = blocker.Fingerprint(1000 + parts*i + j)
+		}
+		own[parts-1] = deadPart
+		d.crashAt(blockers[d], "r"+strconv.Itoa(i), 100*i, 1, own...)
+		f.run(time.Second)
+	}
+	f.run(3 * time.Second)
+	c.Check(f.without(blockers, deadPart), qt.Equals, 0)
+	c.Check(f.largest <= maxDatagram, qt.IsTrue, qt.Commentf("%d bytes", f.largest))
+}
--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -44,12 +44,12 @@
 // Crash reports that a replica crashed while it ran a request. A connection that
 // breaks during the request counts as a crash.
 type Crash struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
+	Fingerprint Fingerprint
 	// Replica is the ID and the address of the replica, which together identify one
 	// incarnation.
-	Replica string `json:"replica"`
+	Replica string
 	// Parts are the shared parts of the prompt that may have caused the crash.
-	Parts []Fingerprint `json:"parts,omitempty"`
+	Parts []Fingerprint
 }
 
 // Blocker holds the recent crashes. The zero value is ready to use.
--- a/internal/request/blocker/part_records.go
+++ b/internal/request/blocker/part_records.go
@@ -10,6 +10,8 @@
 // partRecords holds the crashes and successes of parts.
 type partRecords struct {
 	suspects map[Fingerprint]*suspect
+	// repeated holds the suspects with crashes of several replicas.
+	repeated map[Fingerprint]*suspect
 	// blocked holds the suspects that are or were blocked.
 	blocked map[Fingerprint]*suspect
 	// successes are those on this daemon, and reported those on others.
@@ -22,21 +24,17 @@
 }
 
 // count counts the crashes of a part that no stronger suspect explains.
-func (r *partRecords) count(part Fingerprint, s *suspect, now time.Time) (crashes, requests int) {
+func (r *partRecords) count(part Fingerprint, s *suspect, rivals []rival, now time.Time) (crashes, requests int) {
 	lastSuccess := r.lastSuccess(part)
 	crashes, requests = s.count(lastSuccess, now, notExplained)
 	if crashes < minSuspectCrashes {
 		return crashes, requests
 	}
-	var stronger []*suspect
-	strength := r.strength(part, s, now)
-	for other, rival := range r.suspects {
-		if other != part && len(rival.crashes) >= minSuspectCrashes && r.strength(other, rival, now).exceeds(strength) {
-			stronger = append(stronger, rival)
-		}
-	}
+	own := r.strength(part, s, now)
 	return s.count(lastSuccess, now, func(replica string) bool {
-		return slices.ContainsFunc(stronger, func(rival *suspect) bool { return rival.hasCrashOf(replica) })
+		return slices.ContainsFunc(rivals, func(other rival) bool {
+			return other.suspect != s && other.suspect.hasCrashOf(replica) && other.exceeds(own)
+		})
 	})
 }
 
@@ -57,6 +55,36 @@
 	return out
 }
 
+// rival is a suspect that may explain the crashes of others.
+type rival struct {
+	strength
+	suspect *suspect
+}
+
+// rivalKey holds what suspects need to have in common to explain the same crashes.
+type rivalKey struct {
+	replicas    uint64
+	lastSuccess int64
+}
+
+// rivals returns the suspects that may explain crashes of others. Of those with the same
+// crashes and the same last success, it returns the strongest one, so that there are few
+// even if prompts have thousands of parts in common.
+func (r *partRecords) rivals(now time.Time) []rival {
+	strongest := map[rivalKey]rival{}
+	for part, s := range r.repeated {
+		candidate := rival{strength: r.strength(part, s, now), suspect: s}
+		if candidate.replicas < minSuspectCrashes {
+			continue
+		}
+		key := rivalKey{replicas: s.replicas, lastSuccess: candidate.lastSuccess.UnixNano()}
+		if known, ok := strongest[key]; !ok || candidate.exceeds(known.strength) {
+			strongest[key] = candidate
+		}
+	}
+	return slices.Collect(maps.Values(strongest))
+}
+
 // exceeds reports whether s is the more probable cause: it was part of more crashes, or of
 // about as many and has been without success for longer. A difference of one crash means
 // little, because the reports of a crash arrive one by one.
@@ -80,7 +108,7 @@
 		return s
 	}
 	if r.suspects == nil {
-		r.suspects, r.blocked = map[Fingerprint]*suspect{}, map[Fingerprint]*suspect{}
+		r.suspects, r.repeated, r.blocked = map[Fingerprint]*suspect{}, map[Fingerprint]*suspect{}, map[Fingerprint]*suspect{}
 	}
 	if len(r.suspects) >= maxSuspects {
 		r.evict(now)
@@ -90,19 +118,13 @@
 	return s
 }
 
-// evict removes a quarter of the suspects: those with the oldest last crashes, and blocked
-// ones last.
+// evict removes a quarter of the suspects: those with the oldest last crashes, and after them
+// those of several crashes and the blocked ones.
 func (r *partRecords) evict(now time.Time) {
 	parts := slices.Collect(maps.Keys(r.suspects))
 	slices.SortFunc(parts, func(a, b Fingerprint) int {
 		x, y := r.suspects[a], r.suspects[b]
-		switch {
-		case x.inForce(now) && !y.inForce(now):
-			return 1
-		case y.inForce(now) && !x.inForce(now):
-			return -1
-		}
-		return x.lastCrash.Compare(y.lastCrash)
+		return cmp.Or(cmp.Compare(x.rank(now), y.rank(now)), x.lastCrash.Compare(y.lastCrash))
 	})
 	for _, part := range parts[:len(parts)/4] {
 		r.remove(part)
@@ -111,30 +133,42 @@
 
 func (r *partRecords) remove(part Fingerprint) {
 	delete(r.suspects, part)
+	delete(r.repeated, part)
 	delete(r.blocked, part)
 }
 
 // recordCrash records a crash for its parts, reports whether it was unknown for one of
-// them, and returns the decisions that follow.
+// them, and returns the decisions that follow. Parts for which it was known, as in a notice
+// that is repeated, are not decided again.
 func (r *partRecords) recordCrash(c Crash, now time.Time) (isNew bool, decisions []Decision) {
+	var unknown []Fingerprint
 	for _, part := range c.Parts {
 		s := r.add(part, now)
-		isNew = s.add(c, now) || isNew
+		if s.add(c, now) {
+			unknown = append(unknown, part)
+		}
+		if len(s.crashes) >= minSuspectCrashes {
+			r.repeated[part] = s
+		}
 		decisions = r.vouch(decisions, part, s, false, now)
 	}
-	for _, part := range c.Parts {
-		decisions = r.decide(decisions, part, now)
+	if len(unknown) == 0 {
+		return false, decisions
+	}
+	rivals := r.rivals(now)
+	for _, part := range unknown {
+		decisions = r.decide(decisions, part, rivals, now)
 	}
-	return isNew, decisions
+	return true, decisions
 }
 
 // decide suspects or blocks a part after a crash.
-func (r *partRecords) decide(decisions []Decision, part Fingerprint, now time.Time) []Decision {
+func (r *partRecords) decide(decisions []Decision, part Fingerprint, rivals []rival, now time.Time) []Decision {
 	s := r.suspects[part]
 	if s == nil {
 		return decisions
 	}
-	crashes, requests := r.count(part, s, now)
+	crashes, requests := r.count(part, s, rivals, now)
 	d := Decision{Part: part, Crashes: crashes, Requests: requests, LastCrash: s.lastCrash, LastSuccess: r.lastSuccess(part)}
 	switch {
 	case crashes == 0:
@@ -146,7 +180,7 @@
 		s.blockedUntil, s.suspected = now.Add(crashTTL), true
 		r.blocked[part] = s
 		d.Kind = Blocked
-		return r.lift(append(decisions, d), now)
+		return r.lift(append(decisions, d), rivals, now)
 	case crashes >= minSuspectCrashes && !s.suspected:
 		s.suspected = true
 		d.Kind = Suspected
@@ -156,13 +190,13 @@
 }
 
 // lift ends blocks of which the crashes have turned out to be explained by another part.
-func (r *partRecords) lift(decisions []Decision, now time.Time) []Decision {
+func (r *partRecords) lift(decisions []Decision, rivals []rival, now time.Time) []Decision {
 	for part, s := range r.blocked {
 		if !s.inForce(now) || len(s.crashes) == 0 {
 			continue
 		}
 		all, _ := s.count(r.lastSuccess(part), now, notExplained)
-		crashes, requests := r.count(part, s, now)
+		crashes, requests := r.count(part, s, rivals, now)
 		if crashes == all || crashes >= minCrashes {
 			continue
 		}
@@ -185,7 +219,8 @@
 	if !p.At.After(lastSuccess.Add(successShield)) {
 		return false, r.vouch(nil, p.Part, s, true, now)
 	}
-	crashes, requests := r.count(p.Part, s, now)
+	rivals := r.rivals(now)
+	crashes, requests := r.count(p.Part, s, rivals, now)
 	all, _ := s.count(lastSuccess, now, notExplained)
 	if all > 0 && crashes == 0 {
 		return false, nil
@@ -202,7 +237,7 @@
 	if !wasInForce {
 		decisions = append(decisions, Decision{Kind: Blocked, Part: p.Part, Crashes: crashes, Requests: requests, LastCrash: p.At, LastSuccess: lastSuccess, Reported: true})
 	}
-	return true, r.lift(decisions, now)
+	return true, r.lift(decisions, rivals, now)
 }
 
 // vouch decides to tell the other daemons of a success on this one if, without it, they
--- a/internal/request/blocker/parts.go
+++ b/internal/request/blocker/parts.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -25,9 +28,10 @@
 	// blockExtension is the minimum time by which the report of another daemon extends
 	// a block.
 	blockExtension = time.Second
-	// maxSuccesses and maxSuspects limit memory use.
-	maxSuccesses = 4096
-	maxSuspects  = 1024
+	// maxSuccesses and maxSuspects limit memory use. Both hold all parts of a prompt whose
+	// header has 64 KiB, the maximum.
+	maxSuccesses = 32768
+	maxSuspects  = 16384
 	// maxCrashesPerPart and maxRequestsPerCrash are more than a decision needs.
 	maxCrashesPerPart   = 16
 	maxRequestsPerCrash = minCrashes
@@ -66,8 +70,25 @@
 	At   time.Time
 }
 
-// NewPartFingerprint returns the fingerprint of a part of prompts for a model.
-func NewPartFingerprint(model, part string) Fingerprint { return NewFingerprint("part", model, part) }
+// PartHasher computes the fingerprints of parts of prompts for one model.
+type PartHasher struct {
+	digest xxhash.Digest
+	prefix string
+}
+
+// NewPartHasher returns a hasher for a model.
+func NewPartHasher(model string) *PartHasher {
+	return &PartHasher{prefix: strconv.Itoa(len(model)) + ":" + model + ":"}
+}
+
+// Fingerprint returns the fingerprint of a part. The length of the model's name is part of
+// what is hashed, so that the boundary counts.
+func (h *PartHasher) Fingerprint(part string) Fingerprint {
+	h.digest.Reset()
+	_, _ = h.digest.WriteString(h.prefix)
+	_, _ = h.digest.WriteString(part)
+	return Fingerprint(h.digest.Sum64())
+}
 
 // RecordPartSuccess records that a replica began to answer a request with these parts at
 // a time, and went on.
@@ -114,23 +135,31 @@
 }
 
 // SuspectParts returns the parts that may have caused a crash: those without a recent
-// success.
+// success. Parts of earlier crashes come first, because messages to other daemons are
+// limited.
 func (b *Blocker) SuspectParts(parts []Fingerprint, now time.Time) []Fingerprint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Fingerprint
+	var known, unknown []Fingerprint
 	for _, part := range parts {
-		if now.After(b.parts.lastSuccess(part).Add(successShield)) {
-			out = append(out, part)
+		switch {
+		case !now.After(b.parts.lastSuccess(part).Add(successShield)):
+		case b.parts.suspects[part] != nil:
+			known = append(known, part)
+		default:
+			unknown = append(unknown, part)
 		}
 	}
-	return out
+	return append(known, unknown...)
 }
 
 // PartBlocked reports whether one of the parts is blocked.
 func (b *Blocker) PartBlocked(parts []Fingerprint, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.parts.blocked) == 0 {
+		return false
+	}
 	for _, part := range parts {
 		if s := b.parts.blocked[part]; s != nil && s.inForce(now) {
 			return true
@@ -144,12 +173,16 @@
 func (b *Blocker) PartSuspected(parts []Fingerprint, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.parts.suspects) == 0 {
+		return false
+	}
+	rivals := b.parts.rivals(now)
 	for _, part := range parts {
 		s := b.parts.suspects[part]
 		if s == nil {
 			continue
 		}
-		if crashes, _ := b.parts.count(part, s, now); crashes >= minSuspectCrashes {
+		if crashes, _ := b.parts.count(part, s, rivals, now); crashes >= minSuspectCrashes {
 			return true
 		}
 	}
--- a/internal/request/blocker/parts_test.go
+++ b/internal/request/blocker/parts_test.go
@@ -173,9 +173,10 @@
 		now = now.Add(time.Second)
 		b.RecordCrash(Crash{Fingerprint: Fingerprint(i), Replica: strconv.Itoa(i), Parts: []Fingerprint{dead}}, now)
 	}
-	for i := range 3 * maxSuccesses {
+	const others = 3 * maxSuccesses
+	for i := range others {
 		part := []Fingerprint{Fingerprint(1000 + i)}
-		now = now.Add(time.Millisecond)
+		now = now.Add(crashTTL / 2 / others)
 		b.RecordPartSuccess(part, now, now)
 		if i%4 == 0 {
 			b.RecordCrash(Crash{Fingerprint: Fingerprint(i), Replica: "x" + strconv.Itoa(i), Parts: part}, now)
--- a/internal/request/blocker/suspect.go
+++ b/internal/request/blocker/suspect.go
@@ -3,12 +3,16 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // suspect holds the crashes of a part.
 type suspect struct {
 	// crashes are in the order of their times.
 	crashes []partCrash
+	// replicas combines the hashes of the replicas in crashes.
+	replicas uint64
 	// lastCrash is the last crash that is known or was reported with a block.
 	lastCrash time.Time
 	suspected bool
@@ -43,9 +47,11 @@
 		known.requests = append(known.requests, c.Fingerprint)
 		return true
 	}
+	s.replicas ^= xxhash.Sum64String(c.Replica)
 	s.crashes = append(s.crashes, partCrash{replica: c.Replica, at: now, requests: []Fingerprint{c.Fingerprint}})
 	slices.SortStableFunc(s.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
 	if len(s.crashes) > maxCrashesPerPart {
+		s.replicas ^= xxhash.Sum64String(s.crashes[0].replica)
 		s.crashes = s.crashes[1:]
 	}
 	return true
@@ -55,6 +61,17 @@
 	return slices.ContainsFunc(s.crashes, func(c partCrash) bool { return c.replica == replica })
 }
 
+// rank orders suspects by how much is lost without them.
+func (s *suspect) rank(now time.Time) int {
+	switch {
+	case s.inForce(now):
+		return 2
+	case len(s.crashes) >= minSuspectCrashes:
+		return 1
+	}
+	return 0
+}
+
 // inForce reports whether the part is blocked at a time.
 func (s *suspect) inForce(now time.Time) bool { return now.Before(s.blockedUntil) }
 
