Daemons ask others for the crashes and blocks that they have missed

Cause: crashes are announced for about a second and never again; a joining daemon was told the blocked parts and the replicas that leave, but not the blocked requests, and no crash below the bound.

Ruled out: that a newcomer drops what it is told (no message had it).

Why it works: one mechanism for all that only passes by in messages: a daemon asks another one at its start, after a pause, after 1.2 s without messages, and when a daemon of its failure domain returns, until all messages of an answer have arrived. It is not ready before, for 1 s at most after a start. Blocked requests are repeated like blocked parts. A success of a request is remembered, so that repeated notices do not count again.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -105,6 +105,10 @@
 	// RequestMembers asks the receiver for its member list.
 	RequestMembers bool    `json:"introduce,omitempty"`
 	Digest         *digest `json:"digest,omitempty"`
+	// RequestKnowledge asks the receiver for all that it knows of crashes, blocks and
+	// replicas that leave, and Knowledge marks its answer.
+	RequestKnowledge bool           `json:"request-knowledge,omitempty"`
+	Knowledge        *knowledgePage `json:"knowledge,omitempty"`
 }
 
 // Gossiper sends and receives messages. Its exported fields are set before Run.
@@ -155,6 +159,14 @@
 	// Blocks returns the blocked parts, if set. They are repeated for daemons that start
 	// later.
 	Blocks func(now time.Time) []blocker.PartTime
+	// RequestBlocks returns the blocked requests, if set, which are repeated likewise, and
+	// OnRequestBlock is called, if set, with those of other daemons. It reports whether they
+	// were unknown.
+	RequestBlocks  func(now time.Time) []blocker.RequestTime
+	OnRequestBlock func(p blocker.RequestTime, now time.Time) bool
+	// Crashes returns the crashes that count, if set. A daemon that may have missed notices
+	// asks for them.
+	Crashes func(now time.Time) []blocker.ObservedCrash
 	// OnRefusal is called for each request that another daemon of the failure domain
 	// has refused, if set.
 	OnRefusal func(f blocker.Fingerprint, now time.Time)
@@ -175,6 +187,8 @@
 	// refusals are the refusals to be sent, oldest first.
 	refusals []notice[blocker.Fingerprint]
 	relay    relay
+	// knowledge is what this daemon has missed.
+	knowledge knowledge
 	// lastSentState is the replica state in the last message, and stateChangedAt is
 	// when a message last contained a state that was not steady.
 	lastSentState  *ReplicaState
@@ -252,6 +266,9 @@
 		g.sendDigests(self, far, immediate, now)
 	}
 	g.requestMembers(self, near, far, now)
+	if self.Role == Entry {
+		g.requestKnowledge(self, now)
+	}
 	if now.Sub(g.lastSeed) >= seedInterval {
 		g.lastSeed = now
 		g.contactSeeds(self, now)
@@ -285,7 +302,7 @@
 		g.lastMemberList = now
 		withMembers := m
 		withMembers.Members = sample(g.Members.Live(Entry, now), maxMembersPerMessage)
-		withMembers.Blocks = slices.Clone(m.Blocks)
+		withMembers.Blocks, withMembers.RequestBlocks = slices.Clone(m.Blocks), slices.Clone(m.RequestBlocks)
 		withMembers.addBlocks(g.blocks(now), now)
 		listed := sample(append([]Member(nil), near...), maxMemberListTargets)
 		g.sendMessage(withMembers, listed)
@@ -409,15 +426,21 @@
 	return false
 }
 
+// header returns a message with what each has.
+func (g *Gossiper) header(self Member) message {
+	m := message{From: self}
+	if g.Revisions != nil {
+		m.Revisions = g.Revisions()
+	}
+	return m
+}
+
 // compose returns a message with the state of this daemon, and records the replica state
 // for nearInterval.
 func (g *Gossiper) compose(self Member, now time.Time) message {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := message{From: self}
-	if g.Revisions != nil {
-		m.Revisions = g.Revisions()
-	}
+	m := g.header(self)
 	m.Announcements = g.reportAnnouncements(now)
 	if g.Load != nil {
 		m.Load = g.Load()
--- a/internal/coordination/gossiper/members.go
+++ b/internal/coordination/gossiper/members.go
@@ -97,6 +97,15 @@
 	return joined
 }
 
+// isReturning reports whether a message is of a member that has sent some before, was not live
+// since and has not been restarted.
+func (m *Members) isReturning(member Member, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.known[member.Address]
+	return s != nil && !s.lastMessageAt.IsZero() && s.Incarnation == member.Incarnation && !s.isLive(now)
+}
+
 // supersedes reports whether the record is of a later incarnation than a message. That of a
 // member that is known only from the object store or from lists shows nothing, as it may be wrong.
 func (s *memberState) supersedes(member Member) bool {
--- a/internal/coordination/gossiper/notices.go
+++ b/internal/coordination/gossiper/notices.go
@@ -153,28 +153,27 @@
 	AgeMs int64               `json:"age-ms,omitempty"`
 }
 
+// reportedRequest is a blocked request on the wire with the age of its last crash.
+type reportedRequest struct {
+	Request blocker.Fingerprint `json:"request"`
+	AgeMs   int64               `json:"age-ms,omitempty"`
+}
+
 // reports are what a message says of crashes and of the shared parts of prompts.
 type reports struct {
 	Crashes []reportedCrash `json:"crashes,omitempty"`
 	// Successes are parts that others may suspect and with which requests succeeded.
 	Successes []reportedPart `json:"part-successes,omitempty"`
 	Blocks    []reportedPart `json:"part-blocks,omitempty"`
+	// RequestBlocks are requests that crashed several replicas.
+	RequestBlocks []reportedRequest `json:"request-blocks,omitempty"`
 	// Leaving are replicas that have said that they leave. They wait for a message that is
 	// sent anyway.
 	Leaving reportedLeaving `json:"leaving,omitempty"`
 }
 
 func (r *reports) isEmpty() bool {
-	return len(r.Crashes) == 0 && len(r.Successes) == 0 && len(r.Blocks) == 0
-}
-
-// addBlocks adds blocks that are in force unless they are in the message already.
-func (r *reports) addBlocks(blocks []blocker.PartTime, now time.Time) {
-	for _, b := range blocks {
-		if !slices.ContainsFunc(r.Blocks, func(known reportedPart) bool { return known.Part == b.Part }) {
-			r.Blocks = append(r.Blocks, reportedPart{Part: b.Part, AgeMs: ageMs(b.At, now)})
-		}
-	}
+	return len(r.Crashes) == 0 && len(r.Successes) == 0 && len(r.Blocks) == 0 && len(r.RequestBlocks) == 0
 }
 
 func ageMs(at, now time.Time) int64 { return max(0, now.Sub(at).Milliseconds()) }
@@ -324,14 +323,6 @@
 	return !g.outbox.isEmpty()
 }
 
-// blocks returns the blocks in force.
-func (g *Gossiper) blocks(now time.Time) []blocker.PartTime {
-	if g.Blocks == nil {
-		return nil
-	}
-	return g.Blocks(now)
-}
-
 // sendKnown sends the blocks in force and the replicas that leave to a daemon that has
 // joined or returned.
 func (g *Gossiper) sendKnown(to Member, now time.Time) {
@@ -360,6 +351,11 @@
 			g.receivePartSuccess(blocker.PartTime{Part: p.Part, At: at}, near, now)
 		}
 	}
+	for _, q := range r.RequestBlocks {
+		if at, ok := fromAge(q.AgeMs, now); ok && g.OnRequestBlock != nil {
+			g.OnRequestBlock(blocker.RequestTime{Request: q.Request, At: at}, now)
+		}
+	}
 	for _, p := range r.Blocks {
 		at, ok := fromAge(p.AgeMs, now)
 		if ok && g.OnPartBlock != nil && g.OnPartBlock(blocker.PartTime{Part: p.Part, At: at}, now) && near {
--- a/internal/coordination/gossiper/parts_test.go
+++ b/internal/coordination/gossiper/parts_test.go
@@ -27,6 +27,7 @@
 		}
 	}
 	d.OnCrash, d.OnPartSuccess, d.OnPartBlock, d.Blocks = b.RecordCrash, b.RecordReportedSuccess, b.RecordReportedBlock, b.Blocks
+	d.Crashes, d.RequestBlocks, d.OnRequestBlock = b.Crashes, b.RequestBlocks, b.RecordRequestBlock
 	return b
 }
 
--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -60,6 +60,7 @@
 // receive records the sender and the members in the message, passes the other contents
 // to the callbacks, and answers a member request.
 func (g *Gossiper) receive(m message, now time.Time) {
+	g.recordReception(m.From, now)
 	joined := g.Members.RecordMessage(m.From, m.Revisions, now)
 	if joined {
 		g.Log.Info("daemon joined or returned", zap.String("vm", m.From.VM), zap.String("role", string(m.From.Role)),
@@ -74,6 +75,10 @@
 		g.receiveDigest(m, now)
 		return
 	}
+	if m.Knowledge != nil {
+		g.receiveKnowledge(m, now)
+		return
+	}
 	// The load of other failure domains arrives in digests.
 	if m.Load != nil && g.OnLoad != nil && m.From.FailureDomain == g.Self().FailureDomain {
 		g.OnLoad(m.From, false, plausibleLoads(m.Load), now)
@@ -91,6 +96,27 @@
 	if m.RequestMembers {
 		g.sendMembers(m.From, now)
 	}
+	if m.RequestKnowledge && g.Self().Role == Entry {
+		g.sendKnowledge(m.From, now)
+	}
+}
+
+// recordReception makes an entry daemon ask for what it has missed if a message comes after a
+// time without any, or from a daemon of the failure domain that was silent.
+func (g *Gossiper) recordReception(from Member, now time.Time) {
+	self := g.Self()
+	if self.Role != Entry || from.Role != Entry {
+		return
+	}
+	g.mu.Lock()
+	missed := g.knowledge.recordReception(now)
+	g.mu.Unlock()
+	switch {
+	case missed:
+		g.WantKnowledge("no messages for a time", now)
+	case from.FailureDomain == self.FailureDomain && g.Members.isReturning(from, now):
+		g.WantKnowledge("a daemon of the failure domain was silent", now)
+	}
 }
 
 const (
--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -67,6 +67,23 @@
 type crashRecord struct {
 	replicas  []string
 	lastCrash time.Time
+	// blockedUntil is the end of a block that another daemon reported.
+	blockedUntil time.Time
+	// succeededAt is when a replica completed the request. Crashes before it do not count.
+	succeededAt time.Time
+}
+
+// lastEvent returns the time from which the record is kept.
+func (r *crashRecord) lastEvent() time.Time {
+	return later(later(r.lastCrash, r.succeededAt), r.blockedUntil.Add(-crashTTL))
+}
+
+// blockEnd returns the end of the block, which is in the past if there is none.
+func (r *crashRecord) blockEnd() time.Time {
+	if len(r.replicas) >= minCrashedReplicas {
+		return later(r.blockedUntil, r.lastCrash.Add(crashTTL))
+	}
+	return r.blockedUntil
 }
 
 // RecordCrash records a crash observed by this or another daemon and reports whether
@@ -82,26 +99,8 @@
 
 // recordRequest records a crash for the request as a whole.
 func (b *Blocker) recordRequest(c Crash, now time.Time) bool {
-	if b.records == nil {
-		b.records = map[Fingerprint]*crashRecord{}
-	}
-	r := b.records[c.Fingerprint]
-	if r != nil && now.Sub(r.lastCrash) >= crashTTL {
-		delete(b.records, c.Fingerprint)
-		r = nil
-	}
-	if r == nil {
-		if now.Sub(b.sweptAt) >= sweepInterval {
-			b.sweptAt = now
-			b.removeExpired(now)
-		}
-		if len(b.records) >= maxFingerprints {
-			return false
-		}
-		r = &crashRecord{}
-		b.records[c.Fingerprint] = r
-	}
-	if slices.Contains(r.replicas, c.Replica) {
+	r := b.record(c.Fingerprint, now)
+	if r == nil || !now.After(r.succeededAt) || slices.Contains(r.replicas, c.Replica) {
 		return false
 	}
 	r.replicas = append(r.replicas, c.Replica)
@@ -109,12 +108,35 @@
 	return true
 }
 
-// RecordSuccess discards the recorded crashes of a request after a replica has
-// completed it.
-func (b *Blocker) RecordSuccess(f Fingerprint) {
+// record returns the record of a request, or nil if there is no room for a new one.
+func (b *Blocker) record(f Fingerprint, now time.Time) *crashRecord {
+	r := b.records[f]
+	if r != nil && now.Sub(r.lastEvent()) < crashTTL {
+		return r
+	}
+	if b.records == nil {
+		b.records = map[Fingerprint]*crashRecord{}
+	}
+	if now.Sub(b.sweptAt) >= sweepInterval {
+		b.sweptAt = now
+		b.removeExpired(now)
+	}
+	if r == nil && len(b.records) >= maxFingerprints {
+		return nil
+	}
+	r = &crashRecord{}
+	b.records[f] = r
+	return r
+}
+
+// RecordSuccess discards the recorded crashes of a request, and the block that another
+// daemon reported, after a replica has completed it.
+func (b *Blocker) RecordSuccess(f Fingerprint, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.records, f)
+	if b.records[f] != nil {
+		b.records[f] = &crashRecord{succeededAt: now}
+	}
 }
 
 // Blocked reports whether the request must not be sent to a replica.
@@ -122,13 +144,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[f]
-	return r != nil && len(r.replicas) >= minCrashedReplicas && now.Sub(r.lastCrash) < crashTTL
+	return r != nil && now.Before(r.blockEnd())
 }
 
-// removeExpired removes records whose last crash is too old to count.
+// removeExpired removes records whose last event is too old to count.
 func (b *Blocker) removeExpired(now time.Time) {
 	for f, r := range b.records {
-		if now.Sub(r.lastCrash) >= crashTTL {
+		if now.Sub(r.lastEvent()) >= crashTTL {
 			delete(b.records, f)
 		}
 	}
--- a/internal/request/blocker/blocker_test.go
+++ b/internal/request/blocker/blocker_test.go
@@ -39,7 +39,7 @@
 				b.RecordCrash(c, now)
 			}
 			if tc.success {
-				b.RecordSuccess(1)
+				b.RecordSuccess(1, now)
 			}
 			qt.Assert(t, b.Blocked(1, now.Add(tc.after)), qt.Equals, tc.want)
 			qt.Assert(t, b.Blocked(2, now), qt.IsFalse)
@@ -65,3 +65,80 @@
 	}
 	qt.Assert(t, b.Blocked(1, now), qt.IsFalse)
 }
+
+// TestReportedRequestBlock guards against a request that is sent to replicas although another
+// daemon blocks it, and against one that stays blocked after a success or without end.
+func TestReportedRequestBlock(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const s = time.Second
+	report := func(b *Blocker, at, now time.Duration) bool {
+		return b.RecordRequestBlock(RequestTime{Request: 1, At: start.Add(at)}, start.Add(now))
+	}
+	tests := []struct {
+		name  string
+		do    func(b *Blocker)
+		at    time.Duration
+		want  bool
+		known int
+	}{
+		{"reported", func(b *Blocker) { report(b, 0, s) }, s, true, 1},
+		{"expired", func(b *Blocker) { report(b, 0, s) }, crashTTL, false, 0},
+		{"reported too late", func(b *Blocker) { report(b, 0, crashTTL) }, crashTTL, false, 0},
+		{"success here since", func(b *Blocker) {
+			report(b, 0, s)
+			b.RecordSuccess(1, start.Add(2*s))
+			report(b, s, 3*s)
+		}, 3 * s, false, 0},
+		{"crashes after the success", func(b *Blocker) {
+			b.RecordSuccess(1, start)
+			report(b, s, 2*s)
+		}, 3 * s, true, 1},
+		{"repeated with delay", func(b *Blocker) {
+			report(b, 0, 0)
+			report(b, s/2, s/2)
+		}, crashTTL + s/4, false, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var b Blocker
+			tc.do(&b)
+			qt.Check(t, b.Blocked(1, start.Add(tc.at)), qt.Equals, tc.want)
+			qt.Check(t, b.RequestBlocks(start.Add(tc.at)), qt.HasLen, tc.known)
+		})
+	}
+}
+
+// TestRepeatedNoticeOutlivesSuccess guards against crashes that count again after a success
+// because their notices are repeated.
+func TestRepeatedNoticeOutlivesSuccess(t *testing.T) {
+	var b Blocker
+	start := time.Unix(1000, 0)
+	crashes := []Crash{{Fingerprint: 1, Replica: "a"}, {Fingerprint: 1, Replica: "b"}, {Fingerprint: 1, Replica: "c"}}
+	for _, c := range crashes {
+		b.RecordCrash(c, start)
+	}
+	b.RecordSuccess(1, start.Add(time.Second))
+	for _, c := range crashes {
+		b.RecordCrash(c, start)
+	}
+	qt.Assert(t, b.Blocked(1, start.Add(2*time.Second)), qt.IsFalse)
+}
+
+// TestKnownCrashes guards against crashes that are told to another daemon although they do
+// not count any more, or without the parts that they count for.
+func TestKnownCrashes(t *testing.T) {
+	c := qt.New(t)
+	var b Blocker
+	start := time.Unix(1000, 0)
+	at := start.Add
+	b.RecordCrash(Crash{Fingerprint: 1, Replica: "a", Parts: []Fingerprint{dead, common}}, at(0))
+	b.RecordCrash(Crash{Fingerprint: 2, Replica: "b", Parts: []Fingerprint{dead}}, at(time.Second))
+	b.RecordCrash(Crash{Fingerprint: 3, Replica: "c"}, at(2*time.Second))
+	b.RecordPartSuccess([]Fingerprint{common}, at(0), at(3*time.Second))
+	b.RecordSuccess(3, at(3*time.Second))
+	c.Assert(b.Crashes(at(4*time.Second)), qt.DeepEquals, []ObservedCrash{
+		{Crash{Fingerprint: 2, Replica: "b", Parts: []Fingerprint{dead}}, at(time.Second)},
+		{Crash{Fingerprint: 1, Replica: "a", Parts: []Fingerprint{dead}}, at(0)},
+	})
+	c.Assert(b.Crashes(at(crashTTL+time.Second)), qt.HasLen, 0)
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -389,7 +389,7 @@
 		return false
 	}
 	s.placed.Done(placer.Succeeded, now)
-	x.Blocker.RecordSuccess(x.request.Fingerprint)
+	x.Blocker.RecordSuccess(x.request.Fingerprint, now)
 	if out.Response.Status < minRedirectStatus {
 		x.Blocker.RecordPartSuccess(x.request.SharedParts, now, now)
 	}
--- a/internal/request/dispatcher/stream.go
+++ b/internal/request/dispatcher/stream.go
@@ -70,7 +70,7 @@
 		}
 		if ended {
 			s.placed.Done(placer.Succeeded, now)
-			x.Blocker.RecordSuccess(x.request.Fingerprint)
+			x.Blocker.RecordSuccess(x.request.Fingerprint, now)
 			x.sink.End()
 			x.recordEnd("streamed")
 			return true
