The block of a request that crashes replicas is extended while the request comes

Cause: a block lasted 60 s from the last crash, whether or not the request was still being refused.

With the extension turned off, TestBlockEndsWhileRequestComes ("comes all the time") and TestExtendedBlockIsPassedOn fail.

Ruled out: newcomers (they were informed); a lost crash (all daemons refused until 60 s).

Why it works: each refusal moves the end of the block to 60 s from then, up to 10 min after the last crash. Crashes are kept with their times and passed on with them.

--- a/internal/coordination/gossiper/knowledge.go
+++ b/internal/coordination/gossiper/knowledge.go
@@ -170,9 +170,10 @@
 
 // knowledgePages returns what this daemon knows, in reports that each fit into a message.
 func (g *Gossiper) knowledgePages(now time.Time) []reports {
-	last := reports{Leaving: g.knownLeaving(now)}
-	last.addBlocks(g.blocks(now), now)
-	var pages []reports
+	// Blocks come first: crashes that are older than a block would otherwise have expired.
+	inForce := reports{Leaving: g.knownLeaving(now)}
+	inForce.addBlocks(g.blocks(now), now)
+	pages := []reports{inForce}
 	var page reports
 	if g.Crashes != nil {
 		fits := crashesThatFit(maxPageCrashes)
@@ -190,7 +191,7 @@
 	if len(page.Crashes) > 0 {
 		pages = append(pages, page)
 	}
-	return append(pages, last)
+	return pages
 }
 
 // receiveKnowledge passes what another daemon knows to the callbacks. It is known to the other
--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -23,6 +23,12 @@
 	sweepInterval = time.Second
 	// crashTTL is how long the crashes of a request count after the last one.
 	crashTTL = 60 * time.Second
+	// maxBlockTime is the time after the last crash until which a block is extended while
+	// its request is refused.
+	maxBlockTime = 10 * time.Minute
+	// minCrashTimes is the number of separate times of its crashes from which on the block
+	// of a request is extended. When a VM or a link fails, all connections break at once.
+	minCrashTimes = 2
 	// maxFingerprints is the maximum number of requests whose crashes are recorded,
 	// which limits memory use. Crashes of further requests are ignored.
 	maxFingerprints = 4096
@@ -63,27 +69,62 @@
 	parts   partRecords
 }
 
-// crashRecord holds the replicas that crashed while running a request.
+// crashRecord holds the crashes of replicas that ran a request.
 type crashRecord struct {
-	replicas  []string
-	lastCrash time.Time
-	// blockedUntil is the end of a block that another daemon reported.
-	blockedUntil time.Time
+	// crashes are in the order of their times, one for each replica.
+	crashes []replicaCrash
+	// extendedUntil is the end of a block that was extended, here or by another daemon.
+	extendedUntil time.Time
 	// succeededAt is when a replica completed the request. Crashes before it do not count.
 	succeededAt time.Time
 }
 
+// replicaCrash is the crash of a replica that ran a request.
+type replicaCrash struct {
+	replica string
+	at      time.Time
+}
+
+// add adds a crash and reports whether it was unknown and counts.
+func (r *crashRecord) add(replica string, at time.Time) bool {
+	if !at.After(r.succeededAt) || slices.ContainsFunc(r.crashes, func(c replicaCrash) bool { return c.replica == replica }) {
+		return false
+	}
+	r.crashes = append(r.crashes, replicaCrash{replica, at})
+	slices.SortStableFunc(r.crashes, func(x, y replicaCrash) int { return x.at.Compare(y.at) })
+	return true
+}
+
+func (r *crashRecord) lastCrash() time.Time {
+	if len(r.crashes) == 0 {
+		return time.Time{}
+	}
+	return r.crashes[len(r.crashes)-1].at
+}
+
+// times returns the number of separate times at which replicas crashed.
+func (r *crashRecord) times() (n int) {
+	var last time.Time
+	for _, c := range r.crashes {
+		if n == 0 || c.at.Sub(last) >= crashSpacing {
+			n++
+			last = c.at
+		}
+	}
+	return n
+}
+
 // lastEvent returns the time from which the record is kept.
 func (r *crashRecord) lastEvent() time.Time {
-	return later(later(r.lastCrash, r.succeededAt), r.blockedUntil.Add(-crashTTL))
+	return later(later(r.lastCrash(), r.succeededAt), r.extendedUntil.Add(-crashTTL))
 }
 
 // blockEnd returns the end of the block, which is in the past if there is none.
 func (r *crashRecord) blockEnd() time.Time {
-	if len(r.replicas) >= minCrashedReplicas {
-		return later(r.blockedUntil, r.lastCrash.Add(crashTTL))
+	if len(r.crashes) >= minCrashedReplicas {
+		return later(r.extendedUntil, r.lastCrash().Add(crashTTL))
 	}
-	return r.blockedUntil
+	return r.extendedUntil
 }
 
 // RecordCrash records a crash observed by this or another daemon and reports whether
@@ -100,12 +141,7 @@
 // recordRequest records a crash for the request as a whole.
 func (b *Blocker) recordRequest(c Crash, now time.Time) bool {
 	r := b.record(c.Fingerprint, now)
-	if r == nil || !now.After(r.succeededAt) || slices.Contains(r.replicas, c.Replica) {
-		return false
-	}
-	r.replicas = append(r.replicas, c.Replica)
-	r.lastCrash = later(r.lastCrash, now)
-	return true
+	return r != nil && r.add(c.Replica, now)
 }
 
 // record returns the record of a request, or nil if there is no room for a new one.
@@ -147,6 +183,23 @@
 	return r != nil && now.Before(r.blockEnd())
 }
 
+// RecordRefusal extends the block of a request that was refused because of it: the request
+// still comes, and would crash further replicas. A block that only another daemon knows the
+// crashes of is not extended, so that daemons do not extend it for each other without end.
+func (b *Blocker) RecordRefusal(f Fingerprint, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[f]
+	if r == nil || len(r.crashes) < minCrashedReplicas || r.times() < minCrashTimes || !now.Before(r.blockEnd()) {
+		return
+	}
+	until := now.Add(crashTTL)
+	if limit := r.lastCrash().Add(maxBlockTime); until.After(limit) {
+		until = limit
+	}
+	r.extendedUntil = later(r.extendedUntil, until)
+}
+
 // removeExpired removes records whose last event is too old to count.
 func (b *Blocker) removeExpired(now time.Time) {
 	for f, r := range b.records {
--- a/internal/request/blocker/blocker_test.go
+++ b/internal/request/blocker/blocker_test.go
@@ -142,3 +142,89 @@
 	})
 	c.Assert(b.Crashes(at(crashTTL+time.Second)), qt.HasLen, 0)
 }
+
+// TestBlockEndsWhileRequestComes guards against a request that crashes replicas again each time
+// its block ends although it was refused all the while, and against a block of a request that
+// only happened to run where replicas crashed.
+func TestBlockEndsWhileRequestComes(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name string
+		// crashes are the times of crashes of different replicas.
+		crashes []time.Duration
+		// every is the time between two requests.
+		every   time.Duration
+		success time.Duration
+		// until is when the first request is sent to a replica.
+		until time.Duration
+	}{
+		{"comes all the time", []time.Duration{0, 70 * time.Millisecond, s}, s, 0, s + maxBlockTime},
+		{"comes seldom", []time.Duration{0, 70 * time.Millisecond, s}, 2 * crashTTL, 0, 2 * crashTTL},
+		{"replicas crashed at once", []time.Duration{0, 10 * time.Millisecond, 20 * time.Millisecond}, s, 0, crashTTL + s},
+		{"succeeds", []time.Duration{0, s, 2 * s}, s, 10 * s, 10 * s},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var b Blocker
+			start := time.Unix(1000, 0)
+			for i, at := range tc.crashes {
+				b.RecordCrash(Crash{Fingerprint: 1, Replica: string(rune('a' + i))}, start.Add(at))
+			}
+			sent := time.Duration(0)
+			for at := max(tc.every, 2*s); sent == 0; at += tc.every {
+				now := start.Add(at)
+				if at == tc.success {
+					b.RecordSuccess(1, now)
+				}
+				if b.Blocked(1, now) {
+					b.RecordRefusal(1, now)
+				} else {
+					sent = at
+				}
+			}
+			qt.Assert(t, sent, qt.Equals, tc.until)
+		})
+	}
+}
+
+// TestReportedBlockIsExtendedWithoutEnd guards against daemons that extend a block for each
+// other although none of them knows its crashes.
+func TestReportedBlockIsExtendedWithoutEnd(t *testing.T) {
+	start := time.Unix(1000, 0)
+	daemons := []*Blocker{{}, {}}
+	daemons[0].RecordRequestBlock(RequestTime{Request: 1, At: start}, start)
+	for at := time.Duration(0); at < 3*crashTTL; at += time.Second {
+		now := start.Add(at)
+		for i, b := range daemons {
+			b.RecordRefusal(1, now)
+			for _, p := range b.RequestBlocks(now) {
+				daemons[1-i].RecordRequestBlock(RequestTime{Request: 1, At: p.At.Add(300 * time.Millisecond)}, now.Add(300*time.Millisecond))
+			}
+		}
+	}
+	qt.Assert(t, daemons[0].Blocked(1, start.Add(crashTTL+2*blockExtension)), qt.IsFalse)
+}
+
+// TestExtendedBlockIsPassedOn guards against a daemon that learns late of a block that was
+// extended and does not extend it in turn.
+func TestExtendedBlockIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	var old, late Blocker
+	for i := range 3 {
+		old.RecordCrash(Crash{Fingerprint: 1, Replica: string(rune('a' + i))}, start.Add(time.Duration(i)*time.Second))
+	}
+	now := start
+	for ; now.Sub(start) < 3*crashTTL; now = now.Add(10 * time.Second) {
+		old.RecordRefusal(1, now)
+	}
+	for _, p := range old.RequestBlocks(now) {
+		late.RecordRequestBlock(p, now)
+	}
+	for _, crash := range old.Crashes(now) {
+		late.RecordCrash(crash.Crash, crash.At)
+	}
+	c.Assert(late.Blocked(1, now), qt.IsTrue)
+	late.RecordRefusal(1, now)
+	c.Assert(late.Blocked(1, now.Add(crashTTL-time.Second)), qt.IsTrue)
+}
--- a/internal/request/blocker/known.go
+++ b/internal/request/blocker/known.go
@@ -54,7 +54,7 @@
 	if r == nil || !p.At.After(r.succeededAt) || until.Sub(r.blockEnd()) < blockExtension {
 		return false
 	}
-	r.blockedUntil = until
+	r.extendedUntil = until
 	return true
 }
 
@@ -65,10 +65,11 @@
 	defer b.mu.Unlock()
 	known := map[crashKey]*ObservedCrash{}
 	for f, r := range b.records {
-		for _, replica := range r.replicas {
-			if now.Sub(r.lastCrash) < crashTTL {
-				known[crashKey{f, replica}] = &ObservedCrash{Crash: Crash{Fingerprint: f, Replica: replica}, At: r.lastCrash}
-			}
+		if now.Sub(r.lastEvent()) >= crashTTL {
+			continue
+		}
+		for _, c := range r.crashes {
+			known[crashKey{f, c.replica}] = &ObservedCrash{Crash: Crash{Fingerprint: f, Replica: c.replica}, At: c.at}
 		}
 	}
 	b.parts.addCrashes(known, now)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -124,6 +124,7 @@
 	x := &execution{Dispatcher: d, request: r, sink: sink, lastEventID: r.LastEventID, proof: prover.NeverSent("no attempt was made")}
 	d.Budgets(r.Service).AddFirstAttempt(r.Arrived)
 	if reason, blocked := x.blocked(r.Arrived); blocked {
+		x.Blocker.RecordRefusal(r.Fingerprint, r.Arrived)
 		x.refuse(reason)
 		return
 	}
