Crashes count although those of 4,096 other requests are recorded

What callers would see: a request that crashes replicas is never refused.

Evidence: TestManyCrashesHideNextOne fails on the code before ("crashes after the others").

Ruled out: making the table larger, as input could fill it all the same.

Why it works: a quarter of the records makes room, those of the fewest crashes first, so that blocks and requests near a block stay.

--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -6,7 +6,9 @@
 package blocker
 
 import (
+	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -30,7 +32,7 @@
 	// of a request is extended. When a VM or a link fails, all connections break at once.
 	minCrashTimes = 2
 	// maxFingerprints is the maximum number of requests whose crashes are recorded,
-	// which limits memory use. Crashes of further requests are ignored.
+	// which limits memory use. Others make room for further ones.
 	maxFingerprints = 4096
 )
 
@@ -114,6 +116,14 @@
 	return n
 }
 
+// weight returns the number of crashes that the record stands for.
+func (r *crashRecord) weight() int {
+	if !r.extendedUntil.IsZero() {
+		return max(len(r.crashes), minCrashedReplicas)
+	}
+	return len(r.crashes)
+}
+
 // lastEvent returns the time from which the record is kept.
 func (r *crashRecord) lastEvent() time.Time {
 	return later(later(r.lastCrash(), r.succeededAt), r.extendedUntil.Add(-crashTTL))
@@ -140,11 +150,10 @@
 
 // recordRequest records a crash for the request as a whole.
 func (b *Blocker) recordRequest(c Crash, now time.Time) bool {
-	r := b.record(c.Fingerprint, now)
-	return r != nil && r.add(c.Replica, now)
+	return b.record(c.Fingerprint, now).add(c.Replica, now)
 }
 
-// record returns the record of a request, or nil if there is no room for a new one.
+// record returns the record of a request, which is empty if it is new or has expired.
 func (b *Blocker) record(f Fingerprint, now time.Time) *crashRecord {
 	r := b.records[f]
 	if r != nil && now.Sub(r.lastEvent()) < crashTTL {
@@ -158,7 +167,7 @@
 		b.removeExpired(now)
 	}
 	if r == nil && len(b.records) >= maxFingerprints {
-		return nil
+		b.evict()
 	}
 	r = &crashRecord{}
 	b.records[f] = r
@@ -200,6 +209,18 @@
 	r.extendedUntil = later(r.extendedUntil, until)
 }
 
+// evict removes a quarter of the records: those of the fewest crashes, and of these the oldest.
+func (b *Blocker) evict() {
+	requests := slices.Collect(maps.Keys(b.records))
+	slices.SortFunc(requests, func(f, g Fingerprint) int {
+		x, y := b.records[f], b.records[g]
+		return cmp.Or(cmp.Compare(x.weight(), y.weight()), x.lastEvent().Compare(y.lastEvent()))
+	})
+	for _, f := range requests[:len(requests)/4] {
+		delete(b.records, f)
+	}
+}
+
 // removeExpired removes records whose last event is too old to count.
 func (b *Blocker) removeExpired(now time.Time) {
 	for f, r := range b.records {
--- a/internal/request/blocker/blocker_test.go
+++ b/internal/request/blocker/blocker_test.go
@@ -228,3 +228,23 @@
 	late.RecordRefusal(1, now)
 	c.Assert(late.Blocked(1, now.Add(crashTTL-time.Second)), qt.IsTrue)
 }
+
+// TestManyCrashesHideNextOne guards against a request that is never blocked because so many
+// others have crashed replicas.
+func TestManyCrashesHideNextOne(t *testing.T) {
+	c := qt.New(t)
+	var b Blocker
+	now := time.Unix(1000, 0)
+	for _, replica := range []string{"a", "b", "c"} {
+		b.RecordCrash(Crash{Fingerprint: 1, Replica: replica}, now)
+	}
+	for i := range 2 * maxFingerprints {
+		b.RecordCrash(Crash{Fingerprint: Fingerprint(1000 + i), Replica: "a"}, now)
+	}
+	for _, replica := range []string{"a", "b", "c"} {
+		b.RecordCrash(Crash{Fingerprint: 2, Replica: replica}, now)
+	}
+	c.Check(b.Blocked(1, now), qt.IsTrue, qt.Commentf("blocked before"))
+	c.Check(b.Blocked(2, now), qt.IsTrue, qt.Commentf("crashes after the others"))
+	c.Check(len(b.records) <= maxFingerprints, qt.IsTrue)
+}
--- a/internal/request/blocker/known.go
+++ b/internal/request/blocker/known.go
@@ -51,7 +51,7 @@
 	r := b.record(p.Request, now)
 	until := p.At.Add(crashTTL)
 	// As for parts, the time that messages take must not extend a block.
-	if r == nil || !p.At.After(r.succeededAt) || until.Sub(r.blockEnd()) < blockExtension {
+	if !p.At.After(r.succeededAt) || until.Sub(r.blockEnd()) < blockExtension {
 		return false
 	}
 	r.extendedUntil = until
