--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -78,8 +78,9 @@
 // Engine is the agent's local engine.
 type Engine interface {
 	State(ctx context.Context) (State, error)
-	// Staged returns a staged chunk, or false if the chunk is not staged.
-	Staged(ctx context.Context, model string, chunk int) ([]byte, bool, error)
+	// Staged returns a staged chunk, or false if the chunk is not staged. Of one larger
+	// than maxBytes, which can't be valid, it returns no data.
+	Staged(ctx context.Context, model string, chunk int, maxBytes int64) ([]byte, bool, error)
 	// Stage stores a chunk at the engine.
 	Stage(ctx context.Context, model string, chunk int, data []byte) error
 	// Load orders the engine to load the staged chunks as a version. orders is
@@ -346,7 +347,7 @@
 	l.mu.Unlock()
 	found := 0
 	for i := range m.Chunks {
-		data, ok, err := l.Engine.Staged(ctx, model, i)
+		data, ok, err := l.Engine.Staged(ctx, model, i, m.ChunkSizeBytes)
 		if err != nil {
 			// The engine is down; the transfer reads the chunks from other agents or
 			// from the origin.
--- a/internal/weights/loader/loader_test.go
+++ b/internal/weights/loader/loader_test.go
@@ -41,7 +41,7 @@
 
 func (e *fakeEngine) State(context.Context) (State, error) { return e.state, nil }
 
-func (e *fakeEngine) Staged(_ context.Context, _ string, chunk int) ([]byte, bool, error) {
+func (e *fakeEngine) Staged(_ context.Context, _ string, chunk int, _ int64) ([]byte, bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	data, ok := e.staged[chunk]
--- a/internal/weights/loader/stage.go
+++ b/internal/weights/loader/stage.go
@@ -56,7 +56,7 @@
 	digest := m.Digest()
 	for i := range m.Chunks {
 		calls.Go(func() error {
-			data, ok, err := l.Engine.Staged(ctx, model, i)
+			data, ok, err := l.Engine.Staged(ctx, model, i, m.ChunkSizeBytes)
 			if err != nil {
 				return err
 			}
--- a/internal/weights/loader/stage_test.go
+++ b/internal/weights/loader/stage_test.go
@@ -27,9 +27,9 @@
 	orders   int
 }
 
-func (e *decayingEngine) Staged(ctx context.Context, model string, chunk int) ([]byte, bool, error) {
+func (e *decayingEngine) Staged(ctx context.Context, model string, chunk int, maxBytes int64) ([]byte, bool, error) {
 	time.Sleep(e.readTime)
-	data, ok, err := e.fakeEngine.Staged(ctx, model, chunk)
+	data, ok, err := e.fakeEngine.Staged(ctx, model, chunk, maxBytes)
 	if int(e.reads.Add(1)) == e.pauseAtRead {
 		e.pause()
 	}
