The product's agents bound what all calls of their backend server keep

What callers would see: an engine or a service that sends bytes without end to many calls at once makes the agent run out of memory, and all its calls end.

Why it works: heads end at 64 KiB; lines beyond a buffer of 16 KiB, and bodies beyond 4 KiB, take their memory from a pool of the engine or the service, and a call that gets none fails; short lines and bodies need none.

--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -14,17 +14,26 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/zeebo/blake3"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/rationer"
 )
 
 const (
-	engineDialTimeout       = time.Second
-	maxIdleControlConns     = 2
-	controlIdleTimeout      = 30 * time.Second
+	engineDialTimeout   = time.Second
+	maxIdleControlConns = 2
+	controlIdleTimeout  = 30 * time.Second
+	// maxTokenLineBytes bounds a line of tokens, and maxLineMemory what the lines of all
+	// calls of an engine that are longer than lineBufferBytes may use together.
 	maxTokenLineBytes       = 1 << 20
+	maxLineMemory           = 16 << 20
+	lineBufferBytes         = 16 << 10
+	maxResponseHeaderBytes  = 64 << 10
 	maxControlResponseBytes = 4 << 20
 	maxErrorBodyBytes       = 4 << 10
 	maxTokenCount           = 1 << 30
@@ -40,6 +49,10 @@
 	// calls. NewHTTPEngine sets both.
 	Client  *http.Client
 	Control *http.Client
+
+	memoryOnce sync.Once
+	// lineMemory is what long lines of tokens may use.
+	lineMemory *semaphore.Weighted
 }
 
 // NewHTTPEngine returns a client for the engine at the address.
@@ -62,9 +75,10 @@
 func newTransportWithoutReuse() *http.Transport {
 	dialer := &net.Dialer{Timeout: engineDialTimeout}
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
@@ -136,10 +150,9 @@
 		defer resp.Body.Close()
 		return nil, statusError("generate", resp)
 	}
-	s := &httpTokenStream{ctx: ctx, body: resp.Body, lines: bufio.NewScanner(resp.Body), cancel: cancel}
-	s.lines.Buffer(make([]byte, 0, 4096), maxTokenLineBytes)
-	s.lines.Split(s.splitLine)
-	return s, nil
+	e.memoryOnce.Do(func() { e.lineMemory = semaphore.NewWeighted(maxLineMemory) })
+	lines := &lineReader{r: bufio.NewReaderSize(resp.Body, lineBufferBytes), memory: rationer.Ration{Pool: e.lineMemory}}
+	return &httpTokenStream{ctx: ctx, body: resp.Body, lines: lines, cancel: cancel}, nil
 }
 
 // Cancel implements Engine.
@@ -245,17 +258,9 @@
 type httpTokenStream struct {
 	ctx    context.Context
 	body   io.ReadCloser
-	lines  *bufio.Scanner
+	lines  *lineReader
 	cancel context.CancelFunc
 	ended  bool
-	// unterminated is set if the last line has no line end.
-	unterminated bool
-}
-
-// splitLine is bufio.ScanLines, and records whether the last line is unterminated.
-func (s *httpTokenStream) splitLine(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	s.unterminated = atEOF && bytes.IndexByte(data, '\n') < 0
-	return bufio.ScanLines(data, atEOF)
 }
 
 // Next implements TokenStream.
@@ -263,13 +268,14 @@
 	if s.ended {
 		return GeneratedTokens{}, io.EOF
 	}
-	if !s.lines.Scan() {
-		return GeneratedTokens{}, s.interruptedError()
+	line, terminated, err := s.lines.next()
+	if err != nil {
+		return GeneratedTokens{}, s.interruptedError(err)
 	}
-	generated, err := decodeTokenLine(s.lines.Bytes())
+	generated, err := decodeTokenLine(line)
 	var syntax *json.SyntaxError
-	if s.unterminated && errors.As(err, &syntax) {
-		return GeneratedTokens{}, s.interruptedError()
+	if !terminated && errors.As(err, &syntax) {
+		return GeneratedTokens{}, s.interruptedError(io.ErrUnexpectedEOF)
 	}
 	if err != nil {
 		return GeneratedTokens{}, &EngineError{Operation: "generate", Started: true, Cause: err}
@@ -281,20 +287,22 @@
 // Close implements TokenStream.
 func (s *httpTokenStream) Close() error {
 	s.cancel()
+	s.lines.memory.Close()
 	return s.body.Close()
 }
 
 // interruptedError returns the error for a stream that ended without an element
 // with End set.
-func (s *httpTokenStream) interruptedError() error {
-	err := s.lines.Err()
+func (s *httpTokenStream) interruptedError(err error) error {
 	if s.ctx.Err() != nil {
 		return &EngineError{Operation: "generate", Started: true, Cause: context.Cause(s.ctx)}
 	}
-	if errors.Is(err, bufio.ErrTooLong) {
+	var tooLong *lineTooLongError
+	var noMemory *rationer.MemoryError
+	if errors.As(err, &tooLong) || errors.As(err, &noMemory) {
 		return &EngineError{Operation: "generate", Started: true, Cause: err}
 	}
-	if err == nil {
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return &EngineError{Operation: "generate", Started: true, Crashed: true, Cause: err}
--- a/pkg/adapter/service_http.go
+++ b/pkg/adapter/service_http.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
+	"sync"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/lentilbridge/lentilbridge/internal/shared/rationer"
 )
 
 const (
 	defaultMaxAnswerBytes = 8 << 20
+	maxAnswerMemory       = 32 << 20
 	healthPath            = "/healthz"
 )
 
@@ -21,6 +26,10 @@
 	Client *http.Client
 	// MaxAnswerBytes is the maximum size of a response body; 0 means 8 MiB.
 	MaxAnswerBytes int64
+
+	memoryOnce sync.Once
+	// memory is what the bodies that are being received may use together.
+	memory *semaphore.Weighted
 }
 
 // NewHTTPService returns a client for the service at the address.
@@ -57,13 +66,13 @@
 	if limit == 0 {
 		limit = defaultMaxAnswerBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	s.memoryOnce.Do(func() { s.memory = semaphore.NewWeighted(max(maxAnswerMemory, 2*limit)) })
+	memory := rationer.Ration{Pool: s.memory, Free: rationer.FirstStep}
+	defer memory.Close()
+	body, err := rationer.ReadAll(resp.Body, limit, memory.Resize)
 	if err != nil {
 		return ServiceAnswer{}, &ServiceError{Started: true, Cause: err}
 	}
-	if int64(len(body)) > limit {
-		return ServiceAnswer{}, &ServiceError{Started: true, Cause: fmt.Errorf("response is larger than %d bytes", limit)}
-	}
 	return ServiceAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
