Crashes of replicas that kept their ids count again

Cause: a crash was known by id and address of the replica; one that is known was dropped as a repeat, even if it had expired.

Ruled out: that one crash after the end of a block does not block again (TestPartBlocked).

Why it works: a crash names the run of the replica, by its start; a known crash that has expired makes room for a new one.

--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -53,8 +53,7 @@
 // breaks during the request counts as a crash.
 type Crash struct {
 	Fingerprint Fingerprint
-	// Replica is the ID and the address of the replica, which together identify one
-	// incarnation.
+	// Replica identifies one incarnation of the replica.
 	Replica string
 	// Parts are the shared parts of the prompt that may have caused the crash.
 	Parts []Fingerprint
--- a/internal/request/blocker/suspect.go
+++ b/internal/request/blocker/suspect.go
@@ -39,6 +39,12 @@
 func (s *suspect) add(c Crash, now time.Time) bool {
 	s.lastCrash = later(s.lastCrash, now)
 	i := slices.IndexFunc(s.crashes, func(known partCrash) bool { return known.replica == c.Replica })
+	if i >= 0 && now.Sub(s.crashes[i].at) >= crashTTL {
+		// The replica has crashed again, and the crash that is known counts no longer.
+		s.crashes = slices.Delete(s.crashes, i, i+1)
+		s.replicas ^= xxhash.Sum64String(c.Replica)
+		i = -1
+	}
 	if i >= 0 {
 		known := &s.crashes[i]
 		if len(known.requests) >= maxRequestsPerCrash || slices.Contains(known.requests, c.Fingerprint) {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -436,9 +437,15 @@
 // have caused, and announces it if it is new.
 func (x *execution) recordCrash(replica placer.Replica, parts []blocker.Fingerprint, now time.Time) {
 	c := blocker.Crash{
-		Fingerprint: x.request.Fingerprint, Replica: replica.ID + "@" + replica.Address, Parts: x.Blocker.SuspectParts(parts, now),
+		Fingerprint: x.request.Fingerprint, Replica: incarnation(replica), Parts: x.Blocker.SuspectParts(parts, now),
 	}
 	if x.Blocker.RecordCrash(c, now) && x.OnCrash != nil {
 		x.OnCrash(c, now)
 	}
 }
+
+// incarnation names one run of a replica, which may start again under the ID and the address
+// that it had.
+func incarnation(r placer.Replica) string {
+	return r.ID + "@" + r.Address + "#" + strconv.FormatInt(r.StartedAtMs, 10)
+}
