--- a/pkg/adapter/endless_test.go
+++ b/pkg/adapter/endless_test.go
@@ -123,7 +123,7 @@
 			c := qt.New(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
-			defer l.Close()
+			defer func() { _ = l.Close() }()
 			go (&endlessEngine{begin: tc.begin, piece: tc.piece}).run(l)
 			call := generate(NewHTTPEngine(l.Addr().String()))
 			if tc.isService {
