--- a/internal/weights/loader/loader.go
+++ b/internal/weights/loader/loader.go
@@ -155,7 +155,7 @@
 	// current is the latest transfer. Only Run uses it.
 	current *transferRun
 	// givenUp is the number of loads that were given up since the last order, and
-	// loadAfter is when the next one may begin. Only Run uses them.
+	// loadAfter is the earliest time of the next one. Only Run uses them.
 	givenUp   int
 	loadAfter time.Time
 	// addingServed is set while the served version is added to the store.
--- a/internal/weights/loader/stage.go
+++ b/internal/weights/loader/stage.go
@@ -50,31 +50,51 @@
 // stageInvalid reads the staged chunks back, replaces the invalid ones and returns their
 // number.
 func (l *Loader) stageInvalid(ctx context.Context, model string, m *verifier.Manifest) (int, error) {
-	var invalid atomic.Int64
 	calls, ctx := errgroup.WithContext(ctx)
 	calls.SetLimit(MaxStageCalls)
-	digest := m.Digest()
+	r := &readBack{loader: l, model: model, manifest: m, digest: m.Digest()}
 	for i := range m.Chunks {
-		calls.Go(func() error {
-			data, ok, err := l.Engine.Staged(ctx, model, i, m.ChunkSizeBytes)
-			if err != nil {
-				return err
-			}
-			if ok {
-				if _, err := verifier.VerifyChunk(m, i, data); err == nil {
-					return nil
-				}
-			}
-			invalid.Add(1)
-			held, ok := l.Store.Chunk(digest, i)
-			if !ok {
-				return &transferError{Model: model, Cause: &storer.IncompleteError{Digest: digest, Total: len(m.Chunks)}}
-			}
-			return l.Engine.Stage(ctx, model, i, held)
-		})
+		calls.Go((&chunkCheck{readBack: r, ctx: ctx, chunk: i}).run)
 	}
 	err := calls.Wait()
-	return int(invalid.Load()), err
+	return int(r.invalid.Load()), err
+}
+
+// readBack is one round of reading staged chunks back.
+type readBack struct {
+	loader   *Loader
+	model    string
+	manifest *verifier.Manifest
+	digest   string
+	// invalid counts the chunks that were replaced.
+	invalid atomic.Int64
+}
+
+// chunkCheck reads one staged chunk back.
+type chunkCheck struct {
+	*readBack
+	ctx   context.Context
+	chunk int
+}
+
+// run replaces the chunk if it is invalid or missing.
+func (c *chunkCheck) run() error {
+	l, m := c.loader, c.manifest
+	data, ok, err := l.Engine.Staged(c.ctx, c.model, c.chunk, m.ChunkSizeBytes)
+	if err != nil {
+		return err
+	}
+	if ok {
+		if _, err := verifier.VerifyChunk(m, c.chunk, data); err == nil {
+			return nil
+		}
+	}
+	c.invalid.Add(1)
+	held, ok := l.Store.Chunk(c.digest, c.chunk)
+	if !ok {
+		return &transferError{Model: c.model, Cause: &storer.IncompleteError{Digest: c.digest, Total: len(m.Chunks)}}
+	}
+	return l.Engine.Stage(c.ctx, c.model, c.chunk, held)
 }
 
 // checkVerification returns a *staleVerificationError if staged chunks that were read back
