One more crash blocks a request again after its block has ended

Cause: the first three crashes had come within 97 ms, so that the block was not extended (as when a VM fails), and at its end the crashes were forgotten: three more were needed.

TestRequestNeedsAllCrashesAgain fails on the code before.

Ruled out: a daemon that did not learn of the block (it refused until then, and knew all crashes).

Why it works: crashes that have blocked a request are kept for 10 min after the last one, so that the next one blocks it at once and keeps its own request from a second replica. A success forgets them.

--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -26,7 +26,7 @@
 	// crashTTL is how long the crashes of a request count after the last one.
 	crashTTL = 60 * time.Second
 	// maxBlockTime is the time after the last crash until which a block is extended while
-	// its request is refused.
+	// its request is refused, and in which one more crash blocks the request again.
 	maxBlockTime = 10 * time.Minute
 	// minCrashTimes is the number of separate times of its crashes from which on the block
 	// of a request is extended. When a VM or a link fails, all connections break at once.
@@ -128,6 +128,15 @@
 	return later(later(r.lastCrash(), r.succeededAt), r.extendedUntil.Add(-crashTTL))
 }
 
+// isExpired reports whether the record counts no longer. Crashes that have blocked the request
+// count for longer.
+func (r *crashRecord) isExpired(now time.Time) bool {
+	if len(r.crashes) >= minCrashedReplicas && now.Sub(r.lastCrash()) < maxBlockTime {
+		return false
+	}
+	return now.Sub(r.lastEvent()) >= crashTTL
+}
+
 // blockEnd returns the end of the block, which is in the past if there is none.
 func (r *crashRecord) blockEnd() time.Time {
 	if len(r.crashes) >= minCrashedReplicas {
@@ -155,7 +164,7 @@
 // record returns the record of a request, which is empty if it is new or has expired.
 func (b *Blocker) record(f Fingerprint, now time.Time) *crashRecord {
 	r := b.records[f]
-	if r != nil && now.Sub(r.lastEvent()) < crashTTL {
+	if r != nil && !r.isExpired(now) {
 		return r
 	}
 	if b.records == nil {
@@ -223,7 +232,7 @@
 // removeExpired removes records whose last event is too old to count.
 func (b *Blocker) removeExpired(now time.Time) {
 	for f, r := range b.records {
-		if now.Sub(r.lastEvent()) >= crashTTL {
+		if r.isExpired(now) {
 			delete(b.records, f)
 		}
 	}
--- a/internal/request/blocker/blocker_test.go
+++ b/internal/request/blocker/blocker_test.go
@@ -248,3 +248,35 @@
 	c.Check(b.Blocked(2, now), qt.IsTrue, qt.Commentf("crashes after the others"))
 	c.Check(len(b.records) <= maxFingerprints, qt.IsTrue)
 }
+
+// TestRequestNeedsAllCrashesAgain guards against a request that crashes as many replicas again
+// after its block has ended. The first crashes came at once, so that the block was not extended.
+func TestRequestNeedsAllCrashesAgain(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		after   time.Duration
+		success bool
+		want    bool
+	}{
+		{"right after the block", crashTTL + time.Second, false, true},
+		{"minutes later", maxBlockTime, false, true},
+		{"too late", maxBlockTime + crashTTL, false, false},
+		{"after a success", crashTTL + time.Second, true, false},
+	}
+	for _, tc := range tests {
+		var b Blocker
+		for i := range 3 {
+			b.RecordCrash(Crash{Fingerprint: 1, Replica: string(rune('a' + i))}, start.Add(time.Duration(i)*30*time.Millisecond))
+		}
+		now := start.Add(tc.after)
+		c.Assert(b.Blocked(1, now), qt.IsFalse, qt.Commentf(tc.name))
+		if tc.success {
+			b.RecordSuccess(1, now)
+		}
+		now = now.Add(30 * time.Millisecond)
+		b.RecordCrash(Crash{Fingerprint: 1, Replica: "d"}, now)
+		c.Check(b.Blocked(1, now), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
--- a/internal/request/blocker/known.go
+++ b/internal/request/blocker/known.go
@@ -65,7 +65,7 @@
 	defer b.mu.Unlock()
 	known := map[crashKey]*ObservedCrash{}
 	for f, r := range b.records {
-		if now.Sub(r.lastEvent()) >= crashTTL {
+		if r.isExpired(now) {
 			continue
 		}
 		for _, c := range r.crashes {
