A pause of the process stops no messages

What callers would see: an entry daemon that exchanges no more messages with the others, for good.

Cause: two locks in opposite order. A message is composed under the gossiper's lock and asks the version tracker, which checks for a pause; the report of a pause asked for the gossiper's lock.

Ruled out: notices that are lost or limited (the daemon sent nothing at all any more).

Why it works: what a daemon has missed has a lock of its own, which is held during no call.

--- a/internal/coordination/gossiper/knowledge.go
+++ b/internal/coordination/gossiper/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,7 +29,11 @@
 // knowledge is what a daemon does about the notices that it has missed: those from before its
 // start, and those of a time in which it did not run or was cut off. They are not repeated for
 // it, so that it asks another daemon for all that is in force.
+//
+// Its lock is held during no other call: a pause is reported to it by code that a message being
+// composed may wait for.
 type knowledge struct {
+	mu sync.Mutex
 	// wantedSince is zero if nothing is missing.
 	wantedSince time.Time
 	askedAt     time.Time
@@ -51,15 +56,29 @@
 const maxKnowledgePages = 64
 
 // want makes the daemon ask for what it may have missed.
-func (k *knowledge) want(now time.Time) {
-	if k.wantedSince.IsZero() {
-		*k = knowledge{wantedSince: now, heardAt: k.heardAt}
+// It reports whether it did not before.
+func (k *knowledge) want(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.wantedSince.IsZero() {
+		return false
 	}
+	k.wantedSince, k.askedAt, k.from, k.pages = now, time.Time{}, "", nil
+	return true
+}
+
+// isWanted reports whether something is missing, and since when.
+func (k *knowledge) isWanted() (since time.Time, wanted bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.wantedSince, !k.wantedSince.IsZero()
 }
 
 // recordReception notes a message of an entry daemon and reports whether others may have been
 // missed before it.
 func (k *knowledge) recordReception(now time.Time) (missed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	missed = !k.heardAt.IsZero() && now.Sub(k.heardAt) > maxReceptionGap
 	k.heardAt = now
 	return missed
@@ -67,11 +86,22 @@
 
 // shouldAsk reports whether a request is due.
 func (k *knowledge) shouldAsk(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return !k.wantedSince.IsZero() && now.Sub(k.askedAt) >= knowledgeInterval
 }
 
+// recordRequest notes that another daemon has been asked.
+func (k *knowledge) recordRequest(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.askedAt = now
+}
+
 // giveUp ends the wait if no daemon has answered for too long, and reports whether it did.
 func (k *knowledge) giveUp(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.wantedSince.IsZero() || now.Sub(k.wantedSince) < knowledgePatience {
 		return false
 	}
@@ -81,6 +111,8 @@
 
 // recordPage notes a page and reports whether it was the last one that was missing.
 func (k *knowledge) recordPage(from string, p knowledgePage) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.wantedSince.IsZero() || !p.Complete || p.Pages < 1 || p.Pages > maxKnowledgePages || p.Page < 0 || p.Page >= p.Pages {
 		return false
 	}
@@ -98,11 +130,7 @@
 // WantKnowledge makes Run ask another daemon for all that is in force, because notices may
 // have been missed.
 func (g *Gossiper) WantKnowledge(reason string, now time.Time) {
-	g.mu.Lock()
-	wanted := !g.knowledge.wantedSince.IsZero()
-	g.knowledge.want(now)
-	g.mu.Unlock()
-	if !wanted {
+	if g.knowledge.want(now) {
 		g.Log.Info("decision", zap.String("kind", "ask-peers"), zap.String("reason", reason))
 	}
 }
@@ -110,22 +138,16 @@
 // Informed reports whether this daemon knows what the others know, has waited for it for long
 // enough, or knows of no others.
 func (g *Gossiper) Informed(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.knowledge.wantedSince.IsZero() || now.Sub(g.knowledge.wantedSince) >= knowledgeTimeout ||
-		len(g.Seeds) == 0 && len(g.Members.Known(Entry, now)) == 0
+	since, wanted := g.knowledge.isWanted()
+	return !wanted || now.Sub(since) >= knowledgeTimeout || len(g.Seeds) == 0 && len(g.Members.Known(Entry, now)) == 0
 }
 
 // requestKnowledge asks a live entry daemon, if possible of the same failure domain.
 func (g *Gossiper) requestKnowledge(self Member, now time.Time) {
-	g.mu.Lock()
-	gaveUp := g.knowledge.giveUp(now)
-	due := g.knowledge.shouldAsk(now)
-	g.mu.Unlock()
-	if gaveUp {
+	if g.knowledge.giveUp(now) {
 		g.Log.Warn("no other daemon has told what it knows", zap.Duration("waited", knowledgePatience))
 	}
-	if !due {
+	if !g.knowledge.shouldAsk(now) {
 		return
 	}
 	var near, far []Member
@@ -145,9 +167,7 @@
 	if len(to) == 0 {
 		return
 	}
-	g.mu.Lock()
-	g.knowledge.askedAt = now
-	g.mu.Unlock()
+	g.knowledge.recordRequest(now)
 	m := g.header(self)
 	m.RequestKnowledge = true
 	g.sendMessage(m, to)
@@ -156,9 +176,8 @@
 // sendKnowledge answers a request with the crashes that count, the blocks in force and the
 // replicas that leave.
 func (g *Gossiper) sendKnowledge(to Member, now time.Time) {
-	g.mu.Lock()
-	complete := g.knowledge.wantedSince.IsZero()
-	g.mu.Unlock()
+	_, wanted := g.knowledge.isWanted()
+	complete := !wanted
 	pages := g.knowledgePages(now)
 	for i, r := range pages {
 		m := g.header(g.Self())
@@ -199,12 +218,9 @@
 func (g *Gossiper) receiveKnowledge(m message, now time.Time) {
 	g.receiveReports(m.reports, false, now)
 	g.receiveLeaving(m.Leaving, false, false, now)
-	g.mu.Lock()
-	wanted := g.knowledge.wantedSince
-	complete := g.knowledge.recordPage(m.From.Address, *m.Knowledge)
-	g.mu.Unlock()
-	if complete {
-		g.Log.Info("learned what other daemons know", zap.String("from", m.From.VM), zap.Int("messages", m.Knowledge.Pages), zap.Duration("took", now.Sub(wanted)))
+	since, _ := g.knowledge.isWanted()
+	if g.knowledge.recordPage(m.From.Address, *m.Knowledge) {
+		g.Log.Info("learned what other daemons know", zap.String("from", m.From.VM), zap.Int("messages", m.Knowledge.Pages), zap.Duration("took", now.Sub(since)))
 	}
 }
 
--- a/internal/coordination/gossiper/knowledge_test.go
+++ b/internal/coordination/gossiper/knowledge_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lentilbridge/lentilbridge/internal/request/blocker"
+	"github.com/lentilbridge/lentilbridge/internal/weights/selector"
 )
 
 // TestNewcomerSendsCrashingRequest guards against daemons that hand requests to replicas that
@@ -29,7 +30,7 @@
 			"restarted", func(f *fleet) *fleetDaemon { return f.entries()[1] },
 			func(f *fleet, d *fleetDaemon) *fleetDaemon {
 				d.self.Incarnation++
-				d.knowledge = knowledge{}
+				d.knowledge.wantedSince, d.knowledge.heardAt = time.Time{}, time.Time{}
 				d.WantKnowledge("start", f.now)
 				return d
 			},
@@ -146,3 +147,32 @@
 	f.run(2 * knowledgePatience)
 	c.Check(f.entries()[0].knowledge.wantedSince.IsZero(), qt.IsTrue)
 }
+
+// TestPauseStopsMessages guards against a daemon that sends and receives no more messages after
+// a pause of the process: the pause is noticed while a message is composed, and the one who
+// reports it waits for the message, which waits for the report.
+func TestPauseStopsMessages(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, 2, 0, 0)
+	f.run(time.Second)
+	d := f.entries()[0]
+	reported, waiting := 0, 0
+	d.Announcements = func(now time.Time) []selector.Announcement {
+		done := make(chan struct{})
+		go func() {
+			d.WantKnowledge("the process did not run", now)
+			d.Informed(now)
+			close(done)
+		}()
+		select {
+		case <-done:
+			reported++
+		case <-time.After(5 * time.Second):
+			waiting++
+		}
+		return nil
+	}
+	d.sendRound(true, f.now)
+	c.Assert(reported > 0, qt.IsTrue)
+	c.Assert(waiting, qt.Equals, 0)
+}
--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -108,11 +108,8 @@
 	if self.Role != Entry || from.Role != Entry {
 		return
 	}
-	g.mu.Lock()
-	missed := g.knowledge.recordReception(now)
-	g.mu.Unlock()
 	switch {
-	case missed:
+	case g.knowledge.recordReception(now):
 		g.WantKnowledge("no messages for a time", now)
 	case from.FailureDomain == self.FailureDomain && g.Members.isReturning(from, now):
 		g.WantKnowledge("a daemon of the failure domain was silent", now)
