Resync of daemons: usual terms, and one copy of what stood twice

Read again as a whole; no behaviour is changed but names in messages and in the log.

- What a daemon asks another one for after a start, a pause or a cut is its state, and asking is a resync: file, type, methods, message fields and log lines say so (before: knowledge, informed, told).
- The split of members by failure domain and the choice of one of them stood twice in the gossiper (targets, requestMembers); both call splitByDomain and oneOf now.
- Both tables of the blocker drop a quarter of their records by one function, leastQuarter.
- The copy of request blocks from a message that never has any is gone; maxCrashes of the blocker is used in its package only.

--- a/internal/coordination/gossiper/gossiper.go
+++ b/internal/coordination/gossiper/gossiper.go
@@ -105,10 +105,10 @@
 	// RequestMembers asks the receiver for its member list.
 	RequestMembers bool    `json:"introduce,omitempty"`
 	Digest         *digest `json:"digest,omitempty"`
-	// RequestKnowledge asks the receiver for all that it knows of crashes, blocks and
-	// replicas that leave, and Knowledge marks its answer.
-	RequestKnowledge bool           `json:"request-knowledge,omitempty"`
-	Knowledge        *knowledgePage `json:"knowledge,omitempty"`
+	// RequestState asks the receiver for its crashes, blocks and replicas that leave, and
+	// StatePage marks the answer.
+	RequestState bool       `json:"request-state,omitempty"`
+	StatePage    *statePage `json:"state-page,omitempty"`
 }
 
 // Gossiper sends and receives messages. Its exported fields are set before Run.
@@ -187,8 +187,8 @@
 	// refusals are the refusals to be sent, oldest first.
 	refusals []notice[blocker.Fingerprint]
 	relay    relay
-	// knowledge is what this daemon has missed.
-	knowledge knowledge
+	// resync is the request for what this daemon has missed.
+	resync resync
 	// lastSentState is the replica state in the last message, and stateChangedAt is
 	// when a message last contained a state that was not steady.
 	lastSentState  *ReplicaState
@@ -267,7 +267,7 @@
 	}
 	g.requestMembers(self, near, far, now)
 	if self.Role == Entry {
-		g.requestKnowledge(self, now)
+		g.requestState(self, now)
 	}
 	if now.Sub(g.lastSeed) >= seedInterval {
 		g.lastSeed = now
@@ -302,7 +302,7 @@
 		g.lastMemberList = now
 		withMembers := m
 		withMembers.Members = sample(g.Members.Live(Entry, now), maxMembersPerMessage)
-		withMembers.Blocks, withMembers.RequestBlocks = slices.Clone(m.Blocks), slices.Clone(m.RequestBlocks)
+		withMembers.Blocks = slices.Clone(m.Blocks)
 		withMembers.addBlocks(g.blocks(now), now)
 		listed := sample(append([]Member(nil), near...), maxMemberListTargets)
 		g.sendMessage(withMembers, listed)
@@ -364,10 +364,7 @@
 	if now.Sub(g.lastMemberRequest) < interval || (self.Role == Entry && len(g.Members.Live(Entry, now)) > 0) {
 		return
 	}
-	to := sample(near, 1)
-	if len(to) == 0 {
-		to = sample(far, 1)
-	}
+	to := oneOf(near, far)
 	if len(to) == 0 {
 		return
 	}
@@ -382,7 +379,17 @@
 // and those of others. A daemon that knows none of its own failure domain sends its
 // messages to a few of the others. Agents get only answers to their requests.
 func (g *Gossiper) targets(self Member, now time.Time) (near, far []Member) {
-	for _, m := range g.Members.Known(Entry, now) {
+	near, far = splitByDomain(self, g.Members.Known(Entry, now))
+	if len(near) == 0 {
+		near = sample(append([]Member(nil), far...), maxFarTargets)
+	}
+	return near, far
+}
+
+// splitByDomain returns the members of the failure domain of self, without self, and those of
+// others.
+func splitByDomain(self Member, list []Member) (near, far []Member) {
+	for _, m := range list {
 		switch {
 		case m.Address == self.Address:
 		case m.FailureDomain == self.FailureDomain:
@@ -391,12 +398,17 @@
 			far = append(far, m)
 		}
 	}
-	if len(near) == 0 {
-		near = sample(append([]Member(nil), far...), maxFarTargets)
-	}
 	return near, far
 }
 
+// oneOf returns a random member, if possible of the same failure domain.
+func oneOf(near, far []Member) []Member {
+	if len(near) > 0 {
+		return sample(near, 1)
+	}
+	return sample(far, 1)
+}
+
 // sample returns at most n random members of the list, which it may reorder.
 func sample(list []Member, n int) []Member {
 	if len(list) <= n {
--- a/internal/coordination/gossiper/receiver.go
+++ b/internal/coordination/gossiper/receiver.go
@@ -75,8 +75,8 @@
 		g.receiveDigest(m, now)
 		return
 	}
-	if m.Knowledge != nil {
-		g.receiveKnowledge(m, now)
+	if m.StatePage != nil {
+		g.receiveState(m, now)
 		return
 	}
 	// The load of other failure domains arrives in digests.
@@ -96,8 +96,8 @@
 	if m.RequestMembers {
 		g.sendMembers(m.From, now)
 	}
-	if m.RequestKnowledge && g.Self().Role == Entry {
-		g.sendKnowledge(m.From, now)
+	if m.RequestState && g.Self().Role == Entry {
+		g.sendState(m.From, now)
 	}
 }
 
@@ -109,10 +109,10 @@
 		return
 	}
 	switch {
-	case g.knowledge.recordReception(now):
-		g.WantKnowledge("no messages for a time", now)
+	case g.resync.recordReception(now):
+		g.Resync("no messages for a time", now)
 	case from.FailureDomain == self.FailureDomain && g.Members.isReturning(from, now):
-		g.WantKnowledge("a daemon of the failure domain was silent", now)
+		g.Resync("a daemon of the failure domain was silent", now)
 	}
 }
 
--- a/internal/coordination/gossiper/knowledge_test.go
+++ b/internal/coordination/gossiper/resync_test.go
@@ -30,8 +30,8 @@
 			"restarted", func(f *fleet) *fleetDaemon { return f.entries()[1] },
 			func(f *fleet, d *fleetDaemon) *fleetDaemon {
 				d.self.Incarnation++
-				d.knowledge.wantedSince, d.knowledge.heardAt = time.Time{}, time.Time{}
-				d.WantKnowledge("start", f.now)
+				d.resync.wantedSince, d.resync.receivedAt = time.Time{}, time.Time{}
+				d.Resync("start", f.now)
 				return d
 			},
 		},
@@ -74,7 +74,7 @@
 			// The part of both requests has crashed three replicas under two of them.
 			b.RecordCrash(blocker.Crash{Fingerprint: 14, Replica: "other", Parts: []blocker.Fingerprint{101}}, f.now)
 			c.Check(b.PartBlocked([]blocker.Fingerprint{101}, f.now), qt.IsTrue)
-			c.Check(d.Informed(f.now), qt.IsTrue)
+			c.Check(d.Synchronized(f.now), qt.IsTrue)
 		})
 	}
 }
@@ -83,7 +83,7 @@
 func (f *fleet) start(domain int) *fleetDaemon {
 	f.add(domain, 60, Entry)
 	d := f.daemons[len(f.daemons)-1]
-	d.WantKnowledge("start", f.now)
+	d.Resync("start", f.now)
 	return d
 }
 
@@ -107,9 +107,9 @@
 	c.Assert(blockers[deaf].Blocked(11, f.now), qt.IsTrue)
 }
 
-// TestKnowledgeExceedsDatagram guards against an answer that is lost because it does not fit
+// TestStateExceedsDatagram guards against an answer that is lost because it does not fit
 // into a datagram, and against one that grows without limit.
-func TestKnowledgeExceedsDatagram(t *testing.T) {
+func TestStateExceedsDatagram(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1, 2, 0, 0)
 	f.run(2 * time.Second)
@@ -127,7 +127,7 @@
 	f.run(time.Second)
 	c.Check(f.largest <= maxDatagram/2, qt.IsTrue, qt.Commentf("%d bytes", f.largest))
 	c.Check(f.bytes <= 256<<10, qt.IsTrue, qt.Commentf("%d bytes", f.bytes))
-	c.Check(f.daemons[len(f.daemons)-1].Informed(f.now), qt.IsTrue)
+	c.Check(f.daemons[len(f.daemons)-1].Synchronized(f.now), qt.IsTrue)
 }
 
 // TestDaemonsWaitForEachOther guards against daemons that are never ready because all have
@@ -136,16 +136,16 @@
 	c := qt.New(t)
 	f := newFleet(1, 3, 0, 0)
 	for _, d := range f.entries() {
-		d.WantKnowledge("start", f.now)
+		d.Resync("start", f.now)
 	}
-	f.run(knowledgeTimeout / 2)
-	c.Check(f.entries()[0].Informed(f.now), qt.IsFalse)
-	f.run(knowledgeTimeout)
+	f.run(resyncTimeout / 2)
+	c.Check(f.entries()[0].Synchronized(f.now), qt.IsFalse)
+	f.run(resyncTimeout)
 	for _, d := range f.entries() {
-		c.Check(d.Informed(f.now), qt.IsTrue)
+		c.Check(d.Synchronized(f.now), qt.IsTrue)
 	}
-	f.run(2 * knowledgePatience)
-	c.Check(f.entries()[0].knowledge.wantedSince.IsZero(), qt.IsTrue)
+	f.run(2 * resyncPatience)
+	c.Check(f.entries()[0].resync.wantedSince.IsZero(), qt.IsTrue)
 }
 
 // TestPauseStopsMessages guards against a daemon that sends and receives no more messages after
@@ -160,8 +160,8 @@
 	d.Announcements = func(now time.Time) []selector.Announcement {
 		done := make(chan struct{})
 		go func() {
-			d.WantKnowledge("the process did not run", now)
-			d.Informed(now)
+			d.Resync("the process did not run", now)
+			d.Synchronized(now)
 			close(done)
 		}()
 		select {
--- a/internal/request/blocker/blocker.go
+++ b/internal/request/blocker/blocker.go
@@ -219,16 +219,20 @@
 
 // evict removes a quarter of the records: those of the fewest crashes, and of these the oldest.
 func (b *Blocker) evict() {
-	requests := slices.Collect(maps.Keys(b.records))
-	slices.SortFunc(requests, func(f, g Fingerprint) int {
-		x, y := b.records[f], b.records[g]
+	for _, f := range leastQuarter(b.records, func(x, y *crashRecord) int {
 		return cmp.Or(cmp.Compare(x.weight(), y.weight()), x.lastEvent().Compare(y.lastEvent()))
-	})
-	for _, f := range requests[:len(requests)/4] {
+	}) {
 		delete(b.records, f)
 	}
 }
 
+// leastQuarter returns the keys of a quarter of the records: the first ones in the given order.
+func leastQuarter[R any](records map[Fingerprint]R, compare func(x, y R) int) []Fingerprint {
+	keys := slices.Collect(maps.Keys(records))
+	slices.SortFunc(keys, func(f, g Fingerprint) int { return compare(records[f], records[g]) })
+	return keys[:len(keys)/4]
+}
+
 // removeExpired removes records whose last event is too old to count.
 func (b *Blocker) removeExpired(now time.Time) {
 	for f, r := range b.records {
--- a/internal/request/blocker/known.go
+++ b/internal/request/blocker/known.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// MaxCrashes is the maximum number of crashes, and maxCrashParts that of parts in them
-	// together, that a daemon without this knowledge is told.
-	MaxCrashes    = 256
+	// maxCrashes is the maximum number of crashes, and maxCrashParts that of parts in them
+	// together, that are sent to a daemon that has missed notices.
+	maxCrashes    = 256
 	maxCrashParts = 4096
 )
 
@@ -80,7 +80,7 @@
 	slices.SortFunc(out, func(x, y ObservedCrash) int {
 		return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.Fingerprint, y.Fingerprint), cmp.Compare(x.Replica, y.Replica))
 	})
-	out = out[:min(len(out), MaxCrashes)]
+	out = out[:min(len(out), maxCrashes)]
 	b.parts.limitParts(out)
 	return out
 }
--- a/internal/request/blocker/part_records.go
+++ b/internal/request/blocker/part_records.go
@@ -121,12 +121,9 @@
 // evict removes a quarter of the suspects: those with the oldest last crashes, and after them
 // those of several crashes and the blocked ones.
 func (r *partRecords) evict(now time.Time) {
-	parts := slices.Collect(maps.Keys(r.suspects))
-	slices.SortFunc(parts, func(a, b Fingerprint) int {
-		x, y := r.suspects[a], r.suspects[b]
+	for _, part := range leastQuarter(r.suspects, func(x, y *suspect) int {
 		return cmp.Or(cmp.Compare(x.rank(now), y.rank(now)), x.lastCrash.Compare(y.lastCrash))
-	})
-	for _, part := range parts[:len(parts)/4] {
+	}) {
 		r.remove(part)
 	}
 }
