Claims: the answer of a call survives a restore of the object API

A daemon that takes part in an era for the first time with this call (its shard had no recent claims) writes its recent claims to the store again, and the claimer remembers an outcome before the owner of the shard has written it, without the answer. If the check of the era, every 2 s, falls between, the outcome is in the store without its answer, and the owner, which has the answer, finds the outcome recorded.

Change: an outcome with an answer replaces the same outcome without one.

--- a/pkg/claimer/era_test.go
+++ b/pkg/claimer/era_test.go
@@ -218,7 +218,7 @@
 			state := agents.claim(c, other, "key", "r2")
 			c.Assert(state, qt.Not(qt.Equals), messenger.ClaimState_CLAIM_STATE_GRANTED)
 		}
-		// The caller is told what became of the call, by its agent.
+		// The caller is informed by its agent what became of the call.
 		reply, err := other.Claim(ctx, claimRequest("key", "b", "r2"))
 		c.Assert(err, qt.IsNil)
 		c.Assert(reply.GetState(), qt.Equals, messenger.ClaimState_CLAIM_STATE_IN_PROGRESS)
@@ -332,3 +332,49 @@
 		})
 	}
 }
+
+// slowOwner passes outcomes on after a delay.
+type slowOwner struct {
+	ownerClient
+	delay time.Duration
+}
+
+func (o *slowOwner) CompleteClaim(ctx context.Context, req *messenger.CompleteClaimRequest, opts ...grpc.CallOption) (*messenger.CompleteClaimReply, error) {
+	time.Sleep(o.delay)
+	return o.ownerClient.CompleteClaim(ctx, req, opts...)
+}
+
+// Guards against a response that is lost when a daemon that enters a new era writes the
+// outcome of a call, which it remembers without the response, before the owner of the
+// shard has written the outcome with the response.
+func TestAnswerSurvivesOutcomeWrittenByRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		api := &emulator.MemoryObjects{}
+		api.Restore(api.Copy())
+		owner := startClaimer(ctx, &eraOfResponses{MemoryObjects: api}, "entry-1", true)
+		claimState(c, owner, claimRequest(keyOfShard(4, 0), "b", "r0"))
+		time.Sleep(20 * time.Second)
+		// The delay is below the timeout of a forwarded call.
+		client := &slowOwner{ownerClient{owner: owner}, 900 * time.Millisecond}
+		forwarding := &claimer.Claimer{
+			API: &eraOfResponses{MemoryObjects: api}, VM: "entry-2", Log: zap.NewNop(),
+			Owner: func(string) messenger.EntryClient { return client },
+		}
+		go forwarding.Run(ctx)
+		// The daemon writes its recent claims again at several times in these 9 s.
+		for n := range 10 {
+			key := keyOfShard(4, n+1)
+			c.Assert(claimState(c, forwarding, claimRequest(key, "b", "r1")), qt.Equals, messenger.ClaimState_CLAIM_STATE_GRANTED)
+			reply, err := forwarding.CompleteClaim(ctx, completeRequest(key, "r1", claimer.OutcomeServed, "answer"))
+			c.Assert(err, qt.IsNil)
+			c.Check(reply.GetRecorded(), qt.IsTrue)
+			again, err := owner.Claim(ctx, claimRequest(key, "b", "r2"))
+			c.Assert(err, qt.IsNil)
+			c.Check(again.GetState(), qt.Equals, messenger.ClaimState_CLAIM_STATE_DONE)
+			c.Check(string(again.GetAnswer().GetBody()), qt.Equals, "answer", qt.Commentf("call %d", n))
+		}
+	})
+}
--- a/pkg/claimer/index.go
+++ b/pkg/claimer/index.go
@@ -99,8 +99,14 @@
 	if existing == nil || !existing.isClaimedBy(req.GetAttempt()) {
 		return false, nil
 	}
-	if existing.Outcome == req.GetOutcome() || existing.Outcome == OutcomeServed {
-		return existing.Outcome == req.GetOutcome(), nil
+	// After a restore of the store, a daemon may have written the outcome already without
+	// the answer, which daemons do not remember.
+	lacksAnswer := existing.Answer == nil && req.GetAnswer() != nil
+	switch {
+	case existing.Outcome == req.GetOutcome() && !lacksAnswer:
+		return true, nil
+	case existing.Outcome == OutcomeServed && req.GetOutcome() != OutcomeServed:
+		return false, nil
 	}
 	updated := *existing
 	updated.Outcome = req.GetOutcome()
