Listeners: a disconnect behind requests that were sent ahead is seen

Cause: while a request is in its handler, net/http reads one byte in the background, and stops at the first byte of the next request. The end of the connection behind that byte is not seen, so the requests of a client that has sent others ahead and disconnected run to their end or stay in the queue, and hold the slots of the replica.

Change: the wrapper of the connection holds the byte back, and watches the socket with poll until the client disconnects or net/http interrupts the read. The context of the request ends then as it does without requests sent ahead. Before the handler of a further request of such a client runs, the socket is looked at again. Connections without requests sent ahead are read as before.

--- a/internal/shared/listener/conn.go
+++ b/internal/shared/listener/conn.go
@@ -45,11 +45,14 @@
 	ending bool
 
 	// The goroutine that reads uses these fields. waiting is set once the time limit of the
-	// phase is, and counted once the header block has taken memory.
-	waiting bool
-	begun   bool
-	counted bool
-	block   blockScanner
+	// phase is, and counted once the header block has taken memory. sentAhead is set if the client
+	// may have sent the request before it had the response to the one before, or another one behind
+	// it.
+	waiting   bool
+	begun     bool
+	counted   bool
+	sentAhead bool
+	block     blockScanner
 
 	// The pool guards these fields. held is -1 once the connection has been closed for its memory.
 	held      int64
@@ -63,6 +66,9 @@
 	leaving atomic.Bool
 	// writingSince is when the write began that is in progress, in ns since 1970, or 0.
 	writingSince atomic.Int64
+	// inBackground is set from when net/http reads in the background, to notice that the client
+	// disconnects, until the response begins.
+	inBackground atomic.Bool
 }
 
 // body is the body that the handler of a connection reads.
@@ -102,7 +108,7 @@
 		return c.readFrames(p)
 	}
 	if phase(c.phase.Load()) == phaseBusy {
-		n, err := c.Conn.Read(p)
+		n, err := c.readAhead(p)
 		if n > 0 && c.body.reading.Load() {
 			c.body.add(n, time.Now())
 		}
@@ -112,6 +118,10 @@
 		c.wait(time.Now())
 	}
 	n, err := c.Conn.Read(p)
+	if n == len(p) {
+		// More may have arrived than there is room for.
+		c.sentAhead = true
+	}
 	if n > 0 {
 		if refusal := c.scan(p[:n], time.Now()); refusal != nil {
 			return 0, refusal
@@ -162,7 +172,7 @@
 
 // wait starts the time limit of a connection that waits for a request.
 func (c *Conn) wait(now time.Time) {
-	c.waiting, c.begun, c.block = true, false, blockScanner{}
+	c.waiting, c.begun, c.sentAhead, c.block = true, false, false, blockScanner{}
 	c.setReadDeadline(now.Add(c.listener.limits().IdleTimeout))
 }
 
@@ -232,6 +242,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.inBackground.Load() {
+		c.inBackground.Store(false)
+	}
 	now := time.Now()
 	c.writingSince.Store(now.UnixNano())
 	n, err := c.Conn.Write(p)
@@ -248,6 +261,7 @@
 	if c.calls == nil && (phase(c.phase.Load()) != phaseBusy || c.body.isAborted()) {
 		return nil
 	}
+	c.setInBackground(t)
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/shared/listener/http.go
+++ b/internal/shared/listener/http.go
@@ -43,6 +43,9 @@
 		h.Handler.ServeHTTP(w, r)
 		return
 	}
+	if c.hasDisconnected() {
+		r = ofDisconnected(r)
+	}
 	now := time.Now()
 	if cost := requestCost(r); cost > 0 && !h.listener.holdComplete(c, cost, now) {
 		h.listener.report(reasonHeaderMemory, now)
--- a/internal/shared/listener/listener.go
+++ b/internal/shared/listener/listener.go
@@ -320,6 +320,11 @@
 		if c.counted {
 			l.Pool.complete(c)
 		}
+		c.inBackground.Store(false)
+		if !c.waiting {
+			// The whole header block was read together with the request before.
+			c.sentAhead = true
+		}
 		l.move(c, phaseBusy)
 		c.setReadDeadline(time.Time{})
 	case http.StateIdle:
