placer: the limit and the reports of the divider are set once

Cause: SetPeerDemand and SetDomainDemand copied MaxPeers and Reports to the divider on each call, and placer and divider had a default of their own with the same value.

Its MaxPeers also limits the loads. divider.DefaultMaxPeers is the only default.

--- a/internal/request/divider/divider.go
+++ b/internal/request/divider/divider.go
@@ -49,7 +49,7 @@
 	FailureDomain string
 	// Reports holds the demand at the other daemons of the failure domain. SetReport creates it if it is nil.
 	Reports *Reports
-	// MaxPeers is the number of daemons and failure domains whose demand is kept. 0 stands for maxPeers.
+	// MaxPeers is the number of daemons and failure domains whose demand is kept. 0 stands for DefaultMaxPeers.
 	MaxPeers int
 
 	// began is when the daemon began to count requests.
--- a/internal/request/divider/reports.go
+++ b/internal/request/divider/reports.go
@@ -8,14 +8,14 @@
 	"time"
 )
 
-// maxPeers is the default of the number of daemons and failure domains whose demand is kept. The
-// largest deployment has 1,000 daemons.
-const maxPeers = 2048
+// DefaultMaxPeers is the number of daemons and failure domains whose demand is kept unless it is set.
+// The largest deployment has 1,000 daemons.
+const DefaultMaxPeers = 2048
 
 // Reports holds the demand that others have reported, by name. It is safe for concurrent use, and the zero value is ready
 // for use.
 type Reports struct {
-	// MaxPeers is the number of names whose demand is kept. 0 stands for maxPeers.
+	// MaxPeers is the number of names whose demand is kept. 0 stands for DefaultMaxPeers.
 	MaxPeers int
 
 	mu     sync.Mutex
@@ -35,7 +35,7 @@
 	if r.byName == nil {
 		r.byName = map[string]report{}
 	}
-	if _, known := r.byName[name]; known || len(r.byName) < cmp.Or(r.MaxPeers, maxPeers) {
+	if _, known := r.byName[name]; known || len(r.byName) < cmp.Or(r.MaxPeers, DefaultMaxPeers) {
 		r.byName[name] = report{demand: demand, at: now}
 	}
 	maps.DeleteFunc(r.byName, func(_ string, old report) bool { return now.Sub(old.at) > maxReportAge })
--- a/internal/request/divider/reports_test.go
+++ b/internal/request/divider/reports_test.go
@@ -12,10 +12,10 @@
 func TestReportsOfOtherPrograms(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := &Reports{}
-	for i := range maxPeers + 100 {
+	for i := range DefaultMaxPeers + 100 {
 		r.Set(fmt.Sprint("vm-", i), map[string]float64{"s": 1}, now)
 	}
-	qt.Check(t, r.byName, qt.HasLen, maxPeers)
+	qt.Check(t, r.byName, qt.HasLen, DefaultMaxPeers)
 	_, known := r.Demand("vm-0", "s", time.Second, now)
 	qt.Check(t, known, qt.IsTrue)
 	r.Set("b", map[string]float64{"s": 1}, now.Add(maxReportAge+1))
--- a/internal/request/placer/peers.go
+++ b/internal/request/placer/peers.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/divider"
 )
 
 // SetPeerLoad records the load by replica of the daemon on another VM.
@@ -20,8 +22,6 @@
 }
 
 const (
-	// maxPeers is the default of Placer.MaxPeers. The largest deployment has 1,000.
-	maxPeers = 2048
 	// maxPeerLoads limits the loads of replicas in all reports. They need about 30 MB. Otherwise
 	// messages of other programs could fill the memory.
 	maxPeerLoads = 1 << 18
@@ -35,7 +35,7 @@
 	}
 	old, known := p.peers[name]
 	loads := p.peerLoads + len(load.replicas) - len(old.replicas)
-	if !known && len(p.peers) >= cmp.Or(p.MaxPeers, maxPeers) || loads > maxPeerLoads {
+	if !known && len(p.peers) >= cmp.Or(p.Divider.MaxPeers, divider.DefaultMaxPeers) || loads > maxPeerLoads {
 		p.expirePeers(now)
 		return
 	}
--- a/internal/request/placer/peers_test.go
+++ b/internal/request/placer/peers_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/lentilbridge/lentilbridge/internal/request/divider"
 )
 
 // TestPeerLoads guards against a load that differs from the sum of the recent reports:
@@ -102,12 +104,12 @@
 	for i := range 1000 {
 		report[fmt.Sprint("replica-", i)] = Load{Requests: 1}
 	}
-	for i := range 2 * maxPeers {
+	for i := range 2 * divider.DefaultMaxPeers {
 		p.SetPeerLoad(fmt.Sprint("a-", i), nil, now)
 	}
-	c.Check(len(p.peers), qt.Equals, maxPeers)
+	c.Check(len(p.peers), qt.Equals, divider.DefaultMaxPeers)
 	now = now.Add(maxPeerLoadAge + time.Second)
-	for i := range maxPeers {
+	for i := range divider.DefaultMaxPeers {
 		p.SetPeerLoad(fmt.Sprint("b-", i), report, now)
 	}
 	c.Check(p.peerLoads, qt.Equals, maxPeerLoads/len(report)*len(report))
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -274,10 +274,9 @@
 	Current func() bool
 	// Warmer, if set, has the shares of this daemon in cold replicas.
 	Warmer *warmer.Warmer
-	// Reports, if set, holds the demand at the other daemons of the failure domain. It is that of Warmer.
-	Reports *divider.Reports
-	// MaxPeers is the number of daemons whose load and demand are kept. 0 stands for maxPeers.
-	MaxPeers int
+	// Divider divides the slots of engines among daemons. Its Reports are those of Warmer, if set, and its
+	// MaxPeers also limits the daemons whose load is kept. The placer sets its other fields.
+	Divider divider.Divider
 
 	mu       sync.Mutex
 	services map[string][]*replicaState
@@ -297,8 +296,7 @@
 	trials map[string]trials
 	// shedders decide, by service, which requests may compete for places.
 	shedders map[string]*shedder.Shedder
-	// divider divides the slots of engines among daemons, and dividedAt is when it last did.
-	divider   divider.Divider
+	// dividedAt is when the slots were last divided.
 	dividedAt time.Time
 	// paces holds the average pace of replicas by service.
 	paces map[string]*pacer.Service
--- a/internal/request/placer/shares.go
+++ b/internal/request/placer/shares.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	if !q.Class.Returning {
-		p.divider.RecordRequest(q.Service, now)
+		p.Divider.RecordRequest(q.Service, now)
 	}
 	return !engines || p.shedder(q.Service).Admit(q.contender(), now)
 }
@@ -84,7 +84,7 @@
 func (p *Placer) Demand(now time.Time) map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := p.demands(p.divider.Demand, now)
+	out := p.demands(p.Divider.Demand, now)
 	for service := range p.coldServices {
 		if perSecond, known := out[service]; known {
 			out[service] = p.Warmer.SettleDemand(service, perSecond)
@@ -97,7 +97,7 @@
 func (p *Placer) DomainDemand(now time.Time) map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demands(p.divider.DomainDemand, now)
+	return p.demands(p.Divider.DomainDemand, now)
 }
 
 func (p *Placer) demands(of func(service string, now time.Time) (float64, bool), now time.Time) map[string]float64 {
@@ -122,11 +122,7 @@
 func (p *Placer) SetPeerDemand(vm string, demand map[string]float64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.divider.MaxPeers = p.MaxPeers
-	if p.Reports != nil {
-		p.divider.Reports = p.Reports
-	}
-	p.divider.SetReport(vm, demand, now)
+	p.Divider.SetReport(vm, demand, now)
 	p.divideSlotsIfDue(now)
 }
 
@@ -134,8 +130,7 @@
 func (p *Placer) SetDomainDemand(domain string, demand map[string]float64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.divider.MaxPeers = p.MaxPeers
-	p.divider.SetDomainReport(domain, demand, now)
+	p.Divider.SetDomainReport(domain, demand, now)
 	p.divideSlotsIfDue(now)
 }
 
@@ -144,7 +139,7 @@
 func (p *Placer) SetDaemonDomains(domains []string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.divider.SetDaemonDomains(domains, now)
+	p.Divider.SetDaemonDomains(domains, now)
 }
 
 func (p *Placer) divideSlotsIfDue(now time.Time) {
@@ -156,13 +151,13 @@
 // divideSlots sets this daemon's share of the slots of each engine.
 func (p *Placer) divideSlots(now time.Time) {
 	p.dividedAt = now
-	p.divider.VM, p.divider.FailureDomain = p.VM, p.FailureDomain
-	p.divider.Begin(now)
+	p.Divider.VM, p.Divider.FailureDomain = p.VM, p.FailureDomain
+	p.Divider.Begin(now)
 	for service, list := range p.services {
 		if !p.hasEngines(service) {
 			continue
 		}
-		division := p.divider.Divide(service, usableSlots(list, now), preferring(list), now)
+		division := p.Divider.Divide(service, usableSlots(list, now), preferring(list), now)
 		for _, s := range list {
 			s.ownSlots = division.Share(s.ID, s.FailureDomain, s.Slots, s.PreferredBy)
 		}
@@ -256,7 +251,7 @@
 // reports come from a failure domain without daemons.
 func (p *Placer) knowsOthers(s *replicaState, now time.Time) bool {
 	if s.FailureDomain != p.FailureDomain {
-		return !p.divider.HasDaemons(s.FailureDomain, now) || now.Sub(p.peers[domainPrefix+s.FailureDomain].at) <= maxPeerLoadAge
+		return !p.Divider.HasDaemons(s.FailureDomain, now) || now.Sub(p.peers[domainPrefix+s.FailureDomain].at) <= maxPeerLoadAge
 	}
 	for _, vm := range s.PreferredBy {
 		if vm != p.VM && now.Sub(p.peers[vm].at) > maxBorrowAge {
--- a/internal/request/warmer/fleet_test.go
+++ b/internal/request/warmer/fleet_test.go
@@ -118,7 +118,7 @@
 	w.SetLimits(map[string]warmer.Limit{service: {Duration: coldDuration, PerSecond: perSecond}})
 	d := &daemon{
 		vm: vm, domain: domain, warmer: w, demand: 20,
-		placer: &placer.Placer{VM: vm, FailureDomain: domain, Warmer: w, Reports: w.Reports, Random: f.rng.Float64},
+		placer: &placer.Placer{VM: vm, FailureDomain: domain, Warmer: w, Divider: divider.Divider{Reports: w.Reports}, Random: f.rng.Float64},
 		self:   gossiper.Member{VM: vm, Role: gossiper.Entry, FailureDomain: domain, Address: vm, Incarnation: startedAt.UnixMilli(), Ready: true},
 	}
 	d.placer.SetColdServices([]string{service})
