--- a/internal/request/warmer/bound_test.go
+++ b/internal/request/warmer/bound_test.go
@@ -121,45 +121,23 @@
 			f.run(6 * time.Second)
 		}},
 		{name: "partition of the failure domain", disturb: func(f *fleet) {
-			for _, d := range f.of("a")[:6] {
-				d.group = 1
-			}
-			f.run(8 * time.Second)
-			for _, d := range f.daemons {
-				d.group = 0
-			}
+			f.partition(8*time.Second, f.of("a")[:6])
 			f.run(4 * time.Second)
 		}},
 		{name: "failure domain cut off from the others", disturb: func(f *fleet) {
-			for _, d := range f.of("a") {
-				d.group = 1
-			}
-			f.run(10 * time.Second)
-			for _, d := range f.daemons {
-				d.group = 0
-			}
+			f.partition(10*time.Second, f.of("a"))
 			f.run(3 * time.Second)
 		}},
 		{name: "partition of the failure domain into five", disturb: func(f *fleet) {
+			groups := make([][]*daemon, 5)
 			for i, d := range f.of("a") {
-				d.group = 1 + i%5
-			}
-			f.run(8 * time.Second)
-			for _, d := range f.daemons {
-				d.group = 0
+				groups[i%5] = append(groups[i%5], d)
 			}
+			f.partition(8*time.Second, groups...)
 			f.run(4 * time.Second)
 		}},
 		{name: "all failure domains cut off from each other", disturb: func(f *fleet) {
-			for i, domain := range []string{"a", "b", "c"} {
-				for _, d := range f.of(domain) {
-					d.group = i
-				}
-			}
-			f.run(10 * time.Second)
-			for _, d := range f.daemons {
-				d.group = 0
-			}
+			f.partition(10*time.Second, f.of("a"), f.of("b"), f.of("c"))
 			f.run(3 * time.Second)
 		}},
 		{name: "daemons of the failure domain receive only from those of others", disturb: func(f *fleet) {
--- a/internal/request/warmer/fleet_test.go
+++ b/internal/request/warmer/fleet_test.go
@@ -384,6 +384,20 @@
 	}
 }
 
+// partition splits the network for a time. The daemons of a group exchange messages with each other only, as do
+// those in no group.
+func (f *fleet) partition(duration time.Duration, groups ...[]*daemon) {
+	for i, group := range groups {
+		for _, d := range group {
+			d.group = i + 1
+		}
+	}
+	f.run(duration)
+	for _, d := range f.daemons {
+		d.group = 0
+	}
+}
+
 // of returns the daemons of a failure domain.
 func (f *fleet) of(domain string) []*daemon {
 	var out []*daemon
