listener: one rate limiter for the log lines of refusals and pressure

Cause: Reports and Pressure each kept the time of their last log line.

Change: both use a limiter of golang.org/x/time/rate, which allows one line per reportInterval, as before.

Result: TestReports is unchanged and passes. TestPressureLog is new, passes before and after the change, and fails without the limit. go test -race passes for the package.

--- a/internal/shared/listener/pressure.go
+++ b/internal/shared/listener/pressure.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
@@ -63,8 +64,9 @@
 	pause               atomic.Int64
 	isHigh, isReleasing atomic.Bool
 
-	mu     sync.Mutex
-	logged time.Time
+	mu sync.Mutex
+	// limiter limits the log lines. It is created with the first one.
+	limiter *rate.Limiter
 	// waiters is the number of those that wait. cleared is closed once the memory is below the
 	// threshold, and nil if nothing waits.
 	waiters int
@@ -202,9 +204,11 @@
 func (p *Pressure) report(resident int64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.logged) < reportInterval {
+	if p.limiter == nil {
+		p.limiter = newLogLimiter()
+	}
+	if !p.limiter.AllowN(now, 1) {
 		return
 	}
-	p.logged = now
 	p.Log.Warn("listeners wait for memory", zap.Int64("resident-bytes", resident), zap.Int64("threshold-bytes", p.Threshold))
 }
--- a/internal/shared/listener/pressure_test.go
+++ b/internal/shared/listener/pressure_test.go
@@ -112,6 +112,21 @@
 	})
 }
 
+// TestPressureLog guards against a log line for each sample.
+func TestPressureLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		core, logs := newObserver()
+		p := newTestPressure(&fakeMemory{size: 140, live: 140})
+		p.Log = zap.New(core)
+		for begin := time.Now(); time.Since(begin) < 2500*time.Millisecond; time.Sleep(time.Millisecond) {
+			p.sample(time.Now())
+		}
+		c.Check(logs.Len(), qt.Equals, 3)
+		time.Sleep(releaseTime)
+	})
+}
+
 // TestResidentMemory guards against a file of the system that is read wrongly.
 func TestResidentMemory(t *testing.T) {
 	c := qt.New(t)
--- a/internal/shared/listener/reports.go
+++ b/internal/shared/listener/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
@@ -42,9 +43,13 @@
 	memory = expvar.NewMap("listeners.memory")
 )
 
-// reportInterval is the least time between two log lines of the same listener and reason.
+// reportInterval is the least time between two log lines of the same listener and reason, and between
+// two lines of the pressure.
 const reportInterval = time.Second
 
+// newLogLimiter returns a limiter that allows one log line per reportInterval.
+func newLogLimiter() *rate.Limiter { return rate.NewLimiter(rate.Every(reportInterval), 1) }
+
 // Reports writes a log line for the first of the refusals of a listener in each second, with the
 // number of those since the last line.
 type Reports struct {
@@ -56,8 +61,8 @@
 
 // report holds the refusals since the last log line.
 type report struct {
-	logged time.Time
-	count  int
+	limiter *rate.Limiter
+	count   int
 }
 
 func (r *Reports) add(listener, reason string, now time.Time) {
@@ -70,13 +75,13 @@
 	}
 	current := r.since[key]
 	if current == nil {
-		current = &report{}
+		current = &report{limiter: newLogLimiter()}
 		r.since[key] = current
 	}
 	current.count++
-	if now.Sub(current.logged) < reportInterval {
+	if !current.limiter.AllowN(now, 1) {
 		return
 	}
 	r.Log.Warn("clients refused", zap.String("listener", listener), zap.String("reason", reason), zap.Int("count", current.count))
-	current.logged, current.count = now, 0
+	current.count = 0
 }
