starter: one test package starts programs and reserves networks

Cause: test and test/crowd each had reserveNetwork, the variable that names the program of a test binary, and the code that starts it.

Change: internal/shared/starter serves both; test/crowd uses LENTIL_TEST_PROGRAM instead of a variable of its own. What ends the processes and prints their output stays with each of the two.

--- a/test/crowd/platform_test.go
+++ b/test/crowd/platform_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 	"github.com/lentilbridge/lentilbridge/platform"
 	"github.com/lentilbridge/lentilbridge/platform/simulator"
 )
@@ -60,7 +61,7 @@
 }
 
 func newPlatformSite(t *testing.T) *platformSite {
-	s := &platformSite{t: t, network: reserveNetwork(t), dir: t.TempDir(), store: simulator.NewStore()}
+	s := &platformSite{t: t, network: starter.ReserveNetwork(t), dir: t.TempDir(), store: simulator.NewStore()}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.store.Run(ctx)
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -6,12 +6,9 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,24 +17,15 @@
 	"github.com/lentilbridge/lentilbridge/internal/daemon/agent"
 	"github.com/lentilbridge/lentilbridge/internal/daemon/router"
 	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/platform"
 )
 
-// programEnv is the environment variable that names the program that the test binary runs as.
-const programEnv = "LENTIL_CROWD_PROGRAM"
-
 func init() {
-	switch os.Getenv(programEnv) {
-	case "lentil-platform":
-		os.Exit(platform.Main(os.Args[1:]))
-	case "lentil-entry":
-		os.Exit(router.Main(os.Args[1:]))
-	case "lentil-agent":
-		os.Exit(agent.Main(os.Args[1:]))
-	case "lentil-standin":
-		os.Exit(emulator.Main(os.Args[1:]))
-	}
+	starter.Main(map[string]func(args []string) int{
+		"lentil-platform": platform.Main, "lentil-entry": router.Main, "lentil-agent": agent.Main, "lentil-standin": emulator.Main,
+	})
 }
 
 // reservedDescriptors is the part of the descriptor limit that the daemons leave unused.
@@ -57,10 +45,7 @@
 // startProgram starts the test binary as a program and kills it after the test. The end of its
 // output is logged if the test has failed.
 func startProgram(t *testing.T, dir, name, program string, env []string, args ...string) *launcher.Process {
-	p := &launcher.Process{
-		Name: name, Path: os.Args[0], Args: args, Env: append(env, programEnv+"="+program), Log: filepath.Join(dir, name+".log"),
-	}
-	qt.Assert(t, p.Start(), qt.IsNil)
+	p := starter.Start(t, dir, name, program, env, args...)
 	t.Cleanup(func() {
 		p.Kill()
 		if text, err := os.ReadFile(p.Log); err == nil && t.Failed() {
@@ -110,20 +95,3 @@
 		}
 	}
 }
-
-var networkCounter atomic.Int64
-
-// reserveNetwork returns the first three octets of a loopback network that no other test uses.
-func reserveNetwork(t *testing.T) string {
-	const networksPerPrefix = 250
-	for range networksPerPrefix {
-		network := fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, networkCounter.Add(1)%networksPerPrefix)
-		lock, err := net.Listen("tcp", network+".1:6999")
-		if err == nil {
-			t.Cleanup(func() { _ = lock.Close() })
-			return network
-		}
-	}
-	t.Fatal("all loopback networks of this test process are in use")
-	return ""
-}
--- a/test/crowd/product_test.go
+++ b/test/crowd/product_test.go
@@ -21,6 +21,7 @@
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/authenticator"
 	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
@@ -55,7 +56,7 @@
 // startProductWith starts the daemons with the key material that issue returns, or without TLS if it
 // is nil.
 func startProductWith(t *testing.T, entryBounds, agentBounds bounds, issue func(vm string, role authenticator.Role) *authenticator.Authenticator) (entry, agent *daemon) {
-	network, dir := reserveNetwork(t), t.TempDir()
+	network, dir := starter.ReserveNetwork(t), t.TempDir()
 	client := insecure.NewCredentials()
 	secure := func(string, authenticator.Role) []string { return nil }
 	if issue != nil {
--- a/test/outage_test.go
+++ b/test/outage_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
@@ -108,7 +109,7 @@
 // lentil runs the command lentil and returns its exit code and output.
 func (s *system) lentil(args ...string) (code int, out, errOut string) {
 	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), programEnv+"=lentil", "LENTIL_OBJECT_API=http://"+s.platform(7000), "LENTIL_AUTHOR=mali", "GORACE=atexit_sleep_ms=0")
+	cmd.Env = append(os.Environ(), starter.Env("lentil"), "LENTIL_OBJECT_API=http://"+s.platform(7000), "LENTIL_AUTHOR=mali", "GORACE=atexit_sleep_ms=0")
 	var stdout, stderr strings.Builder
 	cmd.Stdout, cmd.Stderr = &stdout, &stderr
 	err := cmd.Run()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -10,15 +10,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 )
 
 // startProcess starts a program as the process of the given name. Its output
 // goes to NAME.log in the test's directory.
 func (s *system) startProcess(name, program string, args ...string) {
-	p := &launcher.Process{
-		Name: name, Path: os.Args[0], Args: args, Env: []string{programEnv + "=" + program}, Log: filepath.Join(s.dir, name+".log"),
-	}
-	s.c.Assert(p.Start(), qt.IsNil)
+	p := starter.Start(s.t, s.dir, name, program, nil, args...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.processes[name] = p
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -19,16 +18,13 @@
 	"github.com/lentilbridge/lentilbridge/internal/operator/commander"
 	"github.com/lentilbridge/lentilbridge/internal/operator/publisher"
 	"github.com/lentilbridge/lentilbridge/internal/shared/launcher"
+	"github.com/lentilbridge/lentilbridge/internal/shared/starter"
 	"github.com/lentilbridge/lentilbridge/pkg/adapter"
 	"github.com/lentilbridge/lentilbridge/pkg/emulator"
 	"github.com/lentilbridge/lentilbridge/pkg/parser"
 	"github.com/lentilbridge/lentilbridge/pkg/verifier"
 )
 
-// programEnv is the environment variable that names the program that the test
-// binary runs as, so that the tests need no separate build.
-const programEnv = "LENTIL_TEST_PROGRAM"
-
 const (
 	// waitTimeout is how long waitUntil waits before it fails the test. It is
 	// not a latency requirement.
@@ -38,16 +34,9 @@
 )
 
 func init() {
-	switch os.Getenv(programEnv) {
-	case "lentil-entry":
-		os.Exit(router.Main(os.Args[1:]))
-	case "lentil-agent":
-		os.Exit(agent.Main(os.Args[1:]))
-	case "lentil":
-		os.Exit(commander.Main(os.Args[1:]))
-	case "lentil-standin":
-		os.Exit(emulator.Main(os.Args[1:]))
-	}
+	starter.Main(map[string]func(args []string) int{
+		"lentil-entry": router.Main, "lentil-agent": agent.Main, "lentil": commander.Main, "lentil-standin": emulator.Main,
+	})
 }
 
 // system is a deployment of separate processes on a loopback network of its
@@ -92,7 +81,7 @@
 func (s *system) start(t *testing.T) {
 	s.t = t
 	s.c = qt.New(t)
-	s.network = reserveNetwork(t)
+	s.network = starter.ReserveNetwork(t)
 	s.dir = t.TempDir()
 	s.processes = map[string]*launcher.Process{}
 	s.delayProxies = map[string]*delayProxy{}
