--- a/internal/request/placer/cold.go
+++ b/internal/request/placer/cold.go
@@ -15,8 +15,8 @@
 	// tokenTime is the time between placement and send for which a token counts. A request that
 	// is sent later needs another one: the tokens of the time of its send are for others.
 	tokenTime = 100 * time.Millisecond
-	// minTokenWait is the least time between two looks for tokens. A token may be of no use to
-	// the requests that are queued.
+	// minTokenWait is the least time between two checks for tokens. A token may be of no use to the
+	// requests that are queued.
 	minTokenWait = 10 * time.Millisecond
 )
 
@@ -55,14 +55,14 @@
 	p.admitWaiting(now)
 }
 
-// refuseWithoutShare refuses the queued requests that only cold replicas could run to which other daemons send
-// requests.
+// refuseWithoutShare refuses the queued requests that could run only on cold replicas in which this daemon has
+// no share.
 func (p *Placer) refuseWithoutShare(now time.Time) {
 	for _, w := range append([]*waiter(nil), p.waiting...) {
 		by := w.since.Add(w.query.MaxWait)
 		if p.countUsable(w.query, now, by) == 0 && p.anyWithoutShare(w.query, by) {
 			p.waiting.remove(w)
-			close(w.hopeless)
+			close(w.refused)
 		}
 	}
 }
--- a/internal/request/placer/evacuation.go
+++ b/internal/request/placer/evacuation.go
@@ -47,7 +47,7 @@
 	for _, w := range append([]*waiter(nil), p.waiting...) {
 		if !p.anyEligible(w.query, now) && p.exclusions(w.query, now).Evacuations > 0 {
 			p.waiting.remove(w)
-			close(w.hopeless)
+			close(w.refused)
 		}
 	}
 }
--- a/internal/request/placer/fleet_schedule_test.go
+++ b/internal/request/placer/fleet_schedule_test.go
@@ -100,8 +100,8 @@
 		select {
 		case placed := <-q.waiter.ready:
 			f.after(0, func() { q.caller.settle(placed, nil) })
-		case <-q.waiter.hopeless:
-			f.after(0, func() { q.leave(reasonHopeless) })
+		case <-q.waiter.refused:
+			f.after(0, func() { q.leave(reasonUnplaceable) })
 		default:
 			return false
 		}
--- a/internal/request/placer/forecast.go
+++ b/internal/request/placer/forecast.go
@@ -51,7 +51,7 @@
 	return ""
 }
 
-// queuedTooMany reports whether a returning request would wait in vain: more requests are
+// queuedTooMany reports whether a returning request would get no place in time: more requests are
 // queued before it than get places in the time for which it may wait. New requests wait for a
 // moment only, and repeats are queued anyway, because the work of the earlier attempt is lost
 // without a place.
--- a/internal/request/placer/holdoff.go
+++ b/internal/request/placer/holdoff.go
@@ -14,7 +14,8 @@
 	until     time.Time
 }
 
-// covers reports whether another time counts for no start, or no longer, than this one.
+// covers reports whether another hold-off applies to no start to which this one does not, and ends
+// no later.
 func (h holdOff) covers(other holdOff) bool {
 	return other.startedBy <= h.startedBy && !other.until.After(h.until)
 }
@@ -22,7 +23,7 @@
 // holdOffs are the times of one replica, none of which another one covers.
 type holdOffs []holdOff
 
-// of returns until when a replica with a start wants no requests.
+// of returns the time until which a replica that started at a given time wants no requests.
 func (h holdOffs) of(startedAtMs int64) time.Time {
 	var until time.Time
 	for _, o := range h {
@@ -40,10 +41,10 @@
 	return append(slices.DeleteFunc(h, o.covers), o)
 }
 
-// HoldOff places nothing on a replica until a time, as the replica has asked, also if its
-// registration vanishes meanwhile. Of several times the latest counts; a start after the
-// replica has asked ends them. Requests that wait and can no longer be placed in time are
-// refused at once. It reports whether the time is later than the one before.
+// HoldOff excludes a replica from placement until a time, as the replica has asked, even if its
+// registration vanishes meanwhile. Of several times the latest counts; a start after the replica
+// has asked ends them. Requests that wait and can no longer be placed in time are refused at once.
+// It reports whether the time is later than the one before.
 func (p *Placer) HoldOff(r Replica, until, now time.Time) (extended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -69,7 +70,7 @@
 	}
 	s.heldUntil, s.onTrial = h.of(start), true
 	time.AfterFunc(until.Sub(now), p.admitAfterHoldOff)
-	p.refuseHopeless(s.Service, now)
+	p.refuseUnplaceable(s.Service, now)
 	return true
 }
 
@@ -86,14 +87,14 @@
 	return n
 }
 
-// refuseHopeless refuses the queued requests of a service that can no longer be placed in
+// refuseUnplaceable refuses the queued requests of a service that can no longer be placed in
 // time because all replicas that could run them hold requests off.
-func (p *Placer) refuseHopeless(service string, now time.Time) {
+func (p *Placer) refuseUnplaceable(service string, now time.Time) {
 	for _, w := range p.waiting.ofService(service) {
 		by := w.since.Add(w.query.MaxWait)
 		if p.countUsable(w.query, now, by) == 0 && now.Add(p.firstReturn(w.query, now)).After(by) {
 			p.waiting.remove(w)
-			close(w.hopeless)
+			close(w.refused)
 		}
 	}
 }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -118,7 +118,7 @@
 	// PreferredBy are the VMs of the entry daemons that prefer the replica. It is
 	// empty for a replica of another failure domain.
 	PreferredBy []string
-	// ColdUntil is until when the replica is cold; zero if it is not. SetCold sets it.
+	// ColdUntil is the time until which the replica is cold; zero if it is not. SetCold sets it.
 	ColdUntil time.Time
 	// ColdRate is the number of requests per second that this daemon may send while the
 	// replica is cold; 0 means none.
@@ -230,7 +230,7 @@
 	// fullUntil is the end of the backoff after a refusal, fullBackoff its length.
 	fullUntil   time.Time
 	fullBackoff time.Duration
-	// heldUntil is until when the replica has asked for no requests.
+	// heldUntil is the time until which the replica has asked for no requests.
 	heldUntil time.Time
 	// onTrial is set until the first placement after heldUntil.
 	onTrial bool
@@ -270,9 +270,9 @@
 	FailureDomain string
 	// Random returns uniform numbers in [0, 1); nil uses math/rand/v2.
 	Random func() float64
-	// Current reports, if set, whether what is known of evacuations is recent enough to send requests on it.
+	// Current, if set, reports whether the known evacuations are recent enough to send requests.
 	Current func() bool
-	// Warmer, if set, has the shares of this daemon in cold replicas.
+	// Warmer, if set, holds the shares of this daemon in cold replicas.
 	Warmer *warmer.Warmer
 	// Divider divides the slots of engines among daemons. Its Reports are those of Warmer, if set, and its
 	// MaxPeers also limits the daemons whose load is kept. The placer sets its other fields.
@@ -290,9 +290,10 @@
 	waiting      waitQueue
 	// rates holds, by service, the rate at which returning requests get places.
 	rates map[string]placementRate
-	// holds holds, by ID, the replicas that want no requests, listed or not.
+	// holds has, by ID, the times in which replicas want no requests, whether they are listed or
+	// not.
 	holds map[string]holdOffs
-	// trials are those of replicas that have held requests off, by service.
+	// trials has, by service, those of replicas that have held requests off.
 	trials map[string]trials
 	// shedders decide, by service, which requests may compete for places.
 	shedders map[string]*shedder.Shedder
@@ -308,7 +309,7 @@
 	// replicas have a limit.
 	cold         map[string]warmer.State
 	coldServices map[string]bool
-	// coldTimer is set while a look for tokens of cold replicas is due.
+	// coldTimer is set while a timer runs for the next token of a cold replica.
 	coldTimer bool
 	// suspended is set while nothing is placed.
 	suspended bool
@@ -361,7 +362,7 @@
 		return
 	}
 	for service := range p.services {
-		p.refuseHopeless(service, now)
+		p.refuseUnplaceable(service, now)
 	}
 }
 
@@ -391,7 +392,7 @@
 	if reason := p.reasonNotToQueue(q, now); reason != "" {
 		return Placement{}, nil, p.unplaced(q, reason, now)
 	}
-	w := &waiter{query: q, since: now, ready: make(chan Placement, 1), hopeless: make(chan struct{})}
+	w := &waiter{query: q, since: now, ready: make(chan Placement, 1), refused: make(chan struct{})}
 	p.waiting = append(p.waiting, w)
 	p.awaitToken(now)
 	return Placement{}, w, nil
@@ -399,8 +400,8 @@
 
 // Reasons of refusals after a wait.
 const (
-	reasonNoPlace  = "no place became free in time"
-	reasonHopeless = "no place becomes free in time"
+	reasonNoPlace     = "no place became free in time"
+	reasonUnplaceable = "no place becomes free in time"
 )
 
 func (p *Placer) wait(ctx context.Context, w *waiter) (Placement, error) {
@@ -411,8 +412,8 @@
 	case placed := <-w.ready:
 		return placed, nil
 	case <-timer.C:
-	case <-w.hopeless:
-		reason = reasonHopeless
+	case <-w.refused:
+		reason = reasonUnplaceable
 	case <-ctx.Done():
 		reason = "the caller left"
 	}
--- a/internal/request/placer/queue.go
+++ b/internal/request/placer/queue.go
@@ -34,8 +34,8 @@
 	query Query
 	since time.Time
 	ready chan Placement
-	// hopeless is closed when the request leaves the queue without a place.
-	hopeless chan struct{}
+	// refused is closed when the request leaves the queue without a place.
+	refused chan struct{}
 }
 
 // waitQueue holds the queued requests of all services in the order of their arrival.
--- a/internal/request/placer/shares.go
+++ b/internal/request/placer/shares.go
@@ -247,8 +247,8 @@
 	return overbooking
 }
 
-// knowsOthers reports whether all daemons that prefer a replica have reported their load lately. No
-// reports come from a failure domain without daemons.
+// knowsOthers reports whether all daemons that prefer a replica have reported their load recently.
+// No reports come from a failure domain without daemons.
 func (p *Placer) knowsOthers(s *replicaState, now time.Time) bool {
 	if s.FailureDomain != p.FailureDomain {
 		return !p.Divider.HasDaemons(s.FailureDomain, now) || now.Sub(p.peers[domainPrefix+s.FailureDomain].at) <= maxPeerLoadAge
--- a/internal/request/warmer/shares.go
+++ b/internal/request/warmer/shares.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxHolders is the number of daemons that send requests to a cold replica. With more, the
-	// share of each is a few requests per second, of which a daemon can't use a part when it
-	// gets no request in time.
+	// share of each is a few requests per second, part of which a daemon cannot use when it gets no
+	// request in time.
 	maxHolders = 4
 	// minShare and maxShare bound the part of the rate that one of several holders has, so that
 	// each can serve a rise of its demand and a wrong report has a limited effect.
@@ -34,7 +34,8 @@
 	// lossRetention is how long a daemon that has not drained counts as one that may send requests on the other side of a
 	// partition after the members have forgotten it, which they do after 5 minutes.
 	lossRetention = time.Hour
-	// maxLost limits the daemons that are remembered so. The largest deployment has 1,000.
+	// maxLost limits the number of lost daemons that are remembered. The largest deployment has
+	// 1,000.
 	maxLost = 2048
 	// offsetSteps is the number of different offsets for rounding.
 	offsetSteps = 1024
@@ -117,8 +118,8 @@
 	return w.silence(now)
 }
 
-// checkSilence drops the shares if this daemon has received no message of another one for too long, or the others none of
-// this one. It may have been paused or cut off, and others have taken them over.
+// checkSilence drops the shares if this daemon has received no message from another one for too long, or the others
+// have received none from this one. It may have been paused or cut off, and others have taken them over.
 func (w *Warmer) checkSilence(now time.Time) (silent bool) {
 	if w.view.Alone || w.silence(now) <= maxSilence && !w.isMissing(now) {
 		return false
@@ -396,8 +397,8 @@
 }
 
 // rates divides a rate into whole numbers whose sum is not above it, so that all holders together send no
-// more than the rate in any second. The hash of the replica decides
-// which of the holders are rounded up, so that no daemon gets more of all replicas.
+// more than the rate in any second. The hash of the replica decides which of the holders are rounded up,
+// so that no daemon gets more of all replicas.
 func rates(total float64, parts []float64, hash uint64) []float64 {
 	out := make([]float64, len(parts))
 	whole := math.Floor(total + roundingError)
--- a/internal/request/warmer/warmer.go
+++ b/internal/request/warmer/warmer.go
@@ -80,8 +80,8 @@
 	// StartedAt is when this daemon started.
 	StartedAt time.Time
 	// Overage and Slack are the bound of the users: a cold replica may get Overage times its limit
-	// and Slack requests more in a second. Daemons that may not know all others use only what
-	// that is above the limit.
+	// and Slack requests more in a second. Daemons that may not know all others use only the part
+	// of it above the limit.
 	Overage, Slack float64
 	// Reports holds the demand that the other daemons of the failure domain have reported.
 	Reports *divider.Reports
@@ -98,7 +98,7 @@
 	// listed is set once there was a first list of registrations.
 	listed   bool
 	replicas map[string]*replica
-	// reports holds, by address, until when replicas are cold by the reports of their agents.
+	// reports holds, by address, the end of the cold time that the agent of a replica has reported.
 	reports map[string]time.Time
 	view    View
 	// viewNumber counts the changes of the view. changedAt is the time of the latest one, of the first message after a
@@ -107,13 +107,14 @@
 	changedAt  time.Time
 	// updatedAt is the time of the latest update.
 	updatedAt time.Time
-	// missingFor holds when other daemons last reported that this one is missing for them.
+	// missingFor holds, by VM, when another daemon last reported that this one is missing for it.
 	missingFor map[string]time.Time
 	// lost holds the daemons by VM that are no longer in the view and have not drained.
 	lost map[string]lostDaemon
 	// lastMessage is a moment after which the latest message of another entry daemon arrived.
 	lastMessage timekeeper.Moment
-	// silent is set while this daemon receives no messages of others, or they none of it, and it has dropped its shares.
+	// silent is set while this daemon receives no messages from others, or they receive none from it. It has then
+	// dropped its shares.
 	silent bool
 	// checked is whether the shares were usable at the time checkedAt.
 	checked   bool
@@ -130,10 +131,10 @@
 	listedAt time.Time
 	// missingAt is when a list was the first without the registration; zero if the latest one has it.
 	missingAt time.Time
-	// unused is set if no daemon has sent requests to an earlier incarnation lately.
+	// unused is set if no daemon has recently sent requests to an earlier incarnation.
 	unused bool
 	// startedAt is when an incarnation that started during traffic was first seen, and
-	// registeredUntil is until when it is cold by its registration.
+	// registeredUntil is the end of its cold time according to its registration.
 	startedAt, registeredUntil time.Time
 	// coldUntil is the time that the last Update found.
 	coldUntil time.Time
@@ -195,13 +196,14 @@
 	r.Registration, r.listedAt = reg, now
 }
 
-// isMissing reports whether the replica has not been listed for so long that all daemons know.
+// isMissing reports whether the replica has not been listed for so long that all daemons have
+// noticed.
 func (r *replica) isMissing(now time.Time) bool {
 	return !r.missingAt.IsZero() && now.Sub(r.missingAt) >= riseTime
 }
 
-// RecordReport records for how long the replica at an address remains cold by the report of its
-// agent; 0 if it is not. It reports whether that has to be taken into account at once.
+// RecordReport records how long the replica at an address remains cold according to its agent; 0 if
+// it is not cold. It reports whether an update is needed at once.
 func (w *Warmer) RecordReport(address string, left time.Duration, now time.Time) (changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -280,7 +282,8 @@
 	return out
 }
 
-// coldUntil returns the latest time until which something says that the replica is cold.
+// coldUntil returns the latest end of the cold time among those of the registration, the start, the
+// removed evacuation and the report of the agent.
 func (w *Warmer) coldUntil(r *replica, limit Limit) time.Time {
 	until := r.registeredUntil
 	extend := func(t time.Time) {
--- a/internal/shared/listener/frames.go
+++ b/internal/shared/listener/frames.go
@@ -36,8 +36,8 @@
 	// current is the frame whose payload arrives, and left what is missing of it.
 	current frame
 	left    int
-	// padding is the number of bytes at the end of the payload that are no data. padded is set if
-	// the first byte of the payload tells it.
+	// padding is the number of bytes at the end of the payload that are not data. padded is set if
+	// the first byte of the payload is this number.
 	padding int
 	padded  bool
 	// window holds the bytes of the payload of a window update.
--- a/internal/shared/listener/group.go
+++ b/internal/shared/listener/group.go
@@ -7,7 +7,7 @@
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
-// Group are the listeners of a process, which share its limits.
+// Group opens the listeners of a process, which share its limits.
 type Group struct {
 	Process Process
 	Reports *Reports
--- a/internal/shared/listener/http.go
+++ b/internal/shared/listener/http.go
@@ -28,9 +28,9 @@
 	s.Handler = fieldCounter{Handler: s.Handler, listener: l}
 }
 
-// fieldCounter counts the parsed fields of requests before their handler runs. The bytes of a
-// header block do not tell all of them: what was read together with the request before is not seen
-// again, and each name in a Trailer field becomes a field.
+// fieldCounter counts the parsed fields of requests before their handler runs. The connection does
+// not count all of them: it does not see the bytes that were read together with the previous
+// request, and each name in a Trailer field becomes a field.
 type fieldCounter struct {
 	http.Handler
 	listener *Listener
@@ -81,7 +81,7 @@
 	}
 }
 
-// connOf returns the connection of a request, or nil if its listener is none of this package.
+// connOf returns the connection of a request, or nil if its listener is not of this package.
 func connOf(ctx context.Context) *Conn {
 	a, _ := ctx.Value(http.LocalAddrContextKey).(*localAddr)
 	return (*Conn)(a)
@@ -107,8 +107,8 @@
 	h.Handler.ServeHTTP(w, r)
 }
 
-// LeaveBody prepares the response to a request whose body is not read: the connection ends after
-// it.
+// LeaveBody prepares the response to a request whose body is not read: the connection is closed
+// after it.
 func LeaveBody(w http.ResponseWriter, r *http.Request) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return
--- a/internal/shared/listener/listener.go
+++ b/internal/shared/listener/listener.go
@@ -77,11 +77,11 @@
 	// ending is the number of connections in no list whose last response is being written. They
 	// may exceed MaxConnections by a share of it.
 	ending int
-	// fullSince is since when all connections have had requests in handlers. isWanted is set while
-	// a new connection waits for one of them to become idle, reported by freed.
+	// fullSince is the time since which all connections have had requests in handlers. isWanted is
+	// set while a new connection waits for one of them to become idle, which freed reports.
 	fullSince time.Time
 	isWanted  bool
-	// searched is when no client of a request had stalled.
+	// searched is when the latest search found no stalled client.
 	searched time.Time
 	freed    chan struct{}
 }
@@ -255,8 +255,8 @@
 	return since != 0 && now.UnixNano()-since >= int64(writeStallTime)
 }
 
-// giveWay ends a connection for others. A handler that waits for the body of its request responds
-// first if there is room.
+// giveWay closes a connection because others need its place or memory. A handler that waits for the
+// body of its request responds first if there is room.
 func (c *Conn) giveWay(now time.Time) {
 	c.listener.Pool.release(c)
 	if !c.listener.end(c) || !c.abortBody(now) {
--- a/internal/shared/listener/pressure.go
+++ b/internal/shared/listener/pressure.go
@@ -67,15 +67,15 @@
 	mu sync.Mutex
 	// limiter limits the log lines. It is created with the first one.
 	limiter *rate.Limiter
-	// waiters is the number of those that wait. cleared is closed once the memory is below the
-	// threshold, and nil if nothing waits.
+	// waiters is the number of reads and accepts that wait. cleared is closed once the memory is
+	// below the threshold, and nil while nothing waits.
 	waiters int
 	cleared chan struct{}
 }
 
 // NewPressure returns the pressure of a process, or nil if it has no limit of its memory or the
-// system does not tell how much it uses. It is for the programs of daemons: the resident memory of
-// a test is not that of a daemon, nor is that of a program with the race detector.
+// system does not report how much it uses. It is for the programs of daemons: the resident memory
+// of a test is not that of a daemon, nor is that of a program with the race detector.
 func NewPressure(p Process, log *logger.Logger) *Pressure {
 	if p.MemoryBytes <= 0 || p.IsAssumed || raceEnabled {
 		return nil
@@ -88,7 +88,7 @@
 	return &Pressure{Threshold: p.share(pressureShare), Resident: (&statm{file: file}).resident, Release: debug.FreeOSMemory, Log: log}
 }
 
-// statm reads the sizes of the memory of this process.
+// statm reads the memory sizes of this process.
 type statm struct{ file *os.File }
 
 // statmBytes is enough for the seven numbers of the file.
@@ -122,7 +122,7 @@
 	p.leave()
 }
 
-// join adds one that waits and returns the channel that is closed once it need not any more.
+// join counts a waiter and returns a channel that is closed once the memory is below the threshold.
 func (p *Pressure) join() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -140,8 +140,8 @@
 	p.waiters--
 }
 
-// loop samples the memory for all that wait. Each of a thousand reads that looked for itself would
-// take the processor from the collector. It ends with the pressure, or when nothing waits.
+// loop samples the memory for all waiters until it is below the threshold or nothing waits. If each
+// of a thousand reads sampled it, they would take processor time from the garbage collector.
 func (p *Pressure) loop() {
 	for {
 		time.Sleep(pressurePause)
@@ -165,7 +165,7 @@
 }
 
 // isWithin reports whether a time is less than a duration after an earlier one. It is not if the
-// clock has stepped back behind that.
+// clock has stepped back to before the earlier time.
 func isWithin(now time.Time, earlier int64, d time.Duration) bool {
 	age := time.Duration(now.UnixNano() - earlier)
 	return age >= 0 && age < d
--- a/internal/shared/listener/rpc.go
+++ b/internal/shared/listener/rpc.go
@@ -56,8 +56,8 @@
 	// daemons have a few KiB, and crypto/tls accepts 256 KiB, which need many times that once they
 	// are parsed.
 	maxHandshakeBytes = 32 << 10
-	// pingTime and pingTimeout are when a server asks a silent connection for a sign of life, and
-	// how long it waits.
+	// pingTime is the time without activity after which a server pings a connection, and
+	// pingTimeout is how long it waits for the acknowledgement.
 	pingTime    = 10 * time.Second
 	pingTimeout = 5 * time.Second
 )
@@ -89,8 +89,8 @@
 	}
 }
 
-// calls counts the calls and messages of a connection of gRPC. Connections with TLS are not
-// looked into: their clients have a certificate.
+// calls counts the calls and messages of a connection of gRPC. The frames of connections with TLS
+// are not inspected: their clients have a certificate.
 type calls struct {
 	conn      *Conn
 	encrypted bool
@@ -114,7 +114,7 @@
 	queued int64
 	// taken is what was taken from the pool.
 	taken int64
-	// refused is the reason for which the connection has to be closed, if any.
+	// refused is the reason why the connection has to be closed, if any.
 	refused string
 	// resets is the number of calls that the client has reset since resetsSince, in ns since 1970.
 	resets      int
@@ -253,7 +253,7 @@
 	s.unread -= bytes
 }
 
-// callsIn are the frames from the client.
+// callsIn handles the frames from the client.
 type callsIn calls
 
 func (c *callsIn) begin(f frame) {
@@ -324,7 +324,7 @@
 	return complete
 }
 
-// callsOut are the frames to the client.
+// callsOut handles the frames to the client.
 type callsOut calls
 
 func (c *callsOut) begin(f frame) {
