--- a/internal/request/warmer/fleet_test.go
+++ b/internal/request/warmer/fleet_test.go
@@ -118,7 +118,7 @@
 	w.SetLimits(map[string]warmer.Limit{service: {Duration: coldDuration, PerSecond: perSecond}})
 	d := &daemon{
 		vm: vm, domain: domain, warmer: w, demand: 20,
-		placer: &placer.Placer{VM: vm, FailureDomain: domain, Warmer: w, Reports: w.Reports, Random: f.rng.Float64},
+		placer: &placer.Placer{VM: vm, FailureDomain: domain, Warmer: w, Divider: divider.Divider{Reports: w.Reports}, Random: f.rng.Float64},
 		self:   gossiper.Member{VM: vm, Role: gossiper.Entry, FailureDomain: domain, Address: vm, Incarnation: startedAt.UnixMilli(), Ready: true},
 	}
 	d.placer.SetColdServices([]string{service})
@@ -384,6 +384,20 @@
 	}
 }
 
+// partition splits the network for a time. The daemons of a group exchange messages with each other only, as do
+// those in no group.
+func (f *fleet) partition(duration time.Duration, groups ...[]*daemon) {
+	for i, group := range groups {
+		for _, d := range group {
+			d.group = i + 1
+		}
+	}
+	f.run(duration)
+	for _, d := range f.daemons {
+		d.group = 0
+	}
+}
+
 // of returns the daemons of a failure domain.
 func (f *fleet) of(domain string) []*daemon {
 	var out []*daemon
