Listeners: gRPC messages that expand when they are decompressed or decoded

Cause: the memory for gRPC messages counts bytes on the wire. The codec registered for replies with a revision lets every method accept compressed messages, which may be a thousand times as large, and an empty message in a list takes two bytes on the wire and up to 300 once it is decoded.

Change: a connection without TLS that sends a compressed message above 256 bytes is closed (reason "compressed"); a request for a revision has about 40.

--- a/internal/shared/listener/reports.go
+++ b/internal/shared/listener/reports.go
@@ -26,6 +26,8 @@
 	reasonMessageMemory = "message-memory"
 	// reasonResets: the client opens and resets calls of gRPC all the time.
 	reasonResets = "resets"
+	// reasonCompressed: the client sent a compressed message of gRPC that is too large.
+	reasonCompressed = "compressed"
 	// reasonHandshakeSize: the client sent too much before its certificate was verified.
 	reasonHandshakeSize = "handshake-size"
 	// reasonDeadline: the time limit of a connection could not be set.
--- a/internal/shared/listener/rpc.go
+++ b/internal/shared/listener/rpc.go
@@ -35,6 +35,9 @@
 	freeFrames = 256
 	// messagePrefixBytes is the length of what precedes each message of gRPC.
 	messagePrefixBytes = 5
+	// maxCompressedBytes bounds a compressed message, which may be a thousand times as large once it
+	// is decompressed. The only one that daemons send, a request for a revision, has about 40 bytes.
+	maxCompressedBytes = 256
 	// streamWindow and connectionWindow are the flow-control windows. Fixed ones keep gRPC from
 	// growing them to megabytes for each stream.
 	streamWindow     = 256 << 10
@@ -79,6 +82,7 @@
 func RPCOptions(maxStreams uint32) []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.StatsHandler(callCounter{}),
+		grpc.ForceServerCodecV2(newBoundedCodec()),
 		grpc.ChainUnaryInterceptor(countReply),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.MaxHeaderListSize(rpcHeaderBytes),
@@ -133,6 +137,8 @@
 	// made room for again. partialFrames and unreadFrames are the numbers of their frames.
 	partial, unread             int64
 	partialFrames, unreadFrames int64
+	// overCompressed is set once a compressed message above maxCompressedBytes has begun.
+	overCompressed bool
 }
 
 func newCalls(c *Conn, encrypted bool) *calls {
@@ -295,6 +301,9 @@
 	before := s.cost()
 	s.unread += int64(len(data))
 	c.messages.Add(s.add(data))
+	if s.overCompressed {
+		c.refused = reasonCompressed
+	}
 	c.received += s.cost() - before
 }
 
@@ -309,6 +318,7 @@
 			data = data[n:]
 			if s.prefixBytes == messagePrefixBytes {
 				s.left = int64(binary.BigEndian.Uint32(s.prefix[1:]))
+				s.overCompressed = s.overCompressed || s.prefix[0] != 0 && s.left > maxCompressedBytes
 			}
 		} else {
 			n := min(s.left, int64(len(data)))
--- /dev/null
+++ b/test/crowd/expanding_test.go
@@ -0,0 +1,109 @@
+package crowd
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/lentilbridge/lentilbridge/pkg/messenger"
+)
+
+// compressedMessage returns a compressed message in the framing of gRPC.
+func compressedMessage(raw []byte) []byte {
+	var zipped bytes.Buffer
+	w := gzip.NewWriter(&zipped)
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	return append(binary.BigEndian.AppendUint32([]byte{1}, uint32(zipped.Len())), zipped.Bytes()...)
+}
+
+// sendAll sends data as far as the connection is open.
+func (r *rpcClient) sendAll(id uint32, data []byte) bool {
+	for len(data) > 0 {
+		n, ok := r.send(id, data)
+		if !ok {
+			return false
+		}
+		data = data[n:]
+		if n == 0 && (r.isClosed() || !r.wait(time.Millisecond)) {
+			return false
+		}
+	}
+	return true
+}
+
+// compressed are the header fields of calls with compressed messages.
+var compressed = [][2]string{{"grpc-encoding", "gzip"}}
+
+// empties returns the bytes of a message that repeats an empty message as a field.
+func empties(field protowire.Number, n int) []byte {
+	one := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), nil)
+	return bytes.Repeat(one, n/len(one))
+}
+
+func framed(raw []byte) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(raw))), raw...)
+}
+
+// expanding are messages that need much more memory than they have bytes. parts returns a message of
+// n bytes that consists of empty parts.
+func expanding(method string, parts func(n int) []byte) []load {
+	out := []load{}
+	for _, l := range []struct {
+		name           string
+		clients, calls int
+		data           []byte
+		fields         [][2]string
+	}{
+		{"empty parts", 4, 1, framed(parts(6 << 20)), nil},
+		{"empty parts in many calls", rpcClients, 200, framed(parts(8 << 10)), nil},
+		{"compressed empty parts", rpcClients, 8, compressedMessage(parts(15 << 20)), compressed},
+		{"short compressed empty parts", rpcClients, 200, compressedMessage(parts(64 << 10)), compressed},
+		{"compressed zeros", rpcClients, 64, compressedMessage(make([]byte, 15<<20)), compressed},
+	} {
+		out = append(out, rpc(l.name, l.clients, false, nil, func(r *rpcClient) {
+			r.extra = l.fields
+			for range l.calls {
+				id, ok := r.open(method)
+				if !ok || !r.sendAll(id, l.data) {
+					return
+				}
+			}
+			r.holdOpen()
+		}))
+	}
+	return out
+}
+
+// TestExpandingMessages plays messages of gRPC that need many times their bytes once they are
+// decompressed or decoded.
+func TestExpandingMessages(t *testing.T) {
+	t.Run("entry", func(t *testing.T) {
+		// Reports with empty transfers.
+		report := func(n int) []byte { return empties(3, n) }
+		play(t, func(t *testing.T) *daemon {
+			entry, _ := startProduct(t, smallestEntry, smallestEngine)
+			return entry
+		}, productHead, rows("rpc", expanding(messenger.Entry_Session_FullMethodName, report)))
+	})
+	t.Run("agent", func(t *testing.T) {
+		// Calls of a service with empty header fields.
+		call := func(n int) []byte {
+			fields := protowire.AppendBytes(protowire.AppendTag(nil, 11, protowire.BytesType), empties(4, n-16))
+			return protowire.AppendBytes(protowire.AppendTag(nil, 1, protowire.BytesType), fields)
+		}
+		play(t, func(t *testing.T) *daemon {
+			_, agent := startProduct(t, smallestEntry, smallestEngine)
+			return agent
+		}, productHead, rows("rpc", expanding(messenger.Agent_Attempt_FullMethodName, call)))
+	})
+	t.Run("platform agent", func(t *testing.T) {
+		// A request for a chunk has no lists. The parts are of an unknown field.
+		request := func(n int) []byte { return empties(15, n) }
+		play(t, func(t *testing.T) *daemon { return startPlatformAgent(t, smallestEngine) }, platformHead("h"), rows("chunks", expanding(messenger.Chunks_Get_FullMethodName, request)))
+	})
+}
--- a/test/crowd/rpc_test.go
+++ b/test/crowd/rpc_test.go
@@ -27,8 +27,10 @@
 	block  bytes.Buffer
 	fields *hpack.Encoder
 
-	mu     sync.Mutex
-	next   uint32
+	mu   sync.Mutex
+	next uint32
+	// extra are additional header fields of each call.
+	extra  [][2]string
 	window map[uint32]int64
 	wake   chan struct{}
 	closed bool
@@ -91,7 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.block.Reset()
-	for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", method}, {":authority", "h"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
+	for _, f := range append([][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", method}, {":authority", "h"}, {"content-type", "application/grpc"}, {"te", "trailers"}}, r.extra...) {
 		_ = r.fields.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
 	}
 	for _, f := range fields {
