Isolation: bounds of what reports of crashes make an entry daemon keep

Cause: an entry daemon keeps each reported fingerprint with the names of its VMs for 10 minutes, whatever their number and length.

Change: at most 2,048 suspects for each of the four shards, 8,192 suspicions and 64 VMs of a suspect are kept; reports with fingerprints, permits or names of VMs above 256 bytes are refused. A crash of a third of 52 engine VMs with 64 requests each makes 1,100 suspects.

--- a/internal/daemon/router/rpc.go
+++ b/internal/daemon/router/rpc.go
@@ -6,6 +6,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lentilbridge/lentilbridge/internal/request/isolator"
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
 
@@ -59,5 +60,8 @@
 
 // Suspect implements messenger.EntryServer.
 func (s *entryServer) Suspect(ctx context.Context, req *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
+	if max(len(req.GetFingerprint()), len(req.GetVm()), len(req.GetTrial())) > isolator.MaxTextBytes {
+		return nil, status.Errorf(codes.InvalidArgument, "a fingerprint, VM or permit has more than %d bytes", isolator.MaxTextBytes)
+	}
 	return s.daemon.isolation.SuspectHere(ctx, req)
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -52,6 +52,15 @@
 	// refreshInterval is the interval at which the owner of a shard reads its stored
 	// blocks. It limits the time until a block that an operator removes is lifted.
 	refreshInterval = 10 * time.Second
+
+	// maxSuspects bounds the suspects of a shard, maxSuspicions what is known from other daemons,
+	// and maxVMs the VMs that are kept of a suspect. What exceeds them is not recorded. If a third
+	// of 52 engine VMs with 64 requests each crashes at once, 1,100 requests are suspect.
+	maxSuspects   = 2048
+	maxSuspicions = ShardCount * maxSuspects
+	maxVMs        = 64
+	// MaxTextBytes bounds fingerprints, permits and the names of VMs in requests to an owner.
+	MaxTextBytes = 256
 )
 
 // Isolator stores the suspicions that are known to this entry daemon, and manages the
@@ -204,10 +213,14 @@
 		}
 	}
 	for _, s := range suspicions {
-		known := i.suspicions[s.GetFingerprint()]
+		known, isKnown := i.suspicions[s.GetFingerprint()]
 		if s.GetSequence() <= known.sequence {
 			continue
 		}
+		isLong := len(s.GetFingerprint()) > MaxTextBytes || len(s.GetVm()) > MaxTextBytes
+		if isLong || !isKnown && len(i.suspicions) >= maxSuspicions {
+			continue
+		}
 		until := time.UnixMilli(s.GetUntilMs())
 		i.suspicions[s.GetFingerprint()] = knownSuspicion{
 			sequence: s.GetSequence(),
--- a/internal/request/isolator/shard.go
+++ b/internal/request/isolator/shard.go
@@ -54,6 +54,8 @@
 	s.expire(now)
 	known := s.suspects[req.GetFingerprint()]
 	switch {
+	case req.GetCrashed() && known == nil && len(s.suspects) >= maxSuspects:
+		return &messenger.SuspectReply{}, false
 	case req.GetCrashed():
 		return s.recordCrash(req, known, now), true
 	case req.GetSucceeded():
@@ -83,7 +85,9 @@
 	if !trialCrashed && slices.Contains(known.vms, req.GetVm()) {
 		return known.reply(now)
 	}
-	known.vms = append(known.vms, req.GetVm())
+	if len(known.vms) < maxVMs {
+		known.vms = append(known.vms, req.GetVm())
+	}
 	if trialCrashed {
 		known.crashedTrial = req.GetTrial()
 	}
--- a/internal/request/isolator/store.go
+++ b/internal/request/isolator/store.go
@@ -78,7 +78,7 @@
 func (i *Isolator) importSuspicion(n int, fingerprint string, now time.Time) {
 	s := &i.shards[n]
 	f, known := i.suspicions[fingerprint]
-	if !known || s.suspects[fingerprint] != nil || f.blocked || now.After(f.until) {
+	if !known || s.suspects[fingerprint] != nil || f.blocked || now.After(f.until) || len(s.suspects) >= maxSuspects {
 		return
 	}
 	s.suspects[fingerprint] = &suspect{vms: []string{f.vm}, updatedAt: now, sequence: f.sequence}
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -57,6 +57,11 @@
 // play plays each load on a daemon of its own. It guards against clients that make a daemon
 // exit, hang, exceed the memory of its VM, or use up its file descriptors.
 func play(t *testing.T, start func(t *testing.T) *daemon, head func(method, path string) string, rows []row) {
+	playFor(t, loadTime, start, head, rows)
+}
+
+// playFor is play with loads that last another time.
+func playFor(t *testing.T, lasts time.Duration, start func(t *testing.T) *daemon, head func(method, path string) string, rows []row) {
 	for _, r := range rows {
 		t.Run(r.listener+"/"+r.load.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -64,7 +69,7 @@
 			before := peakMemoryMB(t, d.process)
 			sampler := &descriptorSampler{process: d.process, stop: make(chan struct{}), ended: make(chan struct{})}
 			go sampler.run()
-			(&crowd{address: d.addresses[r.listener], head: head, clients: int(*clientsFactor * float64(r.load.clients)), lasts: loadTime, play: r.load.play, network: networkOf[r.listener]}).run()
+			(&crowd{address: d.addresses[r.listener], head: head, clients: int(*clientsFactor * float64(r.load.clients)), lasts: lasts, play: r.load.play, network: networkOf[r.listener]}).run()
 			close(sampler.stop)
 			<-sampler.ended
 			c.Assert(d.process.Running(), qt.IsTrue, qt.Commentf("the process has exited"))
--- a/test/crowd/expanding_test.go
+++ b/test/crowd/expanding_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"crypto/rand"
 	"encoding/binary"
 	"testing"
 	"time"
@@ -107,3 +108,33 @@
 		play(t, func(t *testing.T) *daemon { return startPlatformAgent(t, smallestEngine) }, platformHead("h"), rows("chunks", expanding(messenger.Chunks_Get_FullMethodName, request)))
 	})
 }
+
+// crashReports is a load of complete reports of crashes of requests and VMs that do not exist.
+func crashReports() load {
+	const atOnce = 8
+	text := string(filling[:1000])
+	return rpc("reports of crashes", rpcClients, false, nil, func(r *rpcClient) {
+		for call := 0; !r.isClosed(); call++ {
+			id, ok := r.open(messenger.Entry_Suspect_FullMethodName)
+			report := &messenger.SuspectRequest{Fingerprint: rand.Text() + text, Vm: rand.Text() + text, Crashed: true, InProgress: []string{rand.Text() + text, rand.Text() + text}}
+			if !ok || !r.sendAll(id, message(report)) {
+				return
+			}
+			r.mu.Lock()
+			err := r.framer.WriteData(id, true, nil)
+			r.mu.Unlock()
+			if err != nil || call%atOnce == atOnce-1 && !r.wait(time.Millisecond) {
+				return
+			}
+		}
+	})
+}
+
+// TestCrashReports guards against reports of crashes that are kept without a limit. Their number
+// matters, so the load lasts longer than others.
+func TestCrashReports(t *testing.T) {
+	playFor(t, 4*loadTime, func(t *testing.T) *daemon {
+		entry, _ := startProduct(t, smallestEntry, smallestEngine)
+		return entry
+	}, productHead, rows("rpc", []load{crashReports()}))
+}
