Listeners: short compressed gRPC messages count with what they may become

Cause: a compressed message of less than 256 bytes becomes up to 264 KB, which a handler of a call that stays open keeps, and only 16 KiB of each call count.

Change: 1,032 bytes for each byte of the largest compressed message of a call count until the call ends.

--- a/internal/shared/listener/codec_test.go
+++ b/internal/shared/listener/codec_test.go
@@ -122,6 +122,8 @@
 				s.add([]byte{b})
 			}
 			c.Check(s.overCompressed, qt.Equals, test.refused, qt.Commentf("%d bytes", zipped.Len()))
+			c.Check(s.cost() >= int64(len(test.data)), qt.IsTrue)
+			c.Check(test.refused || s.cost() < freeMessageBytes, qt.IsTrue, qt.Commentf("%d", s.cost()))
 		})
 	}
 }
--- a/internal/shared/listener/rpc.go
+++ b/internal/shared/listener/rpc.go
@@ -38,6 +38,9 @@
 	// maxCompressedBytes bounds a compressed message, which may be a thousand times as large once it
 	// is decompressed. The only one that daemons send, a request for a revision, has about 40 bytes.
 	maxCompressedBytes = 256
+	// expansion is the most that a byte of gzip becomes. What a compressed message may need counts
+	// until its call ends.
+	expansion = 1032
 	// streamWindow and connectionWindow are the flow-control windows. Fixed ones keep gRPC from
 	// growing them to megabytes for each stream.
 	streamWindow     = 256 << 10
@@ -137,6 +140,8 @@
 	// made room for again. partialFrames and unreadFrames are the numbers of their frames.
 	partial, unread             int64
 	partialFrames, unreadFrames int64
+	// expanded is the memory for the largest of its compressed messages.
+	expanded int64
 	// overCompressed is set once a compressed message above maxCompressedBytes has begun.
 	overCompressed bool
 }
@@ -239,7 +244,7 @@
 // cost returns what a stream holds of what the client has sent.
 func (s *stream) cost() int64 {
 	frames := max(0, s.partialFrames-freeFrames) + max(0, s.unreadFrames-freeFrames)
-	return s.fields + s.partial + s.unread + frameBytes*frames
+	return s.fields + s.expanded + s.partial + s.unread + frameBytes*frames
 }
 
 // beginFrame counts a frame of data.
@@ -318,7 +323,10 @@
 			data = data[n:]
 			if s.prefixBytes == messagePrefixBytes {
 				s.left = int64(binary.BigEndian.Uint32(s.prefix[1:]))
-				s.overCompressed = s.overCompressed || s.prefix[0] != 0 && s.left > maxCompressedBytes
+				if s.prefix[0] != 0 {
+					s.expanded = max(s.expanded, expansion*s.left)
+					s.overCompressed = s.overCompressed || s.left > maxCompressedBytes
+				}
 			}
 		} else {
 			n := min(s.left, int64(len(data)))
--- a/test/crowd/expanding_test.go
+++ b/test/crowd/expanding_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 )
@@ -109,15 +110,13 @@
 	})
 }
 
-// crashReports is a load of complete reports of crashes of requests and VMs that do not exist.
-func crashReports() load {
+// endedCalls is a load of complete calls that go on until the load ends.
+func endedCalls(name, method string, request func() proto.Message) load {
 	const atOnce = 8
-	text := string(filling[:1000])
-	return rpc("reports of crashes", rpcClients, false, nil, func(r *rpcClient) {
+	return rpc(name, rpcClients, false, nil, func(r *rpcClient) {
 		for call := 0; !r.isClosed(); call++ {
-			id, ok := r.open(messenger.Entry_Suspect_FullMethodName)
-			report := &messenger.SuspectRequest{Fingerprint: rand.Text() + text, Vm: rand.Text() + text, Crashed: true, InProgress: []string{rand.Text() + text, rand.Text() + text}}
-			if !ok || !r.sendAll(id, message(report)) {
+			id, ok := r.open(method)
+			if !ok || !r.sendAll(id, message(request())) {
 				return
 			}
 			r.mu.Lock()
@@ -130,11 +129,45 @@
 	})
 }
 
-// TestCrashReports guards against reports of crashes that are kept without a limit. Their number
-// matters, so the load lasts longer than others.
-func TestCrashReports(t *testing.T) {
+// textBytes is the length of names that do not exist.
+const textBytes = 1000
+
+// crashReport returns a report of a crash of requests and a VM that do not exist.
+func crashReport() proto.Message {
+	text := string(filling[:textBytes])
+	return &messenger.SuspectRequest{Fingerprint: rand.Text() + text, Vm: rand.Text() + text, Crashed: true, InProgress: []string{rand.Text() + text, rand.Text() + text}}
+}
+
+// falseDirectory returns a directory of replicas that do not exist.
+func falseDirectory() proto.Message {
+	const replicas = 50
+	out := &messenger.ExchangeFrame{Full: true, Sender: &messenger.EntryVM{
+		Vm: rand.Text() + string(filling[:textBytes]), RpcAddress: "127.0.0.1:9", Region: "r", FailureDomain: "z", Sequence: 1, StartedMs: 1,
+	}}
+	for range replicas {
+		out.Replicas = append(out.Replicas, &messenger.Replica{
+			Vm: rand.Text(), Incarnation: rand.Text(), Address: "127.0.0.1:9", Region: "r", FailureDomain: "z", Fleet: "drafting", Model: "draft",
+			State: messenger.ReplicaState_REPLICA_STATE_READY, Sequence: 1, StartedMs: 1,
+		})
+	}
+	return out
+}
+
+// playReports plays complete calls whose contents an entry daemon keeps. Their number matters, so
+// the loads last longer than others.
+func playReports(t *testing.T, l load) {
 	playFor(t, 4*loadTime, func(t *testing.T) *daemon {
 		entry, _ := startProduct(t, smallestEntry, smallestEngine)
 		return entry
-	}, productHead, rows("rpc", []load{crashReports()}))
+	}, productHead, rows("rpc", []load{l}))
+}
+
+// TestCrashReports guards against reports of crashes that are kept without a limit.
+func TestCrashReports(t *testing.T) {
+	playReports(t, endedCalls("reports of crashes", messenger.Entry_Suspect_FullMethodName, crashReport))
+}
+
+// TestFalseDirectories guards against directories of other daemons that are kept without a limit.
+func TestFalseDirectories(t *testing.T) {
+	playReports(t, endedCalls("directories", messenger.Entry_Exchange_FullMethodName, falseDirectory))
 }
