Listeners: the first message of a connection does not count as its handshake

Change: the connection is closed by the next read after the limit was exceeded without a complete handshake, not by the read that exceeds it.

Measured: TestHandshakeSize and TestHandshakeWithoutEnd 300 runs with -race, no failure.

--- a/internal/shared/listener/rpc.go
+++ b/internal/shared/listener/rpc.go
@@ -161,9 +161,12 @@
 	case !c.encrypted:
 		c.in.scan(p, (*callsIn)(c))
 	case !c.greeted:
-		if c.handshake += len(p); c.handshake > maxHandshakeBytes {
+		// The read that completes the handshake may have filled the buffer of gRPC, which has
+		// the same size, with the first message.
+		if c.handshake > maxHandshakeBytes {
 			c.refused = reasonHandshakeSize
 		}
+		c.handshake += len(p)
 	}
 	return c.settleLocked(now)
 }
