Monitor: limits of what other entry daemons make an entry daemon keep

Cause: TestFalseDirectories took lentil-entry to 414, 362 and 360 MB of 184. Records of replicas and entry daemons from Exchange had no limit, but most of the memory was that of 11,000 calls that waited for the lock: each record of a new daemon makes the topology be computed again, and the number of links was checked only under the lock.

Calls of Exchange are counted before the lock, and at most 2,048 are served at once; the largest deployment has 1,000 daemons.

--- a/internal/coordination/monitor/directory.go
+++ b/internal/coordination/monitor/directory.go
@@ -132,6 +132,9 @@
 	if old != nil && compareReplicas(record, old.record) <= 0 {
 		return
 	}
+	if from != nil && (proto.Size(record) > maxRecordBytes || old == nil && !m.hasRoomForReplica()) {
+		return
+	}
 	if from != nil && old != nil && isRemoval(record) && m.contradictsRemoval(old, record, now) {
 		// The removal comes from a daemon that was partitioned: this daemon still
 		// receives messages of the replica.
@@ -161,6 +164,21 @@
 	m.broadcast(recordKey{kindReplica, vm}, record, from)
 }
 
+// hasRoomForReplica reports whether a further VM can be kept. At maxReplicas it deletes the record of
+// a removed one, if there is any.
+func (m *Monitor) hasRoomForReplica() bool {
+	if len(m.replicas) < maxReplicas {
+		return true
+	}
+	for vm, r := range m.replicas {
+		if r.isGone() {
+			delete(m.replicas, vm)
+			return true
+		}
+	}
+	return false
+}
+
 // isRemoval reports whether the record marks its VM as removed.
 func isRemoval(r *messenger.Replica) bool {
 	return r.GetState() == messenger.ReplicaState_REPLICA_STATE_GONE
--- a/internal/coordination/monitor/entries.go
+++ b/internal/coordination/monitor/entries.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilbridge/lentilbridge/pkg/messenger"
 	"github.com/lentilbridge/lentilbridge/pkg/ranker"
@@ -21,6 +22,8 @@
 	// candidateTTL is how long daemons known from the object API only are kept
 	// as candidates. The next read of the lists adds them again.
 	candidateTTL = 2 * time.Minute
+	// maxEntries limits the known entry daemons. The largest deployment has 1,000.
+	maxEntries = 4096
 )
 
 // entry is one known entry daemon. A record without an RPC address marks
@@ -114,6 +117,9 @@
 		m.refute(record, now)
 		return
 	}
+	if from != nil && (proto.Size(record) > maxRecordBytes || e == nil && !m.hasRoomForEntry()) {
+		return
+	}
 	if e != nil && e.confirmed && !e.isGone() && record.GetRpcAddress() == "" && from != nil && m.hasActiveLinkTo(vm, now) {
 		// The removal comes from a daemon that was partitioned: this daemon still
 		// receives frames from the removed one.
@@ -142,6 +148,22 @@
 	m.wakeSessions()
 }
 
+// hasRoomForEntry reports whether a further daemon can be kept. At maxEntries it deletes the record
+// of a removed one, if there is any.
+func (m *Monitor) hasRoomForEntry() bool {
+	if len(m.entries) < maxEntries {
+		return true
+	}
+	for vm, e := range m.entries {
+		if e.isGone() {
+			delete(m.entries, vm)
+			m.entryGeneration++
+			return true
+		}
+	}
+	return false
+}
+
 // hasActiveLinkTo reports whether frames from the VM arrive on a link.
 func (m *Monitor) hasActiveLinkTo(vm string, now time.Time) bool {
 	l := m.linkTo(vm, nil)
--- a/internal/coordination/monitor/link.go
+++ b/internal/coordination/monitor/link.go
@@ -23,8 +23,9 @@
 	// maxBulkRecords limits the bulk records, such as summaries and statuses, in
 	// one heartbeat.
 	maxBulkRecords = 1024
-	// maxLinks limits the open streams to and from other daemons.
-	maxLinks = 4096
+	// maxLinks limits the open streams to and from other daemons, of which the largest deployment has
+	// 1,000, and the calls of Exchange together with those that wait for the lock.
+	maxLinks = 2048
 	// repairDelay is how long the digests of the two ends must differ before the
 	// full directory is resent even though the digests keep changing.
 	repairDelay = 60 * time.Second
@@ -107,6 +108,10 @@
 // Exchange serves the stream from another entry daemon.
 func (m *Monitor) Exchange(stream messenger.Entry_ExchangeServer) error {
 	m.init()
+	defer m.exchanges.Add(-1)
+	if m.exchanges.Add(1) > maxLinks {
+		return status.Error(codes.ResourceExhausted, "too many links")
+	}
 	l := m.newLink(stream, false, time.Now())
 	if !m.addLink(l) {
 		return status.Error(codes.ResourceExhausted, "too many links")
--- a/internal/coordination/monitor/monitor.go
+++ b/internal/coordination/monitor/monitor.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -101,6 +102,8 @@
 
 	notify notifier.Notifier
 	once   sync.Once
+	// exchanges is the number of calls of Exchange.
+	exchanges atomic.Int64
 
 	mu sync.Mutex
 	// self is the current record of this daemon.
--- a/internal/coordination/monitor/session.go
+++ b/internal/coordination/monitor/session.go
@@ -93,7 +93,7 @@
 func (m *Monitor) addSession(s *session) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.sessions) >= maxSessions || m.replicas[s.vm] == nil && len(m.replicas) >= maxReplicas {
+	if len(m.sessions) >= maxSessions || m.replicas[s.vm] == nil && !m.hasRoomForReplica() {
 		return false
 	}
 	m.sessions[s] = true
