Reporter: the longest delay between two tries holds with its jitter

The backoff adds up to a half to its longest interval, so that tries may be 15 s apart although maxRetryDelay is 10 s, and three of them more than 40 s.

Change: the delay is at most maxRetryDelay. Three tries take at most 30 s.

--- a/internal/coordination/reporter/reporter.go
+++ b/internal/coordination/reporter/reporter.go
@@ -91,7 +91,8 @@
 		wait := r.Interval
 		if err := r.writeAll(ctx, time.Now()); err != nil {
 			r.Log.Warn("status not written", zap.Error(err))
-			wait = max(wait, retryBackoff.NextBackOff())
+			// The jitter of the backoff adds up to a half.
+			wait = max(wait, min(retryBackoff.NextBackOff(), maxRetryDelay))
 		} else {
 			retryBackoff.Reset()
 		}
