--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -66,6 +66,14 @@
 	return true
 }
 
+// Available returns the number of retries that could be taken now, which may have a fraction.
+func (b *Budget) Available(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return b.available
+}
+
 // refill adds the retries for the time since the last call; the first call fills
 // the budget.
 func (b *Budget) refill(now time.Time) {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -448,11 +448,16 @@
 // takeRetryBudget takes one retry from the budget of the service and reports
 // whether there was one.
 func (x *execution) takeRetryBudget(now time.Time) bool {
-	if !x.Budgets(x.request.Service).Take(now) {
-		return false
-	}
-	x.Observer.Retried(x.request.Service)
-	return true
+	b := x.Budgets(x.request.Service)
+	allowed := b.Take(now)
+	x.Log.Info("decision", zap.String("kind", "retry"), zap.String("subject", x.request.ID), zap.String("service", x.request.Service),
+		zap.Bool("allowed", allowed), zap.Float64("left", b.Available(now)), zap.Int("sends", x.sends), zap.Int("runs", x.possibleRuns))
+	if allowed {
+		x.Observer.Retried(x.request.Service)
+	} else {
+		x.Observer.RetryDenied(x.request.Service)
+	}
+	return allowed
 }
 
 // recordCrash records a crash of the replica, which one of the parts of the prompt may
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -101,6 +101,7 @@
 
 func (noopObserver) Ended(*Request, string, time.Duration, time.Duration) {}
 func (noopObserver) Retried(string)                                       {}
+func (noopObserver) RetryDenied(string)                                   {}
 func (noopObserver) Silent(string)                                        {}
 func (noopObserver) Unplaced(*placer.RefusedError)                        {}
 func (noopObserver) Excluded(string, placer.Exclusions)                   {}
--- a/internal/request/dispatcher/types.go
+++ b/internal/request/dispatcher/types.go
@@ -182,6 +182,8 @@
 	Ended(r *Request, outcome string, firstByte, total time.Duration)
 	// Retried reports a retry that was taken from the budget of the service.
 	Retried(service string)
+	// RetryDenied reports a retry that was not made because the budget of the service was used up.
+	RetryDenied(service string)
 	// Silent reports that a request was sent to another replica because its own was silent.
 	Silent(service string)
 	// Excluded reports a request that got no replica although some were usable but for their
