--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -17,7 +17,7 @@
 )
 
 // Budget is a token bucket of retries that is refilled by first attempts and with
-// time. It starts full. Set its exported fields before use.
+// time. Set its exported fields before use.
 type Budget struct {
 	// Ratio is the number of retries added for each first attempt.
 	Ratio float64
@@ -26,6 +26,8 @@
 	// PerSecond is the number of retries added each second, so that a budget
 	// recovers without first attempts.
 	PerSecond float64
+	// StartsEmpty is set for a budget without retries at first; otherwise it starts full.
+	StartsEmpty bool
 
 	mu         sync.Mutex
 	available  float64
@@ -75,11 +77,13 @@
 }
 
 // refill adds the retries for the time since the last call; the first call fills
-// the budget.
+// a budget that starts full.
 func (b *Budget) refill(now time.Time) {
 	if !b.started {
 		b.started = true
-		b.available = b.Burst
+		if !b.StartsEmpty {
+			b.available = b.Burst
+		}
 		b.refilledAt = now
 	}
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
