Replicas that were replaced at their address are not asked

Requests used up their attempts on them and were refused.

Cause: a replica starts again under another ID at the same address, and the registration of the one before it stands until it has missed three heartbeats. The refusal by another replica only ranked the old one last for a second; and two registrations at one address were compared only after a restore of the store.

Change: of two registrations of a service at one address, the one with the later start is used. When another replica responds at an address, the registration is not used until it changes, or until the store would have removed it.

--- a/internal/coordination/cataloger/cataloger.go
+++ b/internal/coordination/cataloger/cataloger.go
@@ -64,7 +64,7 @@
 	at time.Time
 }
 
-// suspicion is why a registration in a restored store is not used.
+// suspicion is why a registration is not used.
 type suspicion int
 
 const (
@@ -73,7 +73,7 @@
 	mayHaveLeft
 	// announcedLeaving is set if the same incarnation of the replica was draining.
 	announcedLeaving
-	// addressTaken is set if a replica with the same address started later.
+	// addressTaken is set if another replica has the address.
 	addressTaken
 )
 
@@ -95,6 +95,10 @@
 	// lost is set if the registration vanished in a restore of the store.
 	lost      bool
 	suspicion suspicion
+	// takenAt is when another replica was found to have the address, and confirmed is set once the
+	// registration has outlasted that.
+	takenAt   time.Time
+	confirmed bool
 }
 
 // Catalog is the list of replicas. Its exported fields are set before use.
@@ -164,23 +168,37 @@
 	present := map[string]bool{}
 	for _, r := range list {
 		present[r.ID] = true
-		c.register(r, owners[r.Address], restored, now)
+		c.register(r, owners[c.placeOf(r, now)], restored, now)
 	}
 	c.removeVanished(present, restored, changedAfter, now)
 	c.forgetDepartures(now)
 	c.forgetStatements()
 }
 
-// addressOwners returns, by address, the replica that started last, while the list of a
-// restored store may contain replicas whose addresses others have.
-func (c *Catalog) addressOwners(list []placer.Replica, now time.Time) map[string]placer.Replica {
-	if c.restores == 0 || c.silentRemoved(now) {
-		return nil
+// place is an address at which only one replica of a service can be.
+type place struct {
+	address string
+	// service is empty where the replicas of all services are compared.
+	service string
+}
+
+// placeOf returns the place of a replica. The list of a restored store may contain replicas whose
+// addresses have been given to other services.
+func (c *Catalog) placeOf(r placer.Replica, now time.Time) place {
+	if c.restores > 0 && !c.silentRemoved(c.lastDisturbance(), now) {
+		return place{address: r.Address}
 	}
-	out := map[string]placer.Replica{}
+	return place{address: r.Address, service: r.Service}
+}
+
+// addressOwners returns the replica that started last at each place. The registration of a
+// replica that crashed remains until it has been silent for several heartbeats, while its
+// successor is registered already.
+func (c *Catalog) addressOwners(list []placer.Replica, now time.Time) map[place]placer.Replica {
+	out := map[place]placer.Replica{}
 	add := func(r placer.Replica) {
-		if r.StartedAtMs > out[r.Address].StartedAtMs {
-			out[r.Address] = r
+		if p := c.placeOf(r, now); r.StartedAtMs > out[p].StartedAtMs {
+			out[p] = r
 		}
 	}
 	for _, r := range list {
@@ -198,9 +216,14 @@
 	old := c.entries[r.ID]
 	e := &catalogEntry{replica: r, suspicion: c.suspect(r, old, restored)}
 	superseded := owner.ID != r.ID && r.StartedAtMs != 0 && r.StartedAtMs < owner.StartedAtMs
+	unchanged := old != nil && sameRegistration(old.replica, r)
 	wasSuperseded := old != nil && old.suspicion == addressTaken
-	if e.suspicion == notSuspected && !r.Draining && (superseded || wasSuperseded && sameRegistration(old.replica, r)) {
-		e.suspicion = addressTaken
+	e.confirmed = unchanged && old.confirmed
+	if e.suspicion == notSuspected && !r.Draining && !e.confirmed && (superseded || wasSuperseded && unchanged) {
+		e.suspicion, e.takenAt = addressTaken, now
+		if wasSuperseded {
+			e.takenAt = old.takenAt
+		}
 	}
 	c.entries[r.ID] = e
 	changed := old == nil || !old.missingSince.IsZero() || old.replica.Draining != r.Draining || old.replica.Address != r.Address || old.replica.StartedAtMs != r.StartedAtMs
@@ -345,24 +368,29 @@
 	}
 }
 
-// silentRemoved reports whether the store has removed replicas by now that have been
-// silent since it was restored. It removes nothing while it is unreachable.
-func (c *Catalog) silentRemoved(now time.Time) bool {
-	since := c.lastRestore
-	if c.lastOutage.After(since) {
-		since = c.lastOutage
+// lastDisturbance returns when the store was last restored or unreachable. It removes nothing
+// while it is unreachable.
+func (c *Catalog) lastDisturbance() time.Time {
+	if c.lastOutage.After(c.lastRestore) {
+		return c.lastOutage
 	}
+	return c.lastRestore
+}
+
+// silentRemoved reports whether the store has removed replicas by now that have been silent
+// since a time.
+func (c *Catalog) silentRemoved(since, now time.Time) bool {
 	return now.Sub(since) > silentHeartbeats*c.HeartbeatInterval+removalDelay
 }
 
 // confirm ends the suspicion of a replica that is still registered after the store has
 // removed silent ones.
 func (c *Catalog) confirm(e *catalogEntry, now time.Time) {
-	if e.suspicion == notSuspected || e.suspicion == announcedLeaving || !c.silentRemoved(now) {
+	if e.suspicion == notSuspected || e.suspicion == announcedLeaving || !c.silentRemoved(c.lastDisturbance(), now) || !c.silentRemoved(e.takenAt, now) {
 		return
 	}
 	c.logSuspicion("still registered", e.replica, now)
-	e.suspicion = notSuspected
+	e.suspicion, e.confirmed = notSuspected, true
 	delete(c.departures, e.replica.ID)
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -82,6 +82,8 @@
 	// OnCrash is called, if set, for each replica crash that this daemon was the
 	// first to detect.
 	OnCrash func(c blocker.Crash, at time.Time)
+	// OnReplaced is called, if set, for each replica at whose address another one has responded.
+	OnReplaced func(r placer.Replica, now time.Time)
 	// RetryAfter returns the retry-after time of a refusal; 0 means none.
 	RetryAfter func(r *Request, now time.Time) time.Duration
 	// Regions returns, if set, the regions in which a request may be served now. Those that it arrived with may
@@ -375,7 +377,12 @@
 		x.forgetTried(s.placed.Replica.ID)
 	case s.parent.Err() != nil:
 		s.placed.Done(placer.Neutral, now)
-	case out.Proof.Unreachable(), out.OtherReplica:
+	case out.OtherReplica:
+		if x.OnReplaced != nil {
+			x.OnReplaced(s.placed.Replica, now)
+		}
+		s.placed.Done(placer.Unreachable, now)
+	case out.Proof.Unreachable():
 		s.placed.Done(placer.Unreachable, now)
 	case out.OtherVersion:
 		x.Placer.InvalidateVersion(s.placed.Replica.Address, x.request.Model, s.placed.Version, now)
--- a/internal/request/dispatcher/ending.go
+++ b/internal/request/dispatcher/ending.go
@@ -168,10 +168,21 @@
 	entry.Write(fields...)
 }
 
+// refusalCause names what a replica that refused an attempt says of itself.
+func refusalCause(out Refused) string {
+	switch {
+	case out.OtherReplica:
+		return ": another replica has the address"
+	case out.OtherVersion:
+		return ": another model version"
+	}
+	return ""
+}
+
 func describe(out Outcome) (outcome, detail string) {
 	switch out := out.(type) {
 	case Refused:
-		return "refused", out.Proof.Reason()
+		return "refused", out.Proof.Reason() + refusalCause(out)
 	case Lost:
 		return "lost", out.Cause.Error()
 	case Answered:
