Responses with malformed heads are no responses

What callers saw: a replica in trouble sent a response in whose head the name of a field held a blank. The caller got it as a success, with that field, or with a body that was framed otherwise than the replica meant. The product's own calls took a status of 000 for success (object API), for a refusal that proves that nothing ran (engine), or passed it on (service).

Cause: net/http accepts more than HTTP/1.1 allows: blanks in and around names, folded lines, a line feed alone as the end of a line, any three digits as a status. What was checked of a parsed response could not see the most of it.

Change: package framer scans heads as they arrive, in front of net/http, and fails the read. All HTTP/1 clients of the daemons use it. The request may have run then; it is no crash of the replica, and no proof of a refusal. Statuses of calls are compared with what they mean instead of with one bound.

Failed before: 48 of the 57 cases of TestMalformedHeadIsForwarded (21 of them as the attempt counted as a crash), TestMalformedRefusalProvesNothing, 4 of 19 of TestMalformedHeadResumesStream, 5 of 19 of TestMalformedHeadEndsCall, and 15 of 48 of adapter.TestMalformedResponseCounts.

--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/blake3"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/framer"
 	"github.com/lentilbridge/lentilbridge/internal/shared/rationer"
 )
 
@@ -63,8 +64,8 @@
 	control.IdleConnTimeout = controlIdleTimeout
 	return &HTTPEngine{
 		Address: address,
-		Client:  &http.Client{Transport: newTransportWithoutReuse()},
-		Control: &http.Client{Transport: control},
+		Client:  &http.Client{Transport: framer.NewTransport(newTransportWithoutReuse())},
+		Control: &http.Client{Transport: framer.NewTransport(control)},
 	}
 }
 
@@ -390,12 +391,13 @@
 	return nil
 }
 
-// statusError returns the error for a response with an error status. The engine may
-// have started the work only for server errors (5xx) other than 503.
+// statusError returns the error for a response with an unexpected status. The engine has not
+// started the work if it rejected the request (4xx), or has no capacity (503).
 func statusError(operation string, resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	cause := errors.New(strings.TrimSpace(string(text)))
-	return &EngineError{Operation: operation, Status: resp.StatusCode, RetryAfter: resp.Header.Values("Retry-After"), Started: resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable, Cause: cause}
+	rejected := resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable
+	return &EngineError{Operation: operation, Status: resp.StatusCode, RetryAfter: resp.Header.Values("Retry-After"), Started: !rejected, Cause: cause}
 }
 
 // callError returns the error for a call without a response.
--- a/pkg/adapter/object_api_http.go
+++ b/pkg/adapter/object_api_http.go
@@ -20,6 +20,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"go.uber.org/zap"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/framer"
 	"github.com/lentilbridge/lentilbridge/pkg/logger"
 )
 
@@ -305,7 +306,7 @@
 // error (5xx), a write may or may not have taken effect.
 func (c objectCall) checkStatus(response objectResponse) error {
 	switch {
-	case response.status < http.StatusMultipleChoices:
+	case response.status/100 == 2:
 		return nil
 	case response.status == http.StatusGone && c.operation == "watch":
 		return nil
@@ -317,7 +318,7 @@
 		return &TooLargeError{Key: c.key, Bytes: len(c.value)}
 	}
 	cause := &StatusError{Status: response.status, Message: strings.TrimSpace(string(response.body))}
-	refused := response.status < http.StatusInternalServerError
+	refused := response.status >= http.StatusMultipleChoices && response.status < http.StatusInternalServerError
 	return &UnavailableError{Operation: c.operation, Key: c.key, Refused: refused, Cause: cause}
 }
 
@@ -358,10 +359,10 @@
 
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: framer.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: 64 << 10,
-	}}
+	})}
 }
--- a/pkg/adapter/service_http.go
+++ b/pkg/adapter/service_http.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/lentilbridge/lentilbridge/internal/shared/framer"
 	"github.com/lentilbridge/lentilbridge/internal/shared/rationer"
 )
 
@@ -35,7 +36,7 @@
 // NewHTTPService returns a client for the service at the address.
 func NewHTTPService(address string) *HTTPService {
 	client := &http.Client{
-		Transport:     newTransportWithoutReuse(),
+		Transport:     framer.NewTransport(newTransportWithoutReuse()),
 		CheckRedirect: returnRedirect,
 	}
 	return &HTTPService{Address: address, Client: client}
--- a/pkg/adapter/weights_http.go
+++ b/pkg/adapter/weights_http.go
@@ -12,6 +12,9 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 )
 
+// defaultWeightClient sends the requests of sources without a client.
+var defaultWeightClient = newHTTPClient()
+
 // maxManifestBytes is the maximum size of a manifest from the weight source.
 const maxManifestBytes = 9 << 20
 
@@ -22,7 +25,7 @@
 	// BaseURL is the URL of the weight source, for example
 	// "http://127.0.0.1:7400".
 	BaseURL string
-	// Client sends the requests; nil means http.DefaultClient.
+	// Client sends the requests; nil means one that all such sources share.
 	Client *http.Client
 }
 
@@ -67,7 +70,7 @@
 func (s *HTTPWeightSource) read(ctx context.Context, source string, read weightRead) ([]byte, error) {
 	client := s.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultWeightClient
 	}
 	endpoint := kithttp.NewExplicitClient(newWeightRequest, read.decode, kithttp.SetClient(client)).Endpoint()
 	body, err := endpoint(ctx, read)
