A response whose connection was reset during the upload is not complete

Cause: the kernel reports a reset once, to whichever of reading and writing comes first. When the write of the upload has got it, the read of the response finds the end of the connection, which is how a body without a length ends. The same holds where the replica closes with a part of the upload unread.

Orders to the product's engines count once their response is complete.

--- a/pkg/adapter/engine_http.go
+++ b/pkg/adapter/engine_http.go
@@ -233,6 +233,14 @@
 	if resp.StatusCode/100 != 2 {
 		return statusError(operation, resp)
 	}
+	return readToEnd(operation, resp)
+}
+
+// readToEnd returns an error if a response that reports success is not complete.
+func readToEnd(operation string, resp *http.Response) error {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlResponseBytes)); err != nil {
+		return &EngineError{Operation: operation, Started: true, Cause: err}
+	}
 	return nil
 }
 
@@ -353,7 +361,7 @@
 	if resp.StatusCode/100 != 2 {
 		return nil, statusError("", resp)
 	}
-	return nil, nil
+	return nil, readToEnd("", resp)
 }
 
 func decodeState(_ context.Context, resp *http.Response) (any, error) {
--- a/pkg/adapter/malformed_response_test.go
+++ b/pkg/adapter/malformed_response_test.go
@@ -1,13 +1,16 @@
 package adapter
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -89,3 +92,55 @@
 		}
 	}
 }
+
+// earlyServer responds to an upload before it has read it, without a length, and closes the
+// connection.
+type earlyServer struct {
+	listener net.Listener
+	body     string
+}
+
+func (s *earlyServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		in := bufio.NewReaderSize(conn, 512)
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+s.body)
+			// The response arrives while the connection is still open.
+			time.Sleep(20 * time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+}
+
+// blankWeights are weights of a given size.
+type blankWeights struct {
+	left int
+}
+
+// Read implements io.Reader.
+func (w *blankWeights) Read(p []byte) (int, error) {
+	if w.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), w.left)
+	w.left -= n
+	return n, nil
+}
+
+// TestOrderCutDuringUpload guards against an order to the engine that counts as executed because the
+// engine responded before it reset the connection during the upload of the weights.
+func TestOrderCutDuringUpload(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go (&earlyServer{listener: l, body: "{}"}).run()
+	const size = 64 << 20
+	order := LoadVersion{Model: "m", Version: "v", Weights: &blankWeights{left: size}, Bytes: size}
+	err = NewHTTPEngine(l.Addr().String()).Apply(context.Background(), 1, order)
+	qt.Assert(t, err, qt.Not(qt.IsNil))
+	qt.Assert(t, isStarted(err), qt.IsTrue)
+}
